Test the flow decisions in an in-memory network, and mend what it found

Cause: randomised runs gave two owners for one flow when two copies of a first packet came through views that differ (the older first candidate placed it without knowing of the newer one's search), lost flows after two replacements of side processes within 30 s (the holder's restart was not noticed), and a delay when a closing flow's addresses were used again (its own locator was still at the second candidate). Change: a process that is searched by another origin remembers it and asks it before placing; owners register again with a holder that restarted; a locator of a process that has itself passed the flow on is ignored. Ruled out: views that differ for longer than the settle time (5 s); gossip's bound is 2 s, and the test's views now keep it. Left: the long run (make soak) lost a flow once; being traced.

--- a/clementinelead/flows/decisions.py
+++ b/clementinelead/flows/decisions.py
@@ -27,6 +27,7 @@
 PENDING_S = 2.0
 REDECIDE_S = 0.8  # below the usual first retransmission of a SYN, 1 s
 MAX_HOPS = 60
+MAX_RIVALS = 4
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 10_000
 DISTRUST_S = 1.0
@@ -45,6 +46,14 @@
     decided: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Rivals:
+    """Other origins that lately searched for a flow's owner here."""
+
+    seen: float
+    origins: tuple[envelopes.Candidate, ...]
+
+
 class Decider:
     """Owns the flows of one target and decides what to do with packets.
 
@@ -82,6 +91,7 @@
         self._service_by_address: dict[bytes, str] = {}
         self._name_by_id: dict[int, str] = {}
         self._pending_by_key: dict[headers.FlowKey, _Pending] = {}
+        self._rivals_by_key: dict[headers.FlowKey, _Rivals] = {}
         self._distrust_until = 0.0
         self._dead_owners: frozenset[str] = frozenset()
         self._deaths_until = 0.0
@@ -145,7 +155,7 @@
                 return outcomes.Drop(headers.DropCause.SYN_PAYLOAD)
         if starts and now < self._distrust_until:
             return outcomes.Drop(headers.DropCause.DISTRUST)
-        known = self._known(key, envelope, starts, now)
+        known = self._known(key, envelope, route, starts, now)
         if known is not None:
             return known
         return self._unknown(key, envelope, route, starts, now)
@@ -154,6 +164,7 @@
         self,
         key: headers.FlowKey,
         envelope: envelopes.Envelope,
+        route: envelopes.Route,
         starts: bool,
         now: float,
     ) -> outcomes.Outcome | None:
@@ -168,6 +179,9 @@
             return None
         if self._place_again(key, locator, starts):
             return None
+        if self._denied(locator, envelope, route):
+            self.locators.release(key)
+            return None
         if locator.owner in self._dead_owners:
             gone = self._owner_gone(key, envelope.packet, now)
             if gone is not None:
@@ -260,7 +274,9 @@
         elif starts:
             pending = _Pending(now, False)
             self._pending_by_key[key] = pending
-        merged = views.merged_route(route, view.route(key), self.me)
+        rivals = self._rivals_by_key.get(key)
+        others = (*rivals.origins, self.me) if rivals else (self.me,)
+        merged = views.merged_route(route, view.route(key), others)
         origin = self._index(merged)
         started = dataclasses.replace(
             envelope,
@@ -272,7 +288,7 @@
             least_load_ms=loads.NO_LOAD_MS,
         )
         fresh = pending is not None and pending.begun == now
-        if decides and fresh and not self.recovering:
+        if decides and fresh and rivals is None:
             if view.settled(key, self.me, now):
                 return self._place(key, started, merged, now)
         return self._visit(key, started, merged, 0, starts, now)
@@ -320,11 +336,30 @@
             if recent and (pending.decided or self.me.id < origin.id):
                 return outcomes.Drop(headers.DropCause.OTHER_DECIDES)
             del self._pending_by_key[key]
+        if envelope.decides:
+            self._note_rival(key, route.holders[envelope.origin], now)
         starts = headers.starts_flow(envelope.packet, key)
         return self._visit(
             key, envelope, route, envelope.position + 1, starts, now
         )
 
+    def _note_rival(
+        self,
+        key: headers.FlowKey,
+        origin: envelopes.Candidate,
+        now: float,
+    ) -> None:
+        """Remembers who may be about to place a flow.
+
+        A copy of its first packet that reaches this process through another
+        view must not be placed here without asking that process.
+        """
+        known = self._rivals_by_key.get(key)
+        origins = known.origins if known else ()
+        if origin not in origins:
+            origins = (*origins, origin)[-MAX_RIVALS:]
+        self._rivals_by_key[key] = _Rivals(now, origins)
+
     def _searched(
         self,
         key: headers.FlowKey,
@@ -564,6 +599,26 @@
         self.flows.close(key, trigger, now)
         self.registrar.release(key)
 
+    def _denied(
+        self,
+        locator: locators.Locator,
+        envelope: envelopes.Envelope,
+        route: envelopes.Route,
+    ) -> bool:
+        """Tells whether the owner itself has just passed this flow on.
+
+        Then its release is still under way.
+        """
+        if envelope.phase is _Phase.ACCEPT:
+            asked = route.candidates[: envelope.position]
+        elif envelope.phase is _Phase.FINAL:
+            asked = route.candidates
+        else:
+            return False
+        if envelope.origin < len(route.holders):
+            asked = (*asked, route.holders[envelope.origin])
+        return any(candidate.address == locator.address for candidate in asked)
+
     def _place_again(
         self, key: headers.FlowKey, locator: locators.Locator, starts: bool
     ) -> bool:
@@ -713,10 +768,9 @@
         for key in self.flows.expire(now):
             self.registrar.release(key)
         self.locators.expire(now)
-        stale = [
-            key
-            for key, pending in self._pending_by_key.items()
-            if now - pending.begun >= PENDING_S
-        ]
-        for key in stale:
-            del self._pending_by_key[key]
+        for key, pending in list(self._pending_by_key.items()):
+            if now - pending.begun >= PENDING_S:
+                del self._pending_by_key[key]
+        for key, rivals in list(self._rivals_by_key.items()):
+            if now - rivals.seen >= PENDING_S:
+                del self._rivals_by_key[key]
--- /dev/null
+++ b/clementinelead/flows/tests/test_stateful.py
@@ -0,0 +1,220 @@
+"""Randomised runs of the flow decisions, with the promises as invariants."""
+
+import collections
+import os
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from clementinelead.flows.tests import network
+from clementinelead.packets import headers
+
+SOAK = bool(os.environ.get("CLEMENTINELEAD_SOAK"))
+PORTS = strategies.integers(2000, 2011)
+INDICES = strategies.integers(0, 1000)
+
+
+class PlannedChanges(stateful.RuleBasedStateMachine):
+    """Joins, drains, departures, restarts and uneven views, in any order.
+
+    Messages between processes may be delivered in any order. None of these
+    events may break a flow, deliver one to two targets, or refuse what ran.
+    """
+
+    protocol = "tcp"
+
+    def __init__(self):
+        super().__init__()
+        self.net = network.Network(4, depth=3, protocol=self.protocol)
+        self.net.settle()
+        self.number = 10
+        self.owner_by_port = {}
+        self.tables = [self.net.table]
+        self.attempt_by_port = collections.Counter()
+
+    def first(self, port):
+        """Returns the first packet of a port's present attempt."""
+        sequence = 100 + 1000 * self.attempt_by_port[port]
+        return network.packet(port, headers.SYN, sequence)
+
+    def key(self, port):
+        return headers.flow_key(network.packet(port, protocol=6))
+
+    @stateful.rule(port=PORTS, view=INDICES)
+    def open(self, port, view):
+        if port in self.owner_by_port:
+            return
+        table = self.tables[view % len(self.tables)]
+        self.net.send(self.first(port), table)
+
+    @stateful.rule(port=PORTS, order=strategies.permutations(range(6)))
+    def open_through_two_views(self, port, order):
+        """Two copies of a first packet, through views that differ."""
+        if port in self.owner_by_port:
+            return
+        self.net.send(self.first(port), self.tables[0])
+        self.net.send(self.first(port), self.tables[-1])
+        for index in order:
+            if self.net.queue:
+                self.net.step(index % len(self.net.queue))
+
+    @stateful.rule(index=INDICES)
+    def step(self, index):
+        if self.net.queue:
+            self.net.step(index % len(self.net.queue))
+
+    @stateful.rule()
+    def run_all(self):
+        self.net.run()
+
+    @stateful.rule(port=PORTS, view=INDICES)
+    def continue_flow(self, port, view):
+        """An open flow's packet reaches its owner, whichever the view."""
+        self.net.run()
+        owner = self.owner_by_port.get(port)
+        if owner is None:
+            return
+        before = len(self.net.deliveries)
+        table = self.tables[view % len(self.tables)]
+        self.net.send(network.packet(port, headers.ACK, 101, b"x"), table)
+        self.net.run()
+        names = [name for name, _ in self.net.deliveries[before:]]
+        assert names in ([], [owner]), f"{port}: {names}, owner {owner}"
+        if names:
+            return
+        self.net.settle(6)
+        self.net.send(network.packet(port, headers.ACK, 101, b"x"))
+        self.net.run()
+        name, _ = self.net.deliveries[-1]
+        assert name == owner, f"{port} is not found again"
+
+    @stateful.rule(port=PORTS)
+    def close(self, port):
+        if port in self.owner_by_port:
+            self.net.run()
+            self.net.send(network.packet(port, headers.RST, 101))
+            self.net.run()
+            del self.owner_by_port[port]
+            self.net.settle(3)
+            self.attempt_by_port[port] += 1
+
+    @stateful.precondition(lambda self: len(self.net.side_by_name) < 9)
+    @stateful.rule()
+    def join(self):
+        self.number += 1
+        name = f"t{self.number}"
+        self.net.add(name, self.number)
+        self.net.publish(list(self.net.side_by_name), [name])
+        self.tables = [*self.tables[-2:], self.net.table]
+
+    @stateful.rule(index=INDICES)
+    def drain(self, index):
+        ready = self.ready()
+        if len(ready) > 2:
+            side = self.net.side_by_name[ready[index % len(ready)]]
+            side.state = side.decider.state = "draining"
+
+    @stateful.rule()
+    def leave(self):
+        """A draining target without flows leaves."""
+        self.net.settle(2)
+        for name, side in list(self.net.side_by_name.items()):
+            if side.state == "draining" and not side.decider.flows.by_key:
+                staying = [
+                    other for other in self.net.side_by_name if other != name
+                ]
+                self.net.publish(staying, staying)
+                self.net.settle(2)
+                del self.net.side_by_name[name]
+                self.tables = [self.net.table]
+                self.net.settle(6)
+                return
+
+    @stateful.rule(index=INDICES)
+    def replace_process(self, index):
+        """A side process is replaced beside its living target."""
+        self.net.settle(1)
+        names = list(self.net.side_by_name)
+        name = names[index % len(names)]
+        side = self.net.side_by_name[name]
+        table = side.decider.table(network.SERVICE)
+        side.start(self.net.now)
+        side.decider.on_services(
+            {
+                network.SERVICE: headers.service_key(
+                    network.ADDRESS, network.PORT, self.protocol
+                )
+            }
+        )
+        side.decider.on_table(network.SERVICE, table, self.net.now)
+        for other in self.net.side_by_name.values():
+            owned = other.decider.locators.owned_by(name)
+            entries = {key: item.service for key, item in owned.items()}
+            side.decider.on_recalled(entries, self.net.now)
+        for other in self.net.side_by_name.values():
+            other.decider.on_repeat(name)
+        self.net.settle(1)
+
+    @stateful.rule(seconds=strategies.floats(0.1, 1.0))
+    def wait(self, seconds):
+        """No packet is under way for longer than a caller's patience."""
+        self.net.run()
+        self.net.tick(seconds)
+
+    def ready(self):
+        return [
+            name
+            for name, side in self.net.side_by_name.items()
+            if side.state == "ready"
+        ]
+
+    @stateful.rule(heard=strategies.integers(0, 511))
+    def publish(self, heard=0):
+        """Some processes hear of the newest view now, the others later."""
+        names = list(self.net.side_by_name)
+        some = [name for bit, name in enumerate(names) if heard >> bit & 1]
+        self.net.publish(names, some or names[:1])
+        self.tables = [*self.tables[-2:], self.net.table]
+
+    @stateful.invariant()
+    def one_owner(self):
+        for port in range(2000, 2012):
+            owners = self.net.owners(self.key(port))
+            assert len(owners) <= 1, f"{port} has owners {owners}"
+            if owners:
+                previous = self.owner_by_port.setdefault(port, owners[0])
+                assert previous == owners[0], f"{port} moved"
+            else:
+                assert port not in self.owner_by_port, f"{port} was lost"
+
+    @stateful.invariant()
+    def nothing_broken(self):
+        assert not self.net.resets
+
+    @stateful.invariant()
+    def refusals_are_true(self):
+        """A caller that was refused goes on with a new attempt."""
+        delivered = {content for _, content in self.net.deliveries}
+        refused = set(self.net.refused)
+        assert not delivered & refused
+        for port in range(2000, 2012):
+            while self.first(port) in refused:
+                self.attempt_by_port[port] += 1
+
+
+class Settings:
+    """Bounds of the randomised runs."""
+
+    profile = hypothesis.settings(
+        max_examples=3000 if SOAK else 80,
+        stateful_step_count=60 if SOAK else 40,
+        derandomize=not SOAK,
+        deadline=None,
+        phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+
+
+TestPlannedChanges = PlannedChanges.TestCase
+TestPlannedChanges.settings = Settings.profile
--- a/clementinelead/flows/views.py
+++ b/clementinelead/flows/views.py
@@ -23,9 +23,9 @@
 def merged_route(
     received: envelopes.Route,
     own: envelopes.Route | None,
-    me: envelopes.Candidate,
+    others: tuple[envelopes.Candidate, ...],
 ) -> envelopes.Route:
-    """Returns a route that names all who may hold a flow, and this process.
+    """Returns a route that names all who may hold a flow.
 
     Balancers and side processes may hold views several changes apart, so the
     candidates of both are asked.
@@ -33,16 +33,15 @@
     Args:
         received: Route that the balancer sent.
         own: Route of the same bucket in this process's view, if any.
-        me: This process.
+        others: More processes to ask, and this process.
     """
     candidates = received.candidates
     known = {candidate.id for candidate in candidates}
-    others = received.previous
+    holders = received.previous
     if own is not None:
-        others += own.candidates + own.previous
-    others += (me,)
+        holders += own.candidates + own.previous
     previous = []
-    for candidate in others:
+    for candidate in holders + others:
         if candidate.id not in known:
             known.add(candidate.id)
             previous.append(candidate)
--- a/clementinelead/processes/side.py
+++ b/clementinelead/processes/side.py
@@ -370,6 +370,13 @@
             self._names[envelopes.candidate_id(record.id)] = record.id
             if record.role is records.Role.SIDE and mine & set(record.services):
                 self._schedule_rebuild()
+                self._note_restart(change)
+
+    def _note_restart(self, change: members.Change) -> None:
+        """Registers again with a process that lost what it was told."""
+        old = change.old
+        if old is not None and old.incarnation != change.new.incarnation:
+            self.decider.on_repeat(change.new.id)
 
     def on_configuration(self, adopted: adoption.Adopted, now: float) -> None:
         """Takes over the definitions of the own services."""
