--- a/bench/clusters.py
+++ b/bench/clusters.py
@@ -22,6 +22,7 @@
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 40.0
 HTTP_TIMEOUT_S = 2.0
+START_MARGIN_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -116,7 +117,7 @@
     def start(self) -> None:
         """Starts everything and waits until balancers and targets serve."""
         self.start_store()
-        self._write_operator()
+        self.write_operator()
         for identifier in self.balancers:
             self.start_balancer(identifier)
         self.start_fabric()
@@ -126,6 +127,27 @@
         self.apply_sheet()
         self.wait_serving()
 
+    def start_oracle(self) -> None:
+        """Starts targets and the shortest-queue baseline in place of all."""
+        identifier = self.balancers[0]
+        arguments = [
+            f"--address={SYSTEM_ADDRESS}",
+            f"--port={self._data_port_by_id[identifier]}",
+            f"--http-port={self.http_port_by_id[identifier]}",
+        ]
+        for target in self.targets:
+            self.start_target(target)
+            port, _ = self._target_port_by_id[target.id]
+            arguments.append(
+                f"--target={SYSTEM_ADDRESS}:{port}:{target.speed}:"
+                f"{target.slots}"
+            )
+        self._python(identifier, "bench.oracle", *arguments)
+        http_port = self.http_port_by_id[identifier]
+        self._wait_http(f"http://{SYSTEM_ADDRESS}:{http_port}/ready")
+        self.start_fabric()
+        time.sleep(START_MARGIN_S)
+
     def start_store(self) -> None:
         """Starts the stand-in store."""
         self._python(
@@ -196,6 +218,11 @@
             str(self._settings_by_id[target.id]),
         )
 
+    def shed(self, identifier: str, **report: object) -> None:
+        """Makes a target's load report say what is given."""
+        _, http_port = self._target_port_by_id[identifier]
+        _put_json(f"http://{SYSTEM_ADDRESS}:{http_port}/shedding", report)
+
     def start_callers(
         self, plans: list[dict[str, object]], seconds: float, name: str
     ) -> None:
@@ -251,20 +278,30 @@
 
     def set_faults(self, **faults: object) -> None:
         """Switches the store's faults."""
-        request = urllib.request.Request(
-            f"{self.store_url}/faults",
-            data=json.dumps(faults).encode(),
-            method="PUT",
-            headers={"Content-Type": "application/json"},
-        )
-        with urllib.request.urlopen(request, timeout=HTTP_TIMEOUT_S):
-            pass
+        _put_json(f"{self.store_url}/faults", faults)
+
+    def store_calls(self) -> dict[str, int]:
+        """Returns the store's calls by kind."""
+        calls = _get_json(f"{self.store_url}/calls")
+        return {kind: int(str(number)) for kind, number in calls.items()}
 
     def status(self, identifier: str) -> dict[str, object]:
         """Returns what a process says of itself, empty if nothing."""
         port = self.http_port_by_id[identifier]
         return _get_json(f"http://{SYSTEM_ADDRESS}:{port}/status")
 
+    def settings_path(self, identifier: str) -> pathlib.Path:
+        """Returns the settings file of a process."""
+        return self._settings_by_id[identifier]
+
+    def data_port(self, identifier: str) -> int:
+        """Returns the UDP port of a process's packet path."""
+        return self._data_port_by_id[identifier]
+
+    def process_id(self, name: str) -> int:
+        """Returns the process number of a process of this run."""
+        return self._process_by_name[name].process.pid
+
     def wait_serving(self) -> None:
         """Waits until each balancer is ready and knows all targets."""
         expected = {target.id for target in self.targets}
@@ -377,7 +414,8 @@
         )
         self._write(target.id, text)
 
-    def _write_operator(self) -> None:
+    def write_operator(self) -> None:
+        """Writes the settings of the operators' command."""
         text = "[operator]\nshift = muscat\nname = bench\n\n"
         text += f"[store]\nurl = {self.store_url}\n"
         (self.folder / "operator.ini").write_text(text, "utf-8")
@@ -403,6 +441,17 @@
         return False
 
 
+def _put_json(url: str, content: dict[str, object]) -> None:
+    request = urllib.request.Request(
+        url,
+        data=json.dumps(content).encode(),
+        method="PUT",
+        headers={"Content-Type": "application/json"},
+    )
+    with urllib.request.urlopen(request, timeout=HTTP_TIMEOUT_S):
+        pass
+
+
 def _get_json(url: str) -> dict[str, object]:
     try:
         with urllib.request.urlopen(url, timeout=HTTP_TIMEOUT_S) as response:
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,59 @@
+"""Runs a scenario by name; the last line is one JSON object."""
+
+import json
+import sys
+import typing
+
+import typer
+
+from bench import results
+from bench import throughput
+from bench.scenarios import changes
+from bench.scenarios import loads
+
+__all__ = ["SCENARIOS", "main"]
+
+
+def _throughput(seed: int) -> results.Result:
+    """Packets a second against a bare relay, new flows, flows held."""
+    figures = throughput.run(seed)
+    return results.Result(figures, tuple(throughput.missed(figures)))
+
+
+SCENARIOS: dict[str, typing.Callable[[int], results.Result]] = {
+    "crash": changes.crash,
+    "drain": changes.drain,
+    "liars": changes.liars,
+    "load70": loads.load70,
+    "load90": loads.load90,
+    "load90-one-slot": loads.load90_one_slot,
+    "overload150": loads.overload150,
+    "pause": changes.pause,
+    "rolling": changes.rolling,
+    "steady": loads.steady,
+    "throughput": _throughput,
+    "uneven": changes.uneven,
+}
+
+
+def main(
+    scenario: typing.Annotated[
+        str, typer.Argument(help=", ".join(sorted(SCENARIOS)))
+    ],
+    seed: typing.Annotated[int, typer.Option()] = 1,
+) -> None:
+    """Runs one scenario; exit status 1 if it misses a bound."""
+    function = SCENARIOS.get(scenario)
+    if function is None:
+        names = ", ".join(sorted(SCENARIOS))
+        print(f"{scenario}: unknown (allowed: {names})", file=sys.stderr)
+        raise typer.Exit(2)
+    result = function(seed)
+    line = {"scenario": scenario, "seed": seed, **result.figures}
+    print(json.dumps({**line, "missed": list(result.missed)}))
+    if result.missed:
+        raise typer.Exit(1)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/bench/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Named scenarios; each returns its figures and the bounds it missed."""
