--- a/bench/scenarios/loads.py
+++ b/bench/scenarios/loads.py
@@ -2,10 +2,12 @@
 
 import concurrent.futures
 import dataclasses
+import time
 
 from bench import audits
 from bench import clusters
 from bench import results
+from clementinelead.flows import views
 
 __all__ = ["load70", "load90", "overload150", "steady"]
 
@@ -69,6 +71,7 @@
             cluster.start_oracle()
         else:
             cluster.start()
+            time.sleep(views.SETTLE_S + 1.0)
         cluster.start_callers([plan(service, share)], SECONDS, "callers")
         cluster.wait("callers", SECONDS + 120.0)
         return audits.audit(cluster.folder, speeds(cluster))
--- a/clementinelead/flows/decisions.py
+++ b/clementinelead/flows/decisions.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import functools
 
 from clementinelead import exceptions
 from clementinelead.flows import loads
@@ -28,6 +29,7 @@
 REDECIDE_S = 0.8  # below the usual first retransmission of a SYN, 1 s
 MAX_HOPS = 60
 MAX_RIVALS = 4
+FREE_SLOTS_VALID_S = 0.5
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 10_000
 DISTRUST_S = 1.0
@@ -54,6 +56,12 @@
     origins: tuple[envelopes.Candidate, ...]
 
 
+@functools.lru_cache(maxsize=16_384)
+def _encoded(route: envelopes.Route) -> envelopes.Route:
+    """Returns a route with its message."""
+    return dataclasses.replace(route, encoded=envelopes.encode_route(route))
+
+
 class Decider:
     """Owns the flows of one target and decides what to do with packets.
 
@@ -92,6 +100,7 @@
         self._name_by_id: dict[int, str] = {}
         self._pending_by_key: dict[headers.FlowKey, _Pending] = {}
         self._rivals_by_key: dict[headers.FlowKey, _Rivals] = {}
+        self._free_slots_by_id: dict[int, tuple[float, int]] = {}
         self._distrust_until = 0.0
         self._dead_owners: frozenset[str] = frozenset()
         self._deaths_until = 0.0
@@ -429,7 +438,9 @@
         if candidate.id == self.me.id:
             return self._accept(key, envelope, route, passed, now)
         sent = self._send(envelope, _Phase.ACCEPT, candidate, position)
-        return self._with_placement(sent, key, route, passed, "passed on")
+        return self._with_placement(
+            sent, key, envelope, route, passed, "passed on"
+        )
 
     def _accept(
         self,
@@ -444,6 +455,8 @@
         if acceptance.allowed:
             return self._open(key, envelope, route, passed, acceptance, now)
         passed = (*passed, (self.me.id, acceptance.reason))
+        if envelope.position == 0:
+            envelope, route = self._reordered(envelope, route, now)
         onward = dataclasses.replace(envelope, position=envelope.position + 1)
         if self._acceptance(now, last_resort=True).allowed:
             completion = self.load.completion_ms(now)
@@ -453,6 +466,48 @@
                 )
         return self._ask(key, onward, route, passed, now)
 
+    def _reordered(
+        self,
+        envelope: envelopes.Envelope,
+        route: envelopes.Route,
+        now: float,
+    ) -> tuple[envelopes.Envelope, envelopes.Route]:
+        """Puts the candidates that are believed to have room first.
+
+        What is believed comes from control messages that are sent anyway, so
+        it is often milliseconds old; it decides only who is asked first.
+        """
+        rest = route.candidates[1:]
+        free = [self._believed_free(candidate, now) for candidate in rest]
+        order = sorted(range(len(rest)), key=lambda index: -free[index])
+        if order == list(range(len(rest))):
+            return envelope, route
+        moved = tuple(rest[index] for index in order)
+        self._count_sent(moved[0])
+        arranged = dataclasses.replace(
+            route, candidates=(route.candidates[0], *moved)
+        )
+        encoded = _encoded(arranged)
+        origin = envelope.origin
+        if 0 < origin < len(route.candidates):
+            origin = 1 + order.index(origin - 1)
+        changed = dataclasses.replace(
+            envelope, origin=origin, route=encoded.encoded
+        )
+        return changed, encoded
+
+    def _believed_free(self, candidate: envelopes.Candidate, now: float) -> int:
+        """Returns 1 for room, 0 for not known, -1 for no room."""
+        told = self._free_slots_by_id.get(candidate.id)
+        if told is None or now - told[0] > FREE_SLOTS_VALID_S:
+            return 0
+        return 1 if told[1] > 0 else -1
+
+    def _count_sent(self, candidate: envelopes.Candidate) -> None:
+        told = self._free_slots_by_id.get(candidate.id)
+        if told is not None:
+            self._free_slots_by_id[candidate.id] = (told[0], told[1] - 1)
+
     def _ask_least(
         self,
         key: headers.FlowKey,
@@ -468,7 +523,9 @@
         if candidate.id == self.me.id:
             return self._final(key, envelope, route, passed, now)
         sent = self._send(envelope, _Phase.FINAL, candidate, envelope.least)
-        return self._with_placement(sent, key, route, passed, "least loaded")
+        return self._with_placement(
+            sent, key, envelope, route, passed, "least loaded"
+        )
 
     def _final(
         self,
@@ -515,6 +572,7 @@
             self.me.id,
             acceptance.reason,
             route.revision,
+            envelope.hops,
         )
         return self._deliver(key, flow, envelope.packet, now, placement)
 
@@ -532,7 +590,13 @@
             wait = min(MAX_RETRY_AFTER_MS, envelope.least_load_ms)
         wait = max(MIN_RETRY_AFTER_MS, wait)
         placement = outcomes.Placement(
-            route.service, key, passed, None, reason, route.revision
+            route.service,
+            key,
+            passed,
+            None,
+            reason,
+            route.revision,
+            envelope.hops,
         )
         return outcomes.Refuse(
             replies.refusals(envelope.packet, wait), placement
@@ -572,12 +636,19 @@
         self,
         sent: outcomes.Forward,
         key: headers.FlowKey,
+        envelope: envelopes.Envelope,
         route: envelopes.Route,
         passed: tuple[tuple[int, str], ...],
         reason: str,
     ) -> outcomes.Forward:
         placement = outcomes.Placement(
-            route.service, key, passed, None, reason, route.revision
+            route.service,
+            key,
+            passed,
+            None,
+            reason,
+            route.revision,
+            envelope.hops,
         )
         return dataclasses.replace(sent, placement=placement)
 
@@ -744,6 +815,17 @@
         }
         self.registrar.repeat(holder, flows)
 
+    def on_free_slots(self, name: str, free: int, now: float) -> None:
+        """Notes how many slots another target says are free.
+
+        Args:
+            name: Identifier of the target.
+            free: Number of free slots.
+            now: Present time, seconds.
+        """
+        number = envelopes.candidate_id(name)
+        self._free_slots_by_id[number] = (now, free)
+
     def on_recalled(
         self, entries: dict[headers.FlowKey, str], now: float
     ) -> None:
--- a/clementinelead/flows/loads.py
+++ b/clementinelead/flows/loads.py
@@ -77,6 +77,12 @@
         """Returns the slots that may be used now, at least one."""
         return max(1, math.floor(self.limits.slots * self.share(now)))
 
+    def free_slots(self, now: float) -> int:
+        """Returns the slots that a new flow could have at once."""
+        if not self.acceptance(now, last_resort=False).allowed:
+            return 0
+        return self.usable_slots(now) - self.working
+
     def wait_s(self, now: float) -> float:
         """Returns the expected wait of a new flow for a slot, seconds."""
         slots = self.usable_slots(now)
--- a/clementinelead/flows/outcomes.py
+++ b/clementinelead/flows/outcomes.py
@@ -18,6 +18,7 @@
         chosen: Number of the chosen target, or None.
         reason: Why it was chosen, or why none was.
         revision: Configuration revision of the decision.
+        hops: Passes between side processes before it.
     """
 
     service: str
@@ -26,6 +27,7 @@
     chosen: int | None
     reason: str
     revision: int
+    hops: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/clementinelead/flows/registrations.py
+++ b/clementinelead/flows/registrations.py
@@ -83,6 +83,11 @@
         outstanding = self._outstanding_by_number.values()
         return queued + sum(len(item.batch.entries) for item in outstanding)
 
+    @property
+    def queued(self) -> bool:
+        """Whether anything waits to be sent for the first time."""
+        return bool(self._queue_by_target or self._released_by_holder)
+
     def register(
         self,
         key: headers.FlowKey,
--- a/clementinelead/messages/control.capnp
+++ b/clementinelead/messages/control.capnp
@@ -59,6 +59,7 @@
     renew @13 :Renewal;
     repeat @14 :UInt32;          # asks the owner to register all again
   }
+  freeSlots @15 :UInt16 = 65535; # of a side process's target, or unknown
 }
 
 struct PingRequest {
--- a/clementinelead/messages/controls.py
+++ b/clementinelead/messages/controls.py
@@ -29,6 +29,7 @@
 _SCHEMA = capnp.load(
     str(pathlib.Path(__file__).with_name("control.capnp")), imports=[]
 )
+UNKNOWN_SLOTS = 0xFFFF
 _HUNDREDTHS = 100
 _MAX_PROBE = 0xFFFF_FFFF
 
@@ -121,6 +122,7 @@
         digest: Digest of the sender's membership records.
         records: Membership records that have changed.
         body: What the message is about.
+        free_slots: Slots that are free at the sender's target.
     """
 
     sender: str
@@ -130,6 +132,7 @@
     digest: int
     records: tuple[records.Record, ...]
     body: Body
+    free_slots: int = UNKNOWN_SLOTS
 
 
 def _address_number(address: str) -> int:
@@ -251,6 +254,7 @@
         counter=control.counter,
         revision=control.revision,
         digest=control.digest,
+        freeSlots=control.free_slots,
         records=[_record_fields(record) for record in control.records],
     )
     _write_body(message, control.body)
@@ -273,6 +277,7 @@
             digest=message.digest,
             records=tuple(_record(entry) for entry in message.records),
             body=_read_body(message),
+            free_slots=message.freeSlots,
         )
     except (capnp.KjException, ValueError, OverflowError) as error:
         raise exceptions.MalformedMessageError(str(error)) from error
--- a/clementinelead/processes/control_channel.py
+++ b/clementinelead/processes/control_channel.py
@@ -32,12 +32,14 @@
         sealer: authentication.Sealer,
         receiver: Receiver,
         revision: collections.abc.Callable[[], int],
+        free_slots: collections.abc.Callable[[], int],
     ):
         self.counters = metrics.CounterSet()
         self._gossiper = gossiper
         self._sealer = sealer
         self._receiver = receiver
         self._revision = revision
+        self._free_slots = free_slots
         self._replays = authentication.ReplayWindow()
         self._counter = _FIRST_COUNTER
         self._transport: asyncio.DatagramTransport | None = None
@@ -75,6 +77,7 @@
             digest=self._gossiper.table.digest,
             records=message.records,
             body=message.body,
+            free_slots=self._free_slots(),
         )
         data = self._sealer.seal(controls.encode(control))
         self._gossiper.budget.spend(len(data))
--- a/clementinelead/processes/side.py
+++ b/clementinelead/processes/side.py
@@ -37,13 +37,14 @@
 __all__ = ["Side", "main"]
 
 TICK_S = 0.02
+FLUSH_DELAY_S = 0.002
 REBUILD_DELAY_S = 0.02
 PAUSE_S = 1.0
 DEAD_OWNER_GRACE_S = 120.0
 RECOVERY_S = 3.0
 RETRY_S = 0.1
 FLUSH_S = 1.0
-LEAVE_GRACE_S = 10.0
+PASSING = ("passed on", "least loaded")
 
 _STATE_BY_NAME = {
     "cold": records.State.COLD,
@@ -100,6 +101,8 @@
             case outcomes.Deliver(packet, placement):
                 if packet[9] == headers.PROTOCOL_UDP:
                     side.flush_registrations()
+                else:
+                    side.schedule_flush()
                 side.delivered += 1
                 send(packet, self._target)
                 side.log_placement(placement)
@@ -173,8 +176,10 @@
         self.refused = 0
         self.resets = 0
         self._log_limit = logs.RateLimit(settings.logs.placements_per_s)
+        self._refusal_log_limit = logs.RateLimit(settings.logs.placements_per_s)
         self._names = {self.decider.me.id: node.id}
         self._rebuild_scheduled = False
+        self._flush_scheduled = False
         self._drain_began: float | None = None
         self._add_routes()
         self._add_metrics()
@@ -299,8 +304,17 @@
         self.last_tick = now
         self.decider.on_pause(now)
 
+    def schedule_flush(self) -> None:
+        """Sends what the registrar has to say in a moment, all at once."""
+        if self._flush_scheduled or not self.decider.registrar.queued:
+            return
+        self._flush_scheduled = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(FLUSH_DELAY_S, self.flush_registrations)
+
     def flush_registrations(self) -> None:
         """Sends what the registrar has to say."""
+        self._flush_scheduled = False
         for message in self.decider.registrar.due(time.monotonic()):
             record = self.node.gossiper.table.by_id.get(message.holder)
             if record is None:
@@ -360,7 +374,13 @@
         self.node.announce(state=_STATE_BY_NAME[self.lifecycle.state])
         loguru.logger.info("state={}", self.lifecycle.state)
 
-    # What the node learns.
+    # What the node learns, and tells others.
+
+    def free_slots(self) -> int:
+        """Returns the free slots of the target, 0 if it takes nothing."""
+        if self.decider.state not in ("cold", "ready"):
+            return 0
+        return self.load.free_slots(time.monotonic())
 
     def on_members(self, changes: list[members.Change], now: float) -> None:
         """Rebuilds the tables if targets of the own services changed."""
@@ -437,6 +457,8 @@
         self, control: controls.Control, source: tuple[str, int], now: float
     ) -> None:
         """Handles the messages of flow owners and holders."""
+        if control.free_slots != controls.UNKNOWN_SLOTS:
+            self.decider.on_free_slots(control.sender, control.free_slots, now)
         match control.body:
             case controls.Register(number, service, entries):
                 self._on_register(control.sender, number, service, entries, now)
@@ -480,7 +502,12 @@
 
     def log_placement(self, placement: outcomes.Placement | None) -> None:
         """Logs a placement decision, at a bounded rate."""
-        if placement is None or not self._log_limit.allows(time.monotonic()):
+        if placement is None:
+            return
+        limit = self._log_limit
+        if placement.chosen is None and placement.reason not in PASSING:
+            limit = self._refusal_log_limit
+        if not limit.allows(time.monotonic()):
             return
         passed = ",".join(
             f"{self._names.get(number, number)}:{reason}"
@@ -491,14 +518,15 @@
             chosen = self._names.get(placement.chosen, str(placement.chosen))
         loguru.logger.info(
             "place service={} flow={} passed_over={} chosen={} reason={!r}"
-            " revision={} left_out={}",
+            " revision={} hops={} left_out={}",
             placement.service,
             headers.flow_text(placement.key),
             passed or "-",
             chosen,
             placement.reason,
             placement.revision,
-            self._log_limit.take_left_out(),
+            placement.hops,
+            limit.take_left_out(),
         )
 
     def log_reset(self, key: headers.FlowKey) -> None:
