Don't count a flow's first packet as a repeated one

Cause: at 90% load three flows were refused with reason shedding. Accepting a flow also ran the state step for its first packet, which saw the flow opening with the same sequence number, took it for a retransmission that the target had left unanswered, and after three of them paused the target for 2 s. Ruled out: load reports (none claimed to shed), lost packets (no flow took longer than 0.5 s to connect). Change: acceptance delivers the first packet without that step. Measured: a test that opens ten flows in a row failed before, passes now.

--- a/clementinelead/flows/decisions.py
+++ b/clementinelead/flows/decisions.py
@@ -226,13 +226,12 @@
         flow: tables.Flow,
         packet: bytes,
         now: float,
-        placement: outcomes.Placement | None = None,
     ) -> outcomes.Deliver:
         assert self.flows.by_key.get(key) is flow, "only an owner delivers"
         self.flows.touch(key, flow, packet, now)
         if key not in self.flows.by_key:
             self.registrar.release(key)
-        return outcomes.Deliver(packet, placement)
+        return outcomes.Deliver(packet)
 
     def _unknown(
         self,
@@ -574,7 +573,7 @@
             route.revision,
             envelope.hops,
         )
-        return self._deliver(key, flow, envelope.packet, now, placement)
+        return outcomes.Deliver(envelope.packet, placement)
 
     def _refuse(
         self,
--- a/clementinelead/flows/tests/test_decisions.py
+++ b/clementinelead/flows/tests/test_decisions.py
@@ -275,3 +275,30 @@
         net.send(content)
         net.run()
     assert [name for name, _ in net.deliveries] == [owner]
+
+
+def test_first_packets_alone_do_not_make_a_target_look_mute():
+    net = network.Network(1, slots=50)
+    net.settle()
+    for port in range(2000, 2010):
+        net.send(network.packet(port))
+        net.run()
+        assert net.owners(key_of(port)) == ["t0"]
+
+
+def test_target_that_leaves_first_packets_unanswered_is_passed_over():
+    net = network.Network(1, slots=50)
+    net.settle()
+    for port in range(2000, 2003):
+        net.send(network.packet(port))
+        net.run()
+    for port in range(2000, 2003):
+        net.send(network.packet(port))
+        net.run()
+    net.send(network.packet(2010))
+    net.run()
+    assert not net.owners(key_of(2010))
+    net.settle(3)
+    net.send(network.packet(2010))
+    net.run()
+    assert net.owners(key_of(2010)) == ["t0"]
