Make state and processor time fit the full size; measure the slopes

Change: lists of peers and the digest are kept up to date instead of made anew; tables hold one tuple of shared routes; large patches are left out and readers take the chunks; immutable values are read once; tables are rebuilt in batches between packets, and a balancer is ready only afterwards.

--- a/bench/run.py
+++ b/bench/run.py
@@ -11,6 +11,7 @@
 from bench.scenarios import changes
 from bench.scenarios import loads
 from bench.scenarios import memberships
+from bench.scenarios import slopes
 
 __all__ = ["SCENARIOS", "main"]
 
@@ -33,6 +34,7 @@
     "partition": memberships.partition,
     "pause": changes.pause,
     "rolling": changes.rolling,
+    "slopes": slopes.slopes,
     "steady": loads.steady,
     "throughput": _throughput,
     "uneven": changes.uneven,
--- a/clementinelead/configurations/drafts.py
+++ b/clementinelead/configurations/drafts.py
@@ -11,6 +11,7 @@
 RECENT_CHANGES = 256
 GARBAGE_REVISIONS = 64
 MAX_DELETIONS = 8
+MAX_PATCH_ENTRIES = 500
 
 
 @dataclasses.dataclass(frozen=True)
@@ -109,6 +110,22 @@
     )
 
 
+def _added(content: bytes, contents: dict[str, bytes]) -> str:
+    digest = chunks.digest(content)
+    contents[digest] = content
+    return digest
+
+
+def _added_patch(patch: models.Patch, contents: dict[str, bytes]) -> str:
+    """Adds a patch; one that is too large is left out.
+
+    Whoever misses it reads the whole configuration, chunk by chunk.
+    """
+    if len(patch.entries) > MAX_PATCH_ENTRIES:
+        return ""
+    return _added(chunks.encode(patch), contents)
+
+
 def written(
     configuration: models.Configuration, draft: Draft, author: models.Author
 ) -> Write:
@@ -168,13 +185,11 @@
         recent=_recent(old, author, revision),
         garbage=tuple(item for item in garbage if item not in old_enough),
     )
-    digests = []
-    for value in (index, patch):
-        content = chunks.encode(value)
-        digests.append(chunks.digest(content))
-        contents[digests[-1]] = content
     head = models.Head(
-        revision=revision, index=digests[0], patch=digests[1], author=author
+        revision=revision,
+        index=_added(chunks.encode(index), contents),
+        patch=_added_patch(patch, contents),
+        author=author,
     )
     deletions = tuple(item.digest for item in old_enough)
     return Write(head, contents, deletions)
--- a/clementinelead/configurations/models.py
+++ b/clementinelead/configurations/models.py
@@ -129,7 +129,8 @@
         schema_version: Version of this schema.
         revision: Raised by one with each change.
         index: Digest of the ``Index``, empty before the first change.
-        patch: Digest of the ``Patch`` from the revision before.
+        patch: Digest of the ``Patch`` from the revision before, empty if the
+            change was too large for one.
         author: Author of the change that led to this revision.
     """
 
--- a/clementinelead/configurations/repositories.py
+++ b/clementinelead/configurations/repositories.py
@@ -26,6 +26,8 @@
 _FIRST_BACKOFF_S = 0.05
 _MAX_BACKOFF_S = 1.0
 _MAX_PATCHES = 32
+_MAX_READS = 16
+_MAX_KEPT_VALUES = 1_024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,6 +83,8 @@
         self._store = store
         self._prefix = prefix
         self._random = generator
+        self._content_by_digest: dict[str, bytes] = {}
+        self._reads = asyncio.Semaphore(_MAX_READS)
 
     @property
     def head_key(self) -> str:
@@ -127,6 +131,8 @@
             patch = await self._value(digest, models.Patch)
             found.append(patch)
             digest = patch.previous
+        if head.revision - len(found) > since:
+            return None
         return found[::-1]
 
     async def configuration(self) -> tuple[models.Configuration, int]:
@@ -245,21 +251,38 @@
         return f"{self._prefix}/values/{digest}"
 
     async def _value(self, digest: str, model: type[_Model]) -> _Model:
-        entry = await self._store.get(self._value_key(digest))
-        if chunks.digest(entry.value) != digest:
-            raise exceptions.StoreUnavailableError(
-                f"value {digest} is missing or damaged"
-            )
-        return model.model_validate_json(entry.value)
+        content = self._content_by_digest.get(digest)
+        if content is None:
+            async with self._reads:
+                entry = await self._store.get(self._value_key(digest))
+            content = entry.value
+            if chunks.digest(content) != digest:
+                raise exceptions.StoreUnavailableError(
+                    f"value {digest} is missing or damaged"
+                )
+            self._keep(digest, content)
+        return model.model_validate_json(content)
+
+    def _keep(self, digest: str, content: bytes) -> None:
+        """Keeps a value, which never changes, instead of reading it again."""
+        while len(self._content_by_digest) >= _MAX_KEPT_VALUES:
+            del self._content_by_digest[next(iter(self._content_by_digest))]
+        self._content_by_digest[digest] = content
 
     async def _entries(
         self, digest_by_number: collections.abc.Mapping[int, str]
     ) -> dict[str, models.Entry]:
-        result: dict[str, models.Entry] = {}
-        for digest in digest_by_number.values():
-            chunk = await self._value(digest, models.Chunk)
-            result.update(chunk.entries)
-        return result
+        several = await asyncio.gather(
+            *(
+                self._value(digest, models.Chunk)
+                for digest in digest_by_number.values()
+            )
+        )
+        return {
+            name: entry
+            for chunk in several
+            for name, entry in chunk.entries.items()
+        }
 
 
 def _parsed(entry: protocols.Entry) -> tuple[models.Head, int]:
--- a/clementinelead/memberships/gossip.py
+++ b/clementinelead/memberships/gossip.py
@@ -87,6 +87,7 @@
 _DEATH_ATTENTION_S = 10.0
 _DEATH_ATTENTION_SHARE = 0.5
 _RECORDS_PER_PUSH = 8
+_PEERS_PER_REFRESH = 1_000
 _MIN_PUSH_BYTES = 600
 _DEAD_PROBE_ROUNDS = 16
 
@@ -130,6 +131,9 @@
         self._ring: list[str] = []
         self._number = 0
         self._rounds = 0
+        self._peers: list[records.Record] = []
+        self._near: list[records.Record] = []
+        self._peers_generation = -1
         self._heard_at_by_id: dict[str, float] = {}
         self._next_probe = now
         self._last_tick = now
@@ -247,10 +251,23 @@
         self._urgent.clear()
 
     def peers(self) -> list[records.Record]:
-        """Returns the records of the other living processes."""
-        return [
-            record for record in self.table.living() if record.id != self.own.id
-        ]
+        """Returns the records of the other living processes.
+
+        The list is made anew only after a change, in a large system not
+        after each, and must not be altered.
+        """
+        changes = self.table.generation - self._peers_generation
+        if changes * _PEERS_PER_REFRESH >= max(1, len(self._peers)):
+            self._peers_generation = self.table.generation
+            self._peers = [
+                record
+                for record in self.table.living()
+                if record.id != self.own.id
+            ]
+            self._near = [
+                record for record in self._peers if record.zone == self.own.zone
+            ]
+        return self._peers
 
     # Records.
 
@@ -367,6 +384,8 @@
         subject = self._next_subject(now)
         if subject is not None:
             return [self._probe(subject, now, None)]
+        if self.peers():
+            return []
         news = (self.own,) if self.announced else ()
         return [
             Send(address, news, controls.Ping(0)) for address in self._seeds
@@ -374,11 +393,7 @@
 
     def _dead_probes(self) -> list[Send]:
         """Asks one of those declared dead: it may only have been cut off."""
-        dead = [
-            record
-            for record in self.table.by_id.values()
-            if record.health is records.Health.DEAD
-        ]
+        dead = self.table.dead()
         if not dead:
             return []
         chosen = self._random.choice(dead)
@@ -413,22 +428,28 @@
         if watched and affordable and attentive:
             inside = [other for other in others if other.zone in watched]
             if inside:
-                return self._random.choice(inside)
-        near = [other for other in others if other.zone == self.own.zone]
+                return self._living(self._random.choice(inside))
         far = self._random.random() < self.options.other_zone_share
-        if far or not near:
-            return self._random.choice(others)
-        return self._from_ring(near)
+        if far or not self._near:
+            return self._living(self._random.choice(others))
+        return self._from_ring()
+
+    def _living(self, record: records.Record) -> records.Record | None:
+        """Returns the present record of a peer, None if it has ended."""
+        present = self.table.by_id.get(record.id)
+        if present is None or members.ended(present):
+            return None
+        return present
 
-    def _from_ring(self, near: list[records.Record]) -> records.Record:
-        by_id = {record.id: record for record in near}
+    def _from_ring(self) -> records.Record | None:
+        """Returns the members of the zone in turn, in an order of its own."""
         while self._ring:
-            record = by_id.get(self._ring.pop())
-            if record is not None:
+            record = self.table.by_id.get(self._ring.pop())
+            if record is not None and not members.ended(record):
                 return record
-        self._ring = list(by_id)
+        self._ring = [record.id for record in self._near]
         self._random.shuffle(self._ring)
-        return by_id[self._ring.pop()]
+        return self._living(self.table.by_id[self._ring.pop()])
 
     def _acknowledged(self, number: int, now: float) -> list[Send]:
         probe = self._probe_by_number.pop(number, None)
--- a/clementinelead/memberships/members.py
+++ b/clementinelead/memberships/members.py
@@ -18,6 +18,12 @@
     return int(xxhash.xxh3_64_intdigest(identifier.encode())) % DIGEST_BUCKETS
 
 
+def _mixed(bucket: int, value: int) -> int:
+    if not value:
+        return 0
+    return int(xxhash.xxh3_64_intdigest(value.to_bytes(8, "big"), seed=bucket))
+
+
 @dataclasses.dataclass(frozen=True)
 class Change:
     """A record that replaced another one."""
@@ -32,24 +38,18 @@
     Attributes:
         by_id: All records, those of the dead and gone too for a while, so
             that an old record can't bring them back.
+        digests: Digest of the records of each bucket.
+        digest: Digest of all records.
+        generation: Raised with each change.
     """
 
     def __init__(self) -> None:
         self.by_id: dict[str, records.Record] = {}
         self.digests = [0] * DIGEST_BUCKETS
+        self.digest = 0
+        self.generation = 0
         self._ended_by_id: dict[str, float] = {}
 
-    @property
-    def digest(self) -> int:
-        """Digest of all records."""
-        total = 0
-        for number, value in enumerate(self.digests):
-            if value:
-                total ^= xxhash.xxh3_64_intdigest(
-                    value.to_bytes(8, "big"), seed=number
-                )
-        return total
-
     def merge(self, record: records.Record, now: float) -> Change | None:
         """Takes over a record if it is newer than the one known.
 
@@ -63,10 +63,9 @@
         old = self.by_id.get(record.id)
         if not records.supersedes(record, old):
             return None
-        bucket = digest_bucket(record.id)
         if old is not None:
-            self.digests[bucket] ^= old.digest
-        self.digests[bucket] ^= record.digest
+            self._toggle(old)
+        self._toggle(record)
         self.by_id[record.id] = record
         if ended(record):
             self._ended_by_id[record.id] = now
@@ -80,9 +79,17 @@
             if now - since < TOMBSTONE_S:
                 continue
             record = self.by_id.pop(identifier)
-            self.digests[digest_bucket(identifier)] ^= record.digest
+            self._toggle(record)
             del self._ended_by_id[identifier]
 
+    def _toggle(self, record: records.Record) -> None:
+        """Adds a record to the digests, or takes it out again."""
+        bucket = digest_bucket(record.id)
+        self.digest ^= _mixed(bucket, self.digests[bucket])
+        self.digests[bucket] ^= record.digest
+        self.digest ^= _mixed(bucket, self.digests[bucket])
+        self.generation += 1
+
     def living(self) -> collections.abc.Iterator[records.Record]:
         """Returns the records of processes that are not dead or leaving."""
         return (record for record in self.by_id.values() if not ended(record))
@@ -96,6 +103,15 @@
             and self.by_id[identifier].health is records.Health.DEAD
         )
 
+    def dead(self) -> list[records.Record]:
+        """Returns the records of those declared dead."""
+        ended_records = (self.by_id[name] for name in self._ended_by_id)
+        return [
+            record
+            for record in ended_records
+            if record.health is records.Health.DEAD
+        ]
+
     def in_buckets(self, buckets: set[int]) -> list[records.Record]:
         """Returns the records of some digest buckets."""
         return [
--- a/clementinelead/placements/forwarding.py
+++ b/clementinelead/placements/forwarding.py
@@ -1,19 +1,17 @@
 """The decision of a balancer about each packet of the fabric."""
 
-import collections
 import collections.abc
 import dataclasses
 
 import xxhash
 
 from clementinelead.configurations import models
-from clementinelead.memberships import records
 from clementinelead.messages import envelopes
 from clementinelead.packets import headers
 from clementinelead.placements import tables
 from clementinelead.telemetry import metrics
 
-__all__ = ["Forwarder", "Routing", "members_by_service", "table_of"]
+__all__ = ["Forwarder", "Routing", "table_of"]
 
 _HASH_ONLY_DEPTH = 1
 
@@ -29,41 +27,6 @@
     revision: int
 
 
-@dataclasses.dataclass(slots=True)
-class _Routes:
-    """Per-bucket messages and addresses, laid out for the packet path."""
-
-    encoded: list[bytes]
-    addresses: list[tuple[str, int]]
-    table: tables.Table
-
-
-def members_by_service(
-    several: collections.abc.Iterable[records.Record],
-    names: collections.abc.Set[str],
-) -> dict[str, tuple[tables.Member, ...]]:
-    """Returns the targets of some services.
-
-    Draining targets stay in the tables until they leave: they accept nothing
-    new, but their flows are found where they always were.
-
-    Args:
-        several: Records of the living.
-        names: Services of interest.
-    """
-    found: dict[str, list[tables.Member]] = collections.defaultdict(list)
-    for record in several:
-        if record.role is not records.Role.SIDE:
-            continue
-        for name in record.services:
-            if name in names:
-                member = tables.Member(
-                    record.id, record.data_address, record.weight
-                )
-                found[name].append(member)
-    return {name: tuple(values) for name, values in found.items()}
-
-
 def table_of(
     service: models.Service,
     targets: tuple[tables.Member, ...],
@@ -102,7 +65,9 @@
         self.forwarded = 0
         self.drops = metrics.CounterSet()
         self._on_routing = on_routing
-        self._routes_by_address: dict[bytes, _Routes | None] = {}
+        self._routes_by_address: dict[
+            bytes, tuple[envelopes.Route, ...] | None
+        ] = {}
         self._address_by_name: dict[str, bytes] = {}
         self._table_by_name: dict[str, tables.Table] = {}
 
@@ -124,14 +89,13 @@
         if routes is None:
             self._count_unroutable(key)
             return None
-        encoded = routes.encoded
-        number = xxhash.xxh3_64_intdigest(key) % len(encoded)
+        route = routes[xxhash.xxh3_64_intdigest(key) % len(routes)]
         self.forwarded += 1
         if key[12] == headers.PROTOCOL_UDP or headers.starts_flow(packet, key):
-            self._report(key, routes.table.routes[number])
+            self._report(key, route)
         return (
-            envelopes.encode_placement(encoded[number], packet),
-            routes.addresses[number],
+            envelopes.encode_placement(route.encoded, packet),
+            route.candidates[0].address,
         )
 
     def update(
@@ -140,7 +104,6 @@
         service: models.Service | None,
         targets: tuple[tables.Member, ...],
         revision: int,
-        now: float,
     ) -> None:
         """Takes over a service's definition or targets.
 
@@ -149,7 +112,6 @@
             service: Its definition, None if it was removed.
             targets: Its targets that are not dead or leaving.
             revision: Configuration revision in force.
-            now: Present time, seconds.
         """
         address = self._address_by_name.pop(name, None)
         if address is not None:
@@ -160,7 +122,8 @@
         previous = self._table_by_name.get(name)
         table = table_of(service, targets, revision, previous)
         self._address_by_name[name] = service.key
-        self._routes_by_address[service.key] = _laid_out(table)
+        routes = table.routes if table else None
+        self._routes_by_address[service.key] = routes
         if table is not None:
             self._table_by_name[name] = table
 
@@ -182,13 +145,3 @@
                 route.revision,
             )
         )
-
-
-def _laid_out(table: tables.Table | None) -> _Routes | None:
-    if table is None:
-        return None
-    return _Routes(
-        encoded=[route.encoded for route in table.routes],
-        addresses=[route.candidates[0].address for route in table.routes],
-        table=table,
-    )
--- a/clementinelead/placements/tables.py
+++ b/clementinelead/placements/tables.py
@@ -49,7 +49,7 @@
     service: str
     revision: int
     members: tuple[Member, ...]
-    ranking: npt.NDArray[np.int32]
+    ranking: npt.NDArray[np.uint16]
     routes: tuple[envelopes.Route, ...]
 
     @property
@@ -140,4 +140,6 @@
             )
             route_by_content[content] = route
         routes.append(route)
-    return Table(service, revision, ordered, ranking, tuple(routes))
+    return Table(
+        service, revision, ordered, ranking.astype(np.uint16), tuple(routes)
+    )
--- /dev/null
+++ b/clementinelead/placements/targets.py
@@ -0,0 +1,58 @@
+"""The targets of each service, kept up to date change by change."""
+
+from clementinelead.memberships import members
+from clementinelead.memberships import records
+from clementinelead.placements import tables
+
+__all__ = ["TargetIndex"]
+
+
+class TargetIndex:
+    """Targets by service; a change costs O(services of the target).
+
+    Draining targets stay in: they accept nothing new, but their flows are
+    found where they always were. Dead and leaving ones do not.
+    """
+
+    def __init__(self) -> None:
+        self._member_by_service: dict[str, dict[str, tables.Member]] = {}
+
+    def update(self, change: members.Change) -> frozenset[str]:
+        """Takes over a change of a membership record.
+
+        Args:
+            change: The change.
+
+        Returns:
+            Services whose targets or their weights or addresses changed.
+        """
+        before = self._remove(change.old)
+        after = self._add(change.new)
+        return frozenset(
+            name
+            for name in before.keys() | after.keys()
+            if before.get(name) != after.get(name)
+        )
+
+    def targets(self, service: str) -> tuple[tables.Member, ...]:
+        """Returns the targets of a service."""
+        return tuple(self._member_by_service.get(service, {}).values())
+
+    def _remove(
+        self, record: records.Record | None
+    ) -> dict[str, tables.Member]:
+        removed: dict[str, tables.Member] = {}
+        for name in record.services if record else ():
+            by_id = self._member_by_service.get(name, {})
+            member = by_id.pop(record.id, None) if record else None
+            if member is not None:
+                removed[name] = member
+        return removed
+
+    def _add(self, record: records.Record) -> dict[str, tables.Member]:
+        if record.role is not records.Role.SIDE or members.ended(record):
+            return {}
+        member = tables.Member(record.id, record.data_address, record.weight)
+        for name in record.services:
+            self._member_by_service.setdefault(name, {})[record.id] = member
+        return dict.fromkeys(record.services, member)
--- a/clementinelead/processes/balancer.py
+++ b/clementinelead/processes/balancer.py
@@ -16,6 +16,7 @@
 from clementinelead.memberships import members
 from clementinelead.memberships import records
 from clementinelead.placements import forwarding
+from clementinelead.placements import targets
 from clementinelead.processes import config_watch
 from clementinelead.processes import node as node_module
 from clementinelead.processes import runtime
@@ -27,6 +28,7 @@
 __all__ = ["Balancer", "main"]
 
 REBUILD_DELAY_S = 0.02
+REBUILD_BATCH = 20
 READY_CHECK_S = 0.2
 IDLE_BEFORE_STOP_S = 0.5
 
@@ -69,6 +71,7 @@
         self._placement_log = logs.RateLimit(settings.logs.placements_per_s)
         self.forwarder = forwarding.Forwarder(self._log_routing)
         self._dirty: set[str] = set()
+        self._targets = targets.TargetIndex()
         self._rebuild_scheduled = False
         self._stopping = False
         router = self.node.application.router
@@ -115,6 +118,8 @@
         """Tells whether the fabric should hand packets to this process."""
         if self._stopping or self.node.adopted.revision == 0:
             return False
+        if self._dirty:
+            return False
         seeds = self._settings.cluster.seeds
         own = (
             f"{self._settings.node.address}:{self._settings.node.control_port}"
@@ -145,9 +150,7 @@
     def on_members(self, changes: list[members.Change], now: float) -> None:
         """Rebuilds the tables of the services whose targets changed."""
         for change in changes:
-            for record in (change.old, change.new):
-                if record is not None and record.role is records.Role.SIDE:
-                    self._dirty.update(record.services)
+            self._dirty.update(self._targets.update(change))
         self._schedule_rebuild()
 
     def on_configuration(self, adopted: adoption.Adopted, now: float) -> None:
@@ -167,23 +170,19 @@
         loop.call_later(REBUILD_DELAY_S, self._rebuild)
 
     def _rebuild(self) -> None:
+        """Rebuilds some tables; the packet path runs between batches."""
         self._rebuild_scheduled = False
-        dirty = self._dirty
-        self._dirty = set()
-        targets = forwarding.members_by_service(
-            self.node.gossiper.table.living(), dirty
-        )
         entry_by_name = self.node.adopted.entry_by_name
-        now = time.monotonic()
-        for name in dirty:
+        for _ in range(min(REBUILD_BATCH, len(self._dirty))):
+            name = self._dirty.pop()
             entry = entry_by_name.get(name)
             self.forwarder.update(
                 name,
                 entry.service if entry else None,
-                targets.get(name, ()),
+                self._targets.targets(name),
                 self.node.adopted.revision,
-                now,
             )
+        self._schedule_rebuild()
 
     # What others ask.
 
--- a/clementinelead/processes/side.py
+++ b/clementinelead/processes/side.py
@@ -26,6 +26,7 @@
 from clementinelead.messages import envelopes
 from clementinelead.packets import headers
 from clementinelead.placements import forwarding
+from clementinelead.placements import targets
 from clementinelead.processes import load_reports
 from clementinelead.processes import node as node_module
 from clementinelead.processes import runtime
@@ -177,6 +178,7 @@
         self.resets = 0
         self._log_limit = logs.RateLimit(settings.logs.placements_per_s)
         self._refusal_log_limit = logs.RateLimit(settings.logs.placements_per_s)
+        self._targets = targets.TargetIndex()
         self._names = {self.decider.me.id: node.id}
         self._rebuild_scheduled = False
         self._flush_scheduled = False
@@ -387,10 +389,12 @@
         mine = set(self._services)
         for change in changes:
             record = change.new
+            if not mine & set(record.services):
+                continue
             self._names[envelopes.candidate_id(record.id)] = record.id
-            if record.role is records.Role.SIDE and mine & set(record.services):
-                self._schedule_rebuild()
-                self._note_restart(change)
+            self._targets.update(change)
+            self._schedule_rebuild()
+            self._note_restart(change)
 
     def _note_restart(self, change: members.Change) -> None:
         """Registers again with a process that lost what it was told."""
@@ -438,16 +442,13 @@
         now = time.monotonic()
         membership = self.node.gossiper.table
         entries = self.node.adopted.entry_by_name
-        targets = forwarding.members_by_service(
-            membership.living(), set(entries)
-        )
         dead = membership.recently_dead(now, DEAD_OWNER_GRACE_S)
         self.decider.on_deaths(dead, now + DEAD_OWNER_GRACE_S if dead else 0.0)
         for name, entry in entries.items():
             previous = self.decider.table(name)
             table = forwarding.table_of(
                 entry.service,
-                targets.get(name, ()),
+                self._targets.targets(name),
                 self.node.adopted.revision,
                 previous,
             )
