Join with a whole view, keep ended flows ended over a restart, ask the likeliest targets

A side process that restarted was known by its old record, so its seed's answer did not carry the seed's record, and it never joined: after four replacements nobody knew any flow. A balancer that restarted took packets when it knew one target only: flows were refused with 'no candidate' after 0 hops. A flow whose caller had ended it came back as open after a restart, so a drain never ended. Ruled out: lost registrations (acknowledged), the pause detection (no pause in the logs). Change: a seed answers a new incarnation with its record; a balancer is ready after it has a peer's whole table; registrations say whether a flow is closing. Control messages carry the expected completion; the first candidate asks two that have room, else hands the flow to the least loaded one at once.

--- a/bench/clusters.py
+++ b/bench/clusters.py
@@ -47,7 +47,7 @@
     slots: int = 2
     protocol: str = "tcp"
     policy: str = "hunting"
-    candidates: int = 3
+    candidates: int = 7
     max_wait_s: float = 5.0
     slot_hold_s: float = 0.0
     known_speeds: bool = True
--- a/clementinelead/configurations/models.py
+++ b/clementinelead/configurations/models.py
@@ -61,7 +61,7 @@
     port: typing.Annotated[int, pydantic.Field(ge=1, le=65535)]
     protocol: typing.Literal["tcp", "udp"]
     policy: typing.Literal["hunting", "weighted-hash", "plain-hash"] = "hunting"
-    candidates: typing.Annotated[int, pydantic.Field(ge=1, le=16)] = 3
+    candidates: typing.Annotated[int, pydantic.Field(ge=1, le=16)] = 7
     buckets: typing.Literal[64, 256, 1024, 4096] = 256
     max_wait_s: typing.Annotated[float, pydantic.Field(gt=0, le=3600)] = 2.0
     tcp_idle_s: typing.Annotated[float, pydantic.Field(ge=1, le=86400)] = 3600.0
--- a/clementinelead/flows/decisions.py
+++ b/clementinelead/flows/decisions.py
@@ -17,6 +17,7 @@
 from clementinelead.flows import registrations
 from clementinelead.flows import tables
 from clementinelead.flows import views
+from clementinelead.messages import controls
 from clementinelead.messages import envelopes
 from clementinelead.packets import headers
 from clementinelead.packets import replies
@@ -29,7 +30,8 @@
 REDECIDE_S = 0.8  # below the usual first retransmission of a SYN, 1 s
 MAX_HOPS = 60
 MAX_RIVALS = 4
-FREE_SLOTS_VALID_S = 0.5
+MAX_ASKED = 2  # candidates asked after the first one
+LOAD_VALID_S = 0.5
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 10_000
 DISTRUST_S = 1.0
@@ -62,6 +64,14 @@
     return dataclasses.replace(route, encoded=envelopes.encode_route(route))
 
 
+def _registration(
+    key: headers.FlowKey, flow: tables.Flow
+) -> controls.Registration:
+    return controls.Registration(
+        key, flow.incarnation, flow.state == tables.CLOSING
+    )
+
+
 class Decider:
     """Owns the flows of one target and decides what to do with packets.
 
@@ -100,7 +110,7 @@
         self._name_by_id: dict[int, str] = {}
         self._pending_by_key: dict[headers.FlowKey, _Pending] = {}
         self._rivals_by_key: dict[headers.FlowKey, _Rivals] = {}
-        self._free_slots_by_id: dict[int, tuple[float, int]] = {}
+        self._load_by_id: dict[int, tuple[float, controls.TargetLoad]] = {}
         self._distrust_until = 0.0
         self._dead_owners: frozenset[str] = frozenset()
         self._deaths_until = 0.0
@@ -228,9 +238,12 @@
         now: float,
     ) -> outcomes.Deliver:
         assert self.flows.by_key.get(key) is flow, "only an owner delivers"
+        before = flow.state
         self.flows.touch(key, flow, packet, now)
         if key not in self.flows.by_key:
             self.registrar.release(key)
+        elif flow.state == tables.CLOSING and before != tables.CLOSING:
+            self.registrar.closing(key, flow.service, flow.incarnation)
         return outcomes.Deliver(packet)
 
     def _unknown(
@@ -403,7 +416,7 @@
 
         If the target does not hold it, its own network stack resets it.
         """
-        flow = self.flows.restore(key, route.service, now)
+        flow = self.flows.restore(key, route.service, now, False)
         self._register(key, flow)
         return self._deliver(key, flow, packet, now)
 
@@ -431,11 +444,12 @@
     ) -> outcomes.Outcome:
         """Sends a new flow to the candidate at the envelope's position."""
         position = envelope.position
-        if position >= len(route.candidates):
+        if position > MAX_ASKED or position >= len(route.candidates):
             return self._ask_least(key, envelope, route, passed, now)
         candidate = route.candidates[position]
         if candidate.id == self.me.id:
             return self._accept(key, envelope, route, passed, now)
+        self._count_sent(candidate)
         sent = self._send(envelope, _Phase.ACCEPT, candidate, position)
         return self._with_placement(
             sent, key, envelope, route, passed, "passed on"
@@ -456,6 +470,10 @@
         passed = (*passed, (self.me.id, acceptance.reason))
         if envelope.position == 0:
             envelope, route = self._reordered(envelope, route, now)
+            least = self._believed_least(route, now)
+            if least is not None:
+                known = dataclasses.replace(envelope, least=least)
+                return self._ask_least(key, known, route, passed, now)
         onward = dataclasses.replace(envelope, position=envelope.position + 1)
         if self._acceptance(now, last_resort=True).allowed:
             completion = self.load.completion_ms(now)
@@ -477,12 +495,11 @@
         it is often milliseconds old; it decides only who is asked first.
         """
         rest = route.candidates[1:]
-        free = [self._believed_free(candidate, now) for candidate in rest]
-        order = sorted(range(len(rest)), key=lambda index: -free[index])
+        rank = [self._believed_rank(candidate, now) for candidate in rest]
+        order = sorted(range(len(rest)), key=rank.__getitem__)
         if order == list(range(len(rest))):
             return envelope, route
         moved = tuple(rest[index] for index in order)
-        self._count_sent(moved[0])
         arranged = dataclasses.replace(
             route, candidates=(route.candidates[0], *moved)
         )
@@ -495,17 +512,56 @@
         )
         return changed, encoded
 
-    def _believed_free(self, candidate: envelopes.Candidate, now: float) -> int:
-        """Returns 1 for room, 0 for not known, -1 for no room."""
-        told = self._free_slots_by_id.get(candidate.id)
-        if told is None or now - told[0] > FREE_SLOTS_VALID_S:
-            return 0
-        return 1 if told[1] > 0 else -1
+    def _believed_rank(
+        self, candidate: envelopes.Candidate, now: float
+    ) -> tuple[int, int]:
+        """Returns the order to ask in: room, not known, then by load."""
+        told = self._told(candidate, now)
+        if told is None:
+            return 1, 0
+        if told.free_slots > 0:
+            return 0, told.completion_ms
+        return 2, told.completion_ms
+
+    def _believed_least(self, route: envelopes.Route, now: float) -> int | None:
+        """Returns the least loaded candidate if all are known to be busy."""
+        completion = [self._own_completion_ms(now)]
+        for candidate in route.candidates[1:]:
+            told = self._told(candidate, now)
+            if told is None or told.free_slots > 0:
+                return None
+            completion.append(told.completion_ms)
+        least = min(completion)
+        if least >= loads.NO_LOAD_MS:
+            return None
+        return completion.index(least)
+
+    def _own_completion_ms(self, now: float) -> int:
+        if not self._acceptance(now, last_resort=True).allowed:
+            return loads.NO_LOAD_MS
+        return self.load.completion_ms(now)
+
+    def _told(
+        self, candidate: envelopes.Candidate, now: float
+    ) -> controls.TargetLoad | None:
+        """Returns what a target lately said of its load."""
+        told = self._load_by_id.get(candidate.id)
+        if told is None or now - told[0] > LOAD_VALID_S:
+            return None
+        return told[1]
 
     def _count_sent(self, candidate: envelopes.Candidate) -> None:
-        told = self._free_slots_by_id.get(candidate.id)
-        if told is not None:
-            self._free_slots_by_id[candidate.id] = (told[0], told[1] - 1)
+        """Counts a flow that is sent to a target before it says so itself."""
+        told = self._load_by_id.get(candidate.id)
+        if told is None:
+            return
+        load = told[1]
+        more = load.completion_ms // 2 if load.free_slots <= 0 else 0
+        expected = controls.TargetLoad(
+            max(0, load.free_slots - 1),
+            min(loads.NO_LOAD_MS, load.completion_ms + more),
+        )
+        self._load_by_id[candidate.id] = (told[0], expected)
 
     def _ask_least(
         self,
@@ -521,6 +577,7 @@
         candidate = route.candidates[envelope.least]
         if candidate.id == self.me.id:
             return self._final(key, envelope, route, passed, now)
+        self._count_sent(candidate)
         sent = self._send(envelope, _Phase.FINAL, candidate, envelope.least)
         return self._with_placement(
             sent, key, envelope, route, passed, "least loaded"
@@ -782,7 +839,7 @@
         owner: str,
         address: tuple[str, int],
         service: str,
-        entries: tuple[tuple[headers.FlowKey, int], ...],
+        entries: tuple[controls.Registration, ...],
         now: float,
     ) -> None:
         """Takes over where another target's flows are.
@@ -791,15 +848,17 @@
             owner: Identifier of the owner.
             address: IP address and UDP port of its packet path.
             service: Name of the service.
-            entries: Flow key and incarnation of each flow.
+            entries: The flows.
             now: Present time, seconds.
         """
-        for key, incarnation in entries:
-            if key in self.flows.by_key:
+        for entry in entries:
+            if entry.key in self.flows.by_key:
                 continue
-            locator = locators.Locator(owner, address, incarnation, service)
-            self.locators.register(key, locator, now)
-            self._pending_by_key.pop(key, None)
+            locator = locators.Locator(
+                owner, address, entry.incarnation, service, entry.closing
+            )
+            self.locators.register(entry.key, locator, now)
+            self._pending_by_key.pop(entry.key, None)
 
     def on_release(self, owner: str, keys: tuple[headers.FlowKey, ...]) -> None:
         """Removes locators of flows that have ended."""
@@ -808,37 +867,40 @@
 
     def on_repeat(self, holder: str) -> None:
         """Registers everything again with a holder that lacks some."""
-        flows = {
-            key: (flow.service, flow.incarnation)
+        entries = {
+            key: (flow.service, _registration(key, flow))
             for key, flow in self.flows.by_key.items()
         }
-        self.registrar.repeat(holder, flows)
+        self.registrar.repeat(holder, entries)
 
-    def on_free_slots(self, name: str, free: int, now: float) -> None:
-        """Notes how many slots another target says are free.
+    def on_load(self, name: str, load: controls.TargetLoad, now: float) -> None:
+        """Notes what another target says of its load.
 
         Args:
             name: Identifier of the target.
-            free: Number of free slots.
+            load: What it says.
             now: Present time, seconds.
         """
-        number = envelopes.candidate_id(name)
-        self._free_slots_by_id[number] = (now, free)
+        self._load_by_id[envelopes.candidate_id(name)] = (now, load)
 
     def on_recalled(
-        self, entries: dict[headers.FlowKey, str], now: float
+        self, entries: dict[headers.FlowKey, locators.Locator], now: float
     ) -> None:
         """Restores the flows that peers know to be this target's.
 
         Args:
-            entries: Service of each flow.
+            entries: Locator of each flow.
             now: Present time, seconds.
         """
-        for key, service in entries.items():
+        for key, locator in entries.items():
             if key in self.flows.by_key:
                 continue
-            flow = self.flows.restore(key, service, now)
+            flow = self.flows.restore(
+                key, locator.service, now, locator.closing
+            )
             self._register(key, flow)
+            if locator.closing:
+                self.registrar.closing(key, flow.service, flow.incarnation)
 
     def on_tick(self, now: float) -> None:
         """Forgets what has expired.
--- a/clementinelead/flows/locators.py
+++ b/clementinelead/flows/locators.py
@@ -26,12 +26,14 @@
         address: IP address and UDP port of the owner's side process.
         incarnation: Incarnation of the flow within its owner.
         service: Name of the service.
+        closing: Whether the caller has ended its side.
     """
 
     owner: str
     address: tuple[str, int]
     incarnation: int
     service: str
+    closing: bool
 
 
 @dataclasses.dataclass(slots=True)
--- a/clementinelead/flows/registrations.py
+++ b/clementinelead/flows/registrations.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from clementinelead.flows import locators
+from clementinelead.messages import controls
 from clementinelead.packets import headers
 
 __all__ = ["Batch", "Registrar", "Release", "Renewal"]
@@ -21,7 +22,7 @@
     holder: str
     number: int
     service: str
-    entries: tuple[tuple[headers.FlowKey, int], ...]
+    entries: tuple[controls.Registration, ...]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,7 +64,7 @@
         self._holders_by_key: dict[headers.FlowKey, tuple[str, ...]] = {}
         self._total_by_holder: dict[str, list[int]] = {}
         self._queue_by_target: dict[
-            tuple[str, str], list[tuple[headers.FlowKey, int]]
+            tuple[str, str], list[controls.Registration]
         ] = collections.defaultdict(list)
         self._released_by_holder: dict[str, list[headers.FlowKey]] = (
             collections.defaultdict(list)
@@ -103,10 +104,18 @@
         for holder in holders:
             if holder not in old:
                 self._count(holder, key, 1)
-                entry = (key, incarnation)
+                entry = controls.Registration(key, incarnation)
                 self._queue_by_target[holder, service].append(entry)
         self._holders_by_key[key] = holders
 
+    def closing(
+        self, key: headers.FlowKey, service: str, incarnation: int
+    ) -> None:
+        """Queues the news that a flow's caller has ended its side."""
+        entry = controls.Registration(key, incarnation, True)
+        for holder in self._holders_by_key.get(key, ()):
+            self._queue_by_target[holder, service].append(entry)
+
     def release(self, key: headers.FlowKey) -> None:
         """Queues the release of a flow that has ended."""
         for holder in self._holders_by_key.pop(key, ()):
@@ -121,18 +130,19 @@
         self._outstanding_by_number.pop(number, None)
 
     def repeat(
-        self, holder: str, flows: dict[headers.FlowKey, tuple[str, int]]
+        self,
+        holder: str,
+        entry_by_key: dict[headers.FlowKey, tuple[str, controls.Registration]],
     ) -> None:
         """Queues all entries of a holder again.
 
         Args:
             holder: Holder that lacks some, or has too many.
-            flows: Service and incarnation of each owned flow.
+            entry_by_key: Service and registration of each owned flow.
         """
         for key, holders in self._holders_by_key.items():
-            if holder in holders and key in flows:
-                service, incarnation = flows[key]
-                entry = (key, incarnation)
+            if holder in holders and key in entry_by_key:
+                service, entry = entry_by_key[key]
                 self._queue_by_target[holder, service].append(entry)
 
     def due(self, now: float) -> list[Message]:
@@ -186,7 +196,7 @@
         entries = tuple(
             entry
             for entry in batch.entries
-            if batch.holder in self._holders_by_key.get(entry[0], ())
+            if batch.holder in self._holders_by_key.get(entry.key, ())
         )
         return dataclasses.replace(batch, entries=entries)
 
@@ -196,7 +206,7 @@
             entries = [
                 entry
                 for entry in queued
-                if holder in self._holders_by_key.get(entry[0], ())
+                if holder in self._holders_by_key.get(entry.key, ())
             ]
             for start in range(0, len(entries), BATCH_ENTRIES):
                 self._number += 1
--- a/clementinelead/flows/tables.py
+++ b/clementinelead/flows/tables.py
@@ -100,10 +100,17 @@
             self._slot_wheel.add(key, now + hold)
         return flow
 
-    def restore(self, key: headers.FlowKey, service: str, now: float) -> Flow:
+    def restore(
+        self, key: headers.FlowKey, service: str, now: float, closing: bool
+    ) -> Flow:
         """Adds a flow that the target already holds, after a restart."""
         flow = self.open(key, service, 0, now)
         flow.state = ESTABLISHED
+        if closing:
+            flow.state = CLOSING
+            flow.working = False
+            self.load.released()
+            self.load.closed()
         return flow
 
     def touch(
--- a/clementinelead/flows/tests/test_decisions.py
+++ b/clementinelead/flows/tests/test_decisions.py
@@ -186,8 +186,7 @@
     side.start(net.now)
     side.decider.on_table(net_service(), net.table, net.now)
     for other in net.side_by_name.values():
-        owned = other.decider.locators.owned_by(owner)
-        entries = {key: entry.service for key, entry in owned.items()}
+        entries = other.decider.locators.owned_by(owner)
         side.decider.on_recalled(entries, net.now)
     assert delivered_to(net, 2000) == [owner]
 
@@ -302,3 +301,18 @@
     net.send(network.packet(2010))
     net.run()
     assert net.owners(key_of(2010)) == ["t0"]
+
+
+def test_a_flow_that_its_caller_ended_is_not_held_open_after_a_restart(net):
+    owner = opened(net, 2000)
+    delivered_to(net, 2000, FIN | ACK, b"")
+    net.settle(1)
+    side = net.side_by_name[owner]
+    side.start(net.now)
+    side.decider.on_table(net_service(), net.table, net.now)
+    for other in net.side_by_name.values():
+        entries = other.decider.locators.owned_by(owner)
+        side.decider.on_recalled(entries, net.now)
+    assert side.decider.flows.by_key[key_of(2000)].state == "closing"
+    assert side.decider.load.held == 0
+    assert side.decider.load.working == 0
--- a/clementinelead/flows/tests/test_stateful.py
+++ b/clementinelead/flows/tests/test_stateful.py
@@ -149,8 +149,7 @@
         )
         side.decider.on_table(network.SERVICE, table, self.net.now)
         for other in self.net.side_by_name.values():
-            owned = other.decider.locators.owned_by(name)
-            entries = {key: item.service for key, item in owned.items()}
+            entries = other.decider.locators.owned_by(name)
             side.decider.on_recalled(entries, self.net.now)
         for other in self.net.side_by_name.values():
             other.decider.on_repeat(name)
--- a/clementinelead/memberships/gossip.py
+++ b/clementinelead/memberships/gossip.py
@@ -341,14 +341,15 @@
     ) -> Send:
         """Returns the answer to a ping, with news if the budget allows it.
 
-        A sender that is not known yet gets this process's record, so that it
-        can ask for all the others.
+        A sender that is not known yet, or has restarted, gets this process's
+        record, so that it can ask for all the others.
         """
         assert isinstance(control.body, controls.Ping), (
             "only pings are answered"
         )
         body = controls.Ack(control.body.probe)
-        unknown = control.sender not in self.table.by_id
+        known = self.table.by_id.get(control.sender)
+        unknown = known is None or known.incarnation != control.incarnation
         asked = any(record.id == self.own.id for record in control.records)
         if self.announced and (unknown or asked):
             return Send(source, (self.own,), body)
--- a/clementinelead/memberships/tests/test_authentication.py
+++ b/clementinelead/memberships/tests/test_authentication.py
@@ -25,12 +25,15 @@
     weight=2.5,
 )
 
+LOAD = controls.TargetLoad(2, 350)
 BODIES = [
     controls.Nothing(),
     controls.Ping(7),
     controls.Ack(7),
     controls.PingRequest(7, "t2"),
-    controls.Register(3, "lookups", ((b"k" * 13, 9),)),
+    controls.Register(
+        3, "lookups", (controls.Registration(b"k" * 13, 9, True),)
+    ),
     controls.Registered(3),
     controls.Release((b"k" * 13,)),
     controls.Renew(2, 1 << 63),
@@ -40,7 +43,7 @@
 
 @pytest.mark.parametrize("body", BODIES)
 def test_every_message_survives_its_encoding(body):
-    control = controls.Control("t1", 5, 6, 7, 8, (RECORD,), body, 2)
+    control = controls.Control("t1", 5, 6, 7, 8, (RECORD,), body, LOAD)
     assert controls.decode(controls.encode(control)) == control
 
 
--- a/clementinelead/memberships/tests/test_gossip.py
+++ b/clementinelead/memberships/tests/test_gossip.py
@@ -1,14 +1,17 @@
 """Announcements, failure detection and refutation without sockets."""
 
 import dataclasses
+import random
 
 import hypothesis
 from hypothesis import strategies
 
 from bench import gossip_network
+from clementinelead.memberships import gossip
 from clementinelead.memberships import members
 from clementinelead.memberships import records
 from clementinelead.memberships.tests import test_authentication
+from clementinelead.messages import controls
 
 
 def network(count=12, seed=1, **link):
@@ -125,3 +128,23 @@
     )
     assert table.merge(dead, 1.0) is None
     assert table.by_id["t1"] == new
+
+
+def test_a_restarted_process_that_is_not_announced_learns_of_its_seed():
+    net = network()
+    seed = net.nodes["node-0"]
+    seed.forget_news()
+    restarted = gossip.Gossiper(
+        dataclasses.replace(net.nodes["node-1"].own, incarnation=10**6),
+        (seed.own.control_address,),
+        gossip.Options(),
+        random.Random(1),
+        net.now,
+    )
+    sends, _ = restarted.on_tick(net.now)
+    assert [send.address for send in sends] == [seed.own.control_address]
+    ping = controls.Control(
+        "node-1", 10**6, 1, 0, 0, sends[0].records, sends[0].body
+    )
+    answers, _ = seed.on_control(ping, ("10.0.0.1", 7001), net.now)
+    assert seed.own in answers[-1].records
--- a/clementinelead/messages/control.capnp
+++ b/clementinelead/messages/control.capnp
@@ -38,6 +38,7 @@
 struct Registration {
   key @0 :Data;            # flow key
   incarnation @1 :UInt32;  # of the flow, within its owner
+  closing @2 :Bool;        # whether its caller has ended it
 }
 
 struct Control {
@@ -59,6 +60,7 @@
     repeat @14 :UInt32;          # asks the owner to register all again
   }
   freeSlots @15 :UInt16 = 65535; # of a side process's target, or unknown
+  completionMs @16 :UInt32;      # expected, of a flow accepted now
 }
 
 struct PingRequest {
--- a/clementinelead/messages/controls.py
+++ b/clementinelead/messages/controls.py
@@ -64,13 +64,28 @@
     subject: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Registration:
+    """A flow of the sender's target.
+
+    Attributes:
+        key: Flow key.
+        incarnation: Raised each time the owner opens a flow.
+        closing: Whether the caller has ended its side.
+    """
+
+    key: bytes
+    incarnation: int
+    closing: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Register:
-    """Tells where flows are: key and incarnation of each."""
+    """Tells where flows are."""
 
     number: int
     service: str
-    entries: tuple[tuple[bytes, int], ...]
+    entries: tuple[Registration, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,6 +128,19 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetLoad:
+    """What a side process says of its target.
+
+    Attributes:
+        free_slots: Slots that a new flow could have at once.
+        completion_ms: Expected time until a flow accepted now is done.
+    """
+
+    free_slots: int
+    completion_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Control:
     """A control datagram.
@@ -125,7 +153,7 @@
         digest: Digest of the sender's membership records.
         records: Membership records that have changed.
         body: What the message is about.
-        free_slots: Slots that are free at the sender's target.
+        load: What the sender says of its target's load, if it has one.
     """
 
     sender: str
@@ -135,7 +163,7 @@
     digest: int
     records: tuple[records.Record, ...]
     body: Body
-    free_slots: int = UNKNOWN_SLOTS
+    load: TargetLoad | None = None
 
 
 def _address_number(address: str) -> int:
@@ -205,8 +233,12 @@
             batch.number = number
             batch.service = service
             batch.entries = [
-                {"key": key, "incarnation": incarnation}
-                for key, incarnation in entries
+                {
+                    "key": entry.key,
+                    "incarnation": entry.incarnation,
+                    "closing": entry.closing,
+                }
+                for entry in entries
             ]
         case Registered(number):
             builder.registered = number
@@ -220,6 +252,13 @@
             builder.repeat = 0
 
 
+def _read_load(message: object) -> TargetLoad | None:
+    reader: capnp.lib.capnp._DynamicStructReader = message
+    if reader.freeSlots == UNKNOWN_SLOTS:
+        return None
+    return TargetLoad(reader.freeSlots, reader.completionMs)
+
+
 def _check_length(items: typing.Sized, limit: int) -> None:
     if len(items) > limit:
         raise exceptions.MalformedMessageError(f"{len(items)} items")
@@ -241,7 +280,8 @@
             batch = reader.register
             _check_length(batch.entries, max_items)
             entries = tuple(
-                (entry.key, entry.incarnation) for entry in batch.entries
+                Registration(entry.key, entry.incarnation, entry.closing)
+                for entry in batch.entries
             )
             return Register(batch.number, batch.service, entries)
         case "registered":
@@ -264,7 +304,8 @@
         counter=control.counter,
         revision=control.revision,
         digest=control.digest,
-        freeSlots=control.free_slots,
+        freeSlots=control.load.free_slots if control.load else UNKNOWN_SLOTS,
+        completionMs=control.load.completion_ms if control.load else 0,
         records=[_record_fields(record) for record in control.records],
     )
     _write_body(message, control.body)
@@ -294,7 +335,7 @@
             digest=message.digest,
             records=tuple(_record(entry) for entry in message.records),
             body=_read_body(message, max_items),
-            free_slots=message.freeSlots,
+            load=_read_load(message),
         )
     except (capnp.KjException, ValueError, OverflowError) as error:
         raise exceptions.MalformedMessageError(str(error)) from error
--- a/clementinelead/processes/balancer.py
+++ b/clementinelead/processes/balancer.py
@@ -12,6 +12,7 @@
 import loguru
 import typer
 
+from clementinelead import exceptions
 from clementinelead.configurations import adoption
 from clementinelead.memberships import members
 from clementinelead.memberships import records
@@ -29,7 +30,8 @@
 
 REBUILD_DELAY_S = 0.02
 REBUILD_BATCH = 20
-READY_CHECK_S = 0.2
+READY_CHECK_S = 0.1
+ALONE_S = 3.0
 IDLE_BEFORE_STOP_S = 0.5
 
 
@@ -74,6 +76,7 @@
         self._targets = targets.TargetIndex()
         self._rebuild_scheduled = False
         self._stopping = False
+        self._synced = False
         router = self.node.application.router
         router.add_get("/ready", self._on_ready)
         router.add_get("/status", self._on_status)
@@ -118,20 +121,35 @@
         """Tells whether the fabric should hand packets to this process."""
         if self._stopping or self.node.adopted.revision == 0:
             return False
-        if self._dirty:
-            return False
-        seeds = self._settings.cluster.seeds
-        own = (
-            f"{self._settings.node.address}:{self._settings.node.control_port}"
-        )
-        alone = all(seed == own for seed in seeds)
-        return alone or self.node.gossiper.trusted
+        return self._synced and not self._dirty
 
     async def _become_ready(self) -> None:
+        """Learns all members from a peer before it takes packets.
+
+        With a view that is not whole, a flow would be offered to too few
+        targets. A balancer that no peer answers is the first one.
+        """
+        deadline = time.monotonic() + ALONE_S
+        while not self._synced:
+            self._synced = await self._sync_with_any()
+            if not self._synced and time.monotonic() >= deadline:
+                loguru.logger.warning("no peer answers; starting alone")
+                self._synced = True
+            await asyncio.sleep(READY_CHECK_S)
         while not self.ready():
             await asyncio.sleep(READY_CHECK_S)
         self.node.announce(state=records.State.READY)
 
+    async def _sync_with_any(self) -> bool:
+        for peer in self.node.balancers():
+            try:
+                await self.node.sync_members(peer)
+            except exceptions.PeerUnavailableError as error:
+                loguru.logger.debug("members: {}", error)
+                continue
+            return True
+        return False
+
     async def _drain(self) -> None:
         """Forwards on until the fabric no longer sends anything."""
         self._stopping = True
--- a/clementinelead/processes/control_channel.py
+++ b/clementinelead/processes/control_channel.py
@@ -32,14 +32,14 @@
         sealer: authentication.Sealer,
         receiver: Receiver,
         revision: collections.abc.Callable[[], int],
-        free_slots: collections.abc.Callable[[], int],
+        load: collections.abc.Callable[[], controls.TargetLoad | None],
     ):
         self.counters = metrics.CounterSet()
         self._gossiper = gossiper
         self._sealer = sealer
         self._receiver = receiver
         self._revision = revision
-        self._free_slots = free_slots
+        self._load = load
         self._replays = authentication.ReplayWindow()
         self._counter = _FIRST_COUNTER
         self._transport: asyncio.DatagramTransport | None = None
@@ -77,7 +77,7 @@
             digest=self._gossiper.table.digest,
             records=message.records,
             body=message.body,
-            free_slots=self._free_slots(),
+            load=self._load(),
         )
         data = self._sealer.seal(controls.encode(control))
         self._gossiper.budget.spend(len(data))
--- a/clementinelead/processes/node.py
+++ b/clementinelead/processes/node.py
@@ -32,9 +32,9 @@
 class Subscriber:
     """Hears of what a node learns; the process's own part overrides these."""
 
-    def free_slots(self) -> int:
-        """Returns the free slots to tell others, if there is a target."""
-        return controls.UNKNOWN_SLOTS
+    def load(self) -> controls.TargetLoad | None:
+        """Returns the target's load to tell others, if there is a target."""
+        return None
 
     def on_members(self, changes: list[members.Change], now: float) -> None:
         """Called when membership records have changed."""
@@ -101,7 +101,7 @@
             authentication.Sealer(cluster.name, keys),
             self._on_control,
             lambda: self.adopted.revision,
-            subscriber.free_slots,
+            subscriber.load,
         )
         self.server = peers.PeerServer(keys, self.gossiper.table, self.adopted)
         self.application = web.Application()
--- a/clementinelead/processes/side.py
+++ b/clementinelead/processes/side.py
@@ -16,6 +16,7 @@
 from clementinelead.configurations import adoption
 from clementinelead.flows import decisions
 from clementinelead.flows import loads
+from clementinelead.flows import locators
 from clementinelead.flows import outcomes
 from clementinelead.flows import registrations
 from clementinelead.flows import tables
@@ -146,7 +147,7 @@
         self._services = target.services
         self.target = settings_models.endpoint(target.endpoint)
         self.egress = settings_models.endpoint(target.egress)
-        self.load = loads.LoadEstimate(
+        self.estimate = loads.LoadEstimate(
             loads.Limits(
                 slots=target.slots,
                 connections=target.connections,
@@ -158,7 +159,7 @@
         self.decider = decisions.Decider(
             node.id,
             (node.address, node.data_port),
-            self.load,
+            self.estimate,
             tables.Timeouts(),
         )
         self.node = node_module.Node(
@@ -211,7 +212,7 @@
                 reports = load_reports.LoadReports(
                     self.node.session,
                     self._settings.target.load_url,
-                    self.load,
+                    self.estimate,
                 )
                 self.node.spawn(reports.run())
             loguru.logger.info("side process started")
@@ -269,9 +270,12 @@
                 loguru.logger.debug("recall: {}", error)
                 await asyncio.sleep(RETRY_S)
                 continue
+            own = self.node.gossiper.own
             entries = {
-                bytes.fromhex(key): service
-                for key, service in json.loads(body).items()
+                bytes.fromhex(key): locators.Locator(
+                    own.id, own.data_address, 0, service, closing
+                )
+                for key, (service, closing) in json.loads(body).items()
             }
             self.decider.on_recalled(entries, time.monotonic())
             return
@@ -364,7 +368,7 @@
             self._announce_state()
         elif drain is not None and state == "draining":
             assert self._drain_began is not None, "draining has a beginning"
-            if self.load.held == 0 and self.decider.registrar.pending == 0:
+            if self.estimate.held == 0 and self.decider.registrar.pending == 0:
                 self.lifecycle.emptied()  # type: ignore[attr-defined]
                 self._announce_state()
             elif now - self._drain_began >= drain.bound_s:
@@ -378,11 +382,16 @@
 
     # What the node learns, and tells others.
 
-    def free_slots(self) -> int:
-        """Returns the free slots of the target, 0 if it takes nothing."""
+    def load(self) -> controls.TargetLoad:
+        """Returns the target's load; the longest if it takes nothing."""
+        now = time.monotonic()
         if self.decider.state not in ("cold", "ready"):
-            return 0
-        return self.load.free_slots(time.monotonic())
+            return controls.TargetLoad(0, loads.NO_LOAD_MS)
+        if not self.estimate.acceptance(now, last_resort=True).allowed:
+            return controls.TargetLoad(0, loads.NO_LOAD_MS)
+        return controls.TargetLoad(
+            self.estimate.free_slots(now), self.estimate.completion_ms(now)
+        )
 
     def on_members(self, changes: list[members.Change], now: float) -> None:
         """Rebuilds the tables if targets of the own services changed."""
@@ -418,7 +427,7 @@
         ]
         if not services:
             return
-        self.load.limits = loads.Limits(
+        self.estimate.limits = loads.Limits(
             slots=self._settings.target.slots,
             connections=self._settings.target.connections,
             max_wait_s=min(service.max_wait_s for service in services),
@@ -458,8 +467,8 @@
         self, control: controls.Control, source: tuple[str, int], now: float
     ) -> None:
         """Handles the messages of flow owners and holders."""
-        if control.free_slots != controls.UNKNOWN_SLOTS:
-            self.decider.on_free_slots(control.sender, control.free_slots, now)
+        if control.load is not None:
+            self.decider.on_load(control.sender, control.load, now)
         match control.body:
             case controls.Register(number, service, entries):
                 self._on_register(control.sender, number, service, entries, now)
@@ -482,7 +491,7 @@
         owner: str,
         number: int,
         service: str,
-        entries: tuple[tuple[bytes, int], ...],
+        entries: tuple[controls.Registration, ...],
         now: float,
     ) -> None:
         record = self.node.gossiper.table.by_id.get(owner)
@@ -549,13 +558,15 @@
             "flows_held", lambda: len(self.decider.flows), "Flows held"
         )
         published.gauge(
-            "flows_working", lambda: self.load.working, "Flows at work"
+            "flows_working", lambda: self.estimate.working, "Flows at work"
         )
         published.gauge(
             "locators", lambda: len(self.decider.locators), "Locators held"
         )
         published.gauge(
-            "service_time_s", lambda: self.load.service_s, "Time of one request"
+            "service_time_s",
+            lambda: self.estimate.service_s,
+            "Time of one request",
         )
         published.gauge(
             "packets_delivered", lambda: self.delivered, "Packets delivered"
@@ -565,7 +576,10 @@
     async def _on_locators(self, request: web.Request) -> web.Response:
         self.node.server.checked(request)
         owned = self.decider.locators.owned_by(request.query["owner"])
-        content = {key.hex(): entry.service for key, entry in owned.items()}
+        content = {
+            key.hex(): (entry.service, entry.closing)
+            for key, entry in owned.items()
+        }
         return self.node.server.response(json.dumps(content).encode())
 
     async def _on_status(self, _: web.Request) -> web.Response:
@@ -574,10 +588,10 @@
             "state": self.lifecycle.state,
             "revision": self.node.adopted.revision,
             "flows": len(self.decider.flows),
-            "working": self.load.working,
-            "held": self.load.held,
+            "working": self.estimate.working,
+            "held": self.estimate.held,
             "locators": len(self.decider.locators),
-            "service_time_s": self.load.service_s,
+            "service_time_s": self.estimate.service_s,
             "delivered": self.delivered,
             "passed_on": self.passed_on,
             "refused": self.refused,
