--- a/bench/run.py
+++ b/bench/run.py
@@ -9,6 +9,7 @@
 from bench import results
 from bench import throughput
 from bench.scenarios import changes
+from bench.scenarios import configs
 from bench.scenarios import loads
 from bench.scenarios import memberships
 from bench.scenarios import slopes
@@ -23,16 +24,19 @@
 
 
 SCENARIOS: dict[str, typing.Callable[[int], results.Result]] = {
+    "config": configs.config,
     "crash": changes.crash,
     "drain": changes.drain,
     "liars": changes.liars,
     "load70": loads.load70,
     "load90": loads.load90,
     "load90-one-slot": loads.load90_one_slot,
+    "outage": configs.outage,
     "overload150": loads.overload150,
     "membership": memberships.membership,
     "partition": memberships.partition,
     "pause": changes.pause,
+    "race": configs.race,
     "rolling": changes.rolling,
     "slopes": slopes.slopes,
     "steady": loads.steady,
