Check the protocols from small specifications; mend the hole that one found

Cause: z3 found, in 7 steps of the ownership specification, two owners for a flow: an origin that gave way to another one starts anew for a further copy, and the search of its abandoned attempt then returns and places the flow. A test with three copies in 120 message orders showed the same in the code. Change: a search carries the number of the origin's attempt; one that returns for another attempt is dropped.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 check: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy clementinelead standins bench
+	$(BIN)/mypy clementinelead standins bench specs
 
 demo: setup
 	$(BIN)/python -m bench.demo
--- a/clementinelead/flows/decisions.py
+++ b/clementinelead/flows/decisions.py
@@ -30,6 +30,7 @@
 REDECIDE_S = 0.8  # below the usual first retransmission of a SYN, 1 s
 MAX_HOPS = 60
 MAX_RIVALS = 4
+MAX_ATTEMPT = 1 << 32
 MAX_ASKED = 2  # candidates asked after the first one
 LOAD_VALID_S = 0.5
 MIN_RETRY_AFTER_MS = 100
@@ -48,6 +49,7 @@
 
     begun: float
     decided: bool
+    attempt: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,6 +113,7 @@
         self._pending_by_key: dict[headers.FlowKey, _Pending] = {}
         self._rivals_by_key: dict[headers.FlowKey, _Rivals] = {}
         self._load_by_id: dict[int, tuple[float, controls.TargetLoad]] = {}
+        self._attempt = 0
         self._distrust_until = 0.0
         self._dead_owners: frozenset[str] = frozenset()
         self._deaths_until = 0.0
@@ -293,7 +296,8 @@
         if pending is not None and now - pending.begun < REDECIDE_S:
             decides = False
         elif starts:
-            pending = _Pending(now, False)
+            self._attempt = (self._attempt + 1) % MAX_ATTEMPT
+            pending = _Pending(now, False, self._attempt)
             self._pending_by_key[key] = pending
         rivals = self._rivals_by_key.get(key)
         others = (*rivals.origins, self.me) if rivals else (self.me,)
@@ -304,6 +308,7 @@
             phase=_Phase.SEARCH,
             origin=origin,
             decides=decides,
+            attempt=pending.attempt if pending else 0,
             route=merged.encoded,
             least=_NO_LEAST,
             least_load_ms=loads.NO_LOAD_MS,
@@ -394,6 +399,8 @@
         if envelope.decides:
             if pending is None or pending.decided:
                 return outcomes.Drop(headers.DropCause.OTHER_DECIDES)
+            if pending.attempt != envelope.attempt:
+                return outcomes.Drop(headers.DropCause.OTHER_DECIDES)
             return self._place(key, envelope, route, now)
         if starts or pending is not None:
             return outcomes.Drop(headers.DropCause.NO_OWNER)
--- a/clementinelead/flows/tests/test_interleavings.py
+++ b/clementinelead/flows/tests/test_interleavings.py
@@ -96,3 +96,22 @@
         assert len(net.owners(headers.flow_key(content))) == 1
 
     orders(scenario)
+
+
+def test_three_copies_through_two_views_give_one_owner():
+    """Found by the specification: a search of an abandoned attempt returns."""
+
+    def scenario(choose):
+        ports = []
+        net, old = uneven(ports)
+        content = network.packet(ports[0])
+        net.send(content)
+        for _ in range(2):
+            net.step(0)
+        net.send(content, old)
+        net.send(content)
+        run_all(net, choose)
+        owners = net.owners(headers.flow_key(content))
+        assert len(owners) <= 1, f"owners {owners}"
+
+    orders(scenario)
--- a/clementinelead/messages/envelope.capnp
+++ b/clementinelead/messages/envelope.capnp
@@ -33,4 +33,5 @@
   decides @6 :Bool;     # whether the origin may place the flow afterwards
   route @7 :Data;       # an encoded Route, shared by many envelopes
   packet @8 :Data;      # the caller's IPv4 packet
+  attempt @9 :UInt32;   # which of the origin's placements this search is for
 }
--- a/clementinelead/messages/envelopes.py
+++ b/clementinelead/messages/envelopes.py
@@ -98,6 +98,7 @@
     decides: bool
     route: bytes
     packet: bytes
+    attempt: int = 0
 
 
 def candidate_id(identifier: str) -> int:
@@ -185,6 +186,7 @@
         decides=envelope.decides,
         route=envelope.route,
         packet=envelope.packet,
+        attempt=envelope.attempt,
     )
     return bytes(message.to_bytes())
 
@@ -220,6 +222,7 @@
                 decides=message.decides,
                 route=message.route,
                 packet=message.packet,
+                attempt=message.attempt,
             )
     except (capnp.KjException, ValueError, IndexError) as error:
         raise exceptions.MalformedMessageError(str(error)) from error
--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the core protocols, checked with z3."""
