Give flow messages a budget of their own; pick ports that connections don't use

Cause: the slopes show that registrations cost up to 0.8 kB a flow when each goes alone; they spent gossip's budget, so that a target with 15 new flows a second would have stopped pushing news and pinging suspects. Change: two budgets; beyond its budget a side process collects registrations for 1 s instead of 2 ms. Ports below the kernel's range for connections; a process that ends at start fails the run.

--- a/bench/clusters.py
+++ b/bench/clusters.py
@@ -308,6 +308,7 @@
         deadline = time.monotonic() + READY_TIMEOUT_S
         waiting = set(self.balancers)
         while waiting:
+            self._check_alive()
             for identifier in list(waiting):
                 status = self.status(identifier)
                 if status.get("ready") and expected <= _ready_targets(status):
@@ -316,6 +317,16 @@
                 raise RuntimeError(f"not serving: {sorted(waiting)}")
             time.sleep(0.1)
 
+    def _check_alive(self) -> None:
+        """Checks that all processes run.
+
+        Raises:
+            RuntimeError: One has ended by itself.
+        """
+        for name, entry in self._process_by_name.items():
+            if entry.process.poll() is not None:
+                raise RuntimeError(f"{name} ended, see {self.folder}")
+
     # Faults and the end.
 
     def signal(self, name: str, number: int) -> None:
@@ -391,7 +402,7 @@
             f"control_port = {self._control_port_by_id[identifier]}\n"
             f"http_port = {self.http_port_by_id[identifier]}\n\n"
             f"[cluster]\nname = bench\nkeys = bench-key\nseeds = {seeds}\n"
-            "bytes_per_s = 20000\n\n"
+            "\n"
             "[logs]\nplacements_per_s = 20\n\n"
         )
 
--- a/bench/ports.py
+++ b/bench/ports.py
@@ -1,30 +1,39 @@
 """Free ports on loopback."""
 
+import random
 import socket
 
 __all__ = ["Ports"]
 
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+"""Below the range from which the kernel gives ports to connections."""
+
 
 class Ports:
-    """Picks ports that nothing uses now, none of them twice."""
+    """Picks ports that nothing uses now, none of them twice.
+
+    The generator is not seeded: two runs side by side must not pick alike.
+    """
 
     def __init__(self) -> None:
+        self._random = random.SystemRandom()
         self._given: set[int] = set()
 
     def pick(self, address: str) -> int:
         """Returns a port that is free for UDP and TCP on an address."""
         while True:
-            with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
-                tcp.bind((address, 0))
-                port: int = tcp.getsockname()[1]
-                if port in self._given:
-                    continue
-                try:
-                    with socket.socket(
-                        socket.AF_INET, socket.SOCK_DGRAM
-                    ) as udp:
-                        udp.bind((address, port))
-                except OSError:
-                    continue
-            self._given.add(port)
-            return port
+            port = self._random.randrange(FIRST_PORT, LAST_PORT)
+            if port not in self._given and _is_free(address, port):
+                self._given.add(port)
+                return port
+
+
+def _is_free(address: str, port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as trial:
+            try:
+                trial.bind((address, port))
+            except OSError:
+                return False
+    return True
--- a/bench/scenarios/slopes.py
+++ b/bench/scenarios/slopes.py
@@ -18,8 +18,13 @@
 from clementinelead.configurations import drafts
 from clementinelead.configurations import edits
 from clementinelead.configurations import models
+from clementinelead.flows import loads
+from clementinelead.flows import locators as flow_locators
+from clementinelead.flows import registrations
+from clementinelead.flows import tables as flow_tables
 from clementinelead.memberships import gossip
 from clementinelead.memberships import records
+from clementinelead.messages import controls
 from clementinelead.placements import forwarding
 from clementinelead.placements import rendezvous
 from clementinelead.placements import tables
@@ -31,6 +36,7 @@
 MEMBER_COUNTS = (1_000, 10_000, 51_300)
 NODE_COUNTS = (10, 30, 100, 200)
 CONFIG_COUNTS = (100, 1_000, 18_000)
+FLOWS = 20_000
 FULL_SERVICES = 18_000
 FULL_MEMBERS = 51_300
 MEMBERS_BOUND_MB = 64.0
@@ -237,6 +243,56 @@
     }
 
 
+def flow_state() -> dict[str, object]:
+    """Returns memory of a flow and a locator, and bytes of registrations."""
+    keys = [number.to_bytes(13, "big") for number in range(FLOWS)]
+    with _Allocated() as owned:
+        load = loads.LoadEstimate(loads.Limits(slots=FLOWS), 0.0)
+        table = flow_tables.FlowTable(load, flow_tables.Timeouts())
+        registrar = registrations.Registrar()
+        for key in keys:
+            flow = table.open(key, "lookups", 1, 0.0)
+            registrar.register(key, "lookups", flow.incarnation, ("a", "b"))
+        for number, message in enumerate(registrar.due(0.0), 1):
+            assert message.holder in ("a", "b"), "two holders"
+            registrar.acknowledged(number)
+    with _Allocated() as located:
+        locators = flow_locators.LocatorTable()
+        for key in keys:
+            locators.register(
+                key,
+                flow_locators.Locator(
+                    "target-1", ("10.0.0.1", 7000), 1, "lookups", False
+                ),
+                0.0,
+            )
+    assert len(table) == len(locators) == FLOWS, "all are held"
+    sizes = {}
+    for count in (1, 16, 40):
+        entries = tuple(controls.Registration(key, 1) for key in keys[:count])
+        bodies: dict[str, controls.Body] = {
+            "register": controls.Register(1, "lookups", entries),
+            "release": controls.Release(tuple(keys[:count])),
+            "acknowledge": controls.Registered(1),
+        }
+        sizes[str(count)] = {
+            name: gossip_network.TAG_BYTES + len(_encoded(body))
+            for name, body in bodies.items()
+        }
+    return {
+        "bytes_per_owned_flow": round(owned.megabytes * 1e6 / FLOWS),
+        "bytes_per_locator": round(located.megabytes * 1e6 / FLOWS),
+        "registration_bytes": sizes,
+    }
+
+
+def _encoded(body: controls.Body) -> bytes:
+    control = controls.Control(
+        "target-43999", 1_700_000_000_000, 10**6, 7_100, 2**63, (), body
+    )
+    return controls.encode(control)
+
+
 def slopes(seed: int) -> results.Result:
     """All slopes; misses the bound on membership state if it is larger."""
     figures = {
@@ -244,6 +300,7 @@
         **balancer_services(),
         **membership_state(),
         **control_bytes(seed),
+        **flow_state(),
         **configuration_sizes(),
     }
     missed = []
--- a/clementinelead/processes/control_channel.py
+++ b/clementinelead/processes/control_channel.py
@@ -3,11 +3,13 @@
 import asyncio
 import collections.abc
 import socket
+import time
 
 import loguru
 
 from clementinelead import exceptions
 from clementinelead.memberships import authentication
+from clementinelead.memberships import budgets
 from clementinelead.memberships import gossip
 from clementinelead.messages import controls
 from clementinelead.telemetry import metrics
@@ -17,6 +19,13 @@
 Receiver = collections.abc.Callable[[controls.Control, tuple[str, int]], None]
 
 _FIRST_COUNTER = 1
+_FLOW_BODIES = (
+    controls.Register,
+    controls.Registered,
+    controls.Release,
+    controls.Renew,
+    controls.Repeat,
+)
 
 
 class ControlChannel(asyncio.DatagramProtocol):
@@ -24,6 +33,8 @@
 
     Attributes:
         counters: Datagrams and bytes by what became of them.
+        flow_budget: Budget of what is said about flows; gossip has its own,
+            so that many new flows never keep a death from being noticed.
     """
 
     def __init__(
@@ -40,6 +51,9 @@
         self._receiver = receiver
         self._revision = revision
         self._load = load
+        self.flow_budget = budgets.ByteBudget(
+            gossiper.options.bytes_per_s, gossip.BURST_S, time.monotonic()
+        )
         self._replays = authentication.ReplayWindow()
         self._counter = _FIRST_COUNTER
         self._transport: asyncio.DatagramTransport | None = None
@@ -80,9 +94,13 @@
             load=self._load(),
         )
         data = self._sealer.seal(controls.encode(control))
-        self._gossiper.budget.spend(len(data))
         self.counters.add("sent")
         self.counters.add("sent_bytes", len(data))
+        if isinstance(message.body, _FLOW_BODIES):
+            self.flow_budget.spend(len(data))
+            self.counters.add("sent_flow_bytes", len(data))
+        else:
+            self._gossiper.budget.spend(len(data))
         self._transport.sendto(data, message.address)
 
     def datagram_received(self, data: bytes, source: tuple[str, int]) -> None:
--- a/clementinelead/processes/side.py
+++ b/clementinelead/processes/side.py
@@ -40,6 +40,8 @@
 
 TICK_S = 0.02
 FLUSH_DELAY_S = 0.002
+SLOW_FLUSH_DELAY_S = 1.0
+REPEAT_CHECK_S = 1.0
 REBUILD_DELAY_S = 0.02
 PAUSE_S = 1.0
 DEAD_OWNER_GRACE_S = 120.0
@@ -291,6 +293,7 @@
     # Timers.
 
     async def _tick_forever(self) -> None:
+        next_repeat = 0.0
         while True:
             await asyncio.sleep(TICK_S)
             now = time.monotonic()
@@ -298,7 +301,10 @@
                 self.on_pause(now)
             self.last_tick = now
             self.decider.on_tick(now)
-            self.flush_registrations()
+            self.schedule_flush()
+            if now >= next_repeat:
+                next_repeat = now + REPEAT_CHECK_S
+                self.flush_registrations()
             self._check_drain(now)
 
     def on_pause(self, now: float) -> None:
@@ -311,12 +317,19 @@
         self.decider.on_pause(now)
 
     def schedule_flush(self) -> None:
-        """Sends what the registrar has to say in a moment, all at once."""
+        """Sends what the registrar has to say in a moment, all at once.
+
+        Beyond the budget the moment is longer: more flows then share a
+        message, and packets that overtake it find the owner by a search.
+        """
         if self._flush_scheduled or not self.decider.registrar.queued:
             return
         self._flush_scheduled = True
+        delay = FLUSH_DELAY_S
+        if self.node.channel.flow_budget.available(time.monotonic()) < 0:
+            delay = SLOW_FLUSH_DELAY_S
         loop = asyncio.get_running_loop()
-        loop.call_later(FLUSH_DELAY_S, self.flush_registrations)
+        loop.call_later(delay, self.flush_registrations)
 
     def flush_registrations(self) -> None:
         """Sends what the registrar has to say."""
