--- a/clementinelead/flows/loads.py
+++ b/clementinelead/flows/loads.py
@@ -5,7 +5,7 @@
 
 __all__ = ["Acceptance", "Limits", "LoadEstimate"]
 
-_SMOOTHING = 0.1
+_SMOOTHING = 0.02
 _INITIAL_SERVICE_S = 0.05
 _MIN_SERVICE_S = 0.0005
 _COLD_SHARE = 0.25
@@ -65,6 +65,7 @@
         self.service_s = _INITIAL_SERVICE_S
         self.refused_until = 0.0
         self._unanswered = 0
+        self._samples = 0
 
     def share(self, now: float) -> float:
         """Returns the share of its capacity that a cold target may use."""
@@ -163,7 +164,9 @@
         slots = self.limits.slots
         rounds = 1.0 + max(0, ahead + 1 - slots) / slots
         sample = max(_MIN_SERVICE_S, duration_s / rounds)
-        self.service_s += _SMOOTHING * (sample - self.service_s)
+        self._samples += 1
+        weight = max(_SMOOTHING, 1 / self._samples)
+        self.service_s += weight * (sample - self.service_s)
 
     def released(self) -> None:
         """Counts a flow that no longer works, without learning from it."""
