Keep a mute target out whatever its load report says

Cause: a target that left three first packets unanswered is passed over for 2 s, but a report that it does not shed ended that after half a second: both reasons shared one time. Change: two separate reasons, shedding and mute. Measured: the new test fails before and passes now.

--- a/clementinelead/flows/loads.py
+++ b/clementinelead/flows/loads.py
@@ -63,7 +63,8 @@
         self.working = 0
         self.held = 0
         self.service_s = _INITIAL_SERVICE_S
-        self.refused_until = 0.0
+        self._shedding_until = 0.0
+        self._mute_until = 0.0
         self._unanswered = 0
         self._samples = 0
 
@@ -105,7 +106,9 @@
         """
         if self.held >= self.limits.connections:
             return Acceptance(False, "connections")
-        if now < self.refused_until:
+        if now < self._mute_until:
+            return Acceptance(False, "mute")
+        if now < self._shedding_until:
             return Acceptance(False, "shedding")
         if self.working < self.usable_slots(now):
             return FREE
@@ -137,10 +140,10 @@
             now: Present time, seconds.
         """
         if not shedding:
-            self.refused_until = min(self.refused_until, now)
+            self._shedding_until = now
             return
         wait = min(_MAX_HINT_S, max(_MIN_HINT_S, retry_after_s))
-        self.refused_until = now + wait
+        self._shedding_until = now + wait
 
     def answered(self) -> None:
         """Notes that a caller went on after its first packet."""
@@ -151,7 +154,7 @@
         self._unanswered += 1
         if self._unanswered >= _UNANSWERED_LIMIT:
             self._unanswered = 0
-            self.refused_until = now + _UNANSWERED_PAUSE_S
+            self._mute_until = now + _UNANSWERED_PAUSE_S
 
     def finished(self, duration_s: float, ahead: int) -> None:
         """Learns from a flow whose work has ended.
--- a/clementinelead/flows/tests/test_loads.py
+++ b/clementinelead/flows/tests/test_loads.py
@@ -53,3 +53,14 @@
     load.reported(True, 5.0, 100.0)
     load.reported(False, 0.0, 101.0)
     assert load.acceptance(101.0, last_resort=False).allowed
+
+
+def test_a_mute_target_that_says_it_is_well_gets_no_work():
+    """What is observed counts for more than what the target says."""
+    load = estimate()
+    for _ in range(3):
+        load.unanswered(100.0)
+    load.reported(False, 0.0, 100.5)
+    refused = load.acceptance(100.5, last_resort=True)
+    assert (refused.allowed, refused.reason) == (False, "mute")
+    assert load.acceptance(102.0, last_resort=True).allowed
