--- a/bench/run.py
+++ b/bench/run.py
@@ -41,6 +41,7 @@
     "slopes": slopes.slopes,
     "steady": loads.steady,
     "throughput": _throughput,
+    "udp": changes.udp,
     "uneven": changes.uneven,
     "zone-loss": memberships.zone_loss,
 }
--- a/bench/scenarios/changes.py
+++ b/bench/scenarios/changes.py
@@ -9,7 +9,7 @@
 from bench import results
 from bench.scenarios import loads
 
-__all__ = ["crash", "drain", "liars", "pause", "rolling", "uneven"]
+__all__ = ["crash", "drain", "liars", "pause", "rolling", "udp", "uneven"]
 
 SPEEDS = (1.0, 1.0, 2.0, 2.0)
 NEW_WORK_BOUND_S = 2.0
@@ -232,6 +232,27 @@
     return taken | never
 
 
+def udp(seed: int) -> results.Result:
+    """UDP requests, retransmitted by their callers, while a target drains."""
+    service = clusters.Group(
+        "records", "10.9.0.4", 5300, SPEEDS, slots=4, protocol="udp"
+    )
+    cluster = clusters.Cluster([service], 3, seed)
+    try:
+        cluster.start()
+        plan = loads.plan(service, 0.1, rate=60.0, work=0.05)
+        cluster.start_callers([{**plan, "timeout": 30.0}], 14.0, "callers")
+        time.sleep(4.0)
+        cluster.operate("drain", "records-2", "--bound=60", "--reason=bench")
+        time.sleep(3.0)
+        cluster.stop(cluster.targets[1].id)
+        cluster.start_side(cluster.targets[1])
+        cluster.wait("callers", 120.0)
+        return results.of_audit(_audit(cluster))
+    finally:
+        cluster.close()
+
+
 def liars(seed: int) -> results.Result:
     """Load reports claim to shed, with hints that are zero or an hour."""
     service = loads.group("hunting")
--- a/clementinelead/settings/models.py
+++ b/clementinelead/settings/models.py
@@ -189,4 +189,3 @@
 
     operator: Operator
     store: Store
-    balancers: tuple[Endpoint, ...] = ()
