--- a/bench/clusters.py
+++ b/bench/clusters.py
@@ -16,7 +16,6 @@
 
 __all__ = ["Cluster", "Group", "TargetSpec"]
 
-SYSTEM_ADDRESS = "127.0.0.1"
 CALLER_ADDRESSES = ("127.20.0.1", "127.20.0.2", "127.20.0.3", "127.20.0.4")
 ZONES = ("north-a", "north-b", "north-c", "north-d")
 READY_TIMEOUT_S = 30.0
@@ -82,6 +81,7 @@
         seed: int,
         cold_start_s: float = 0.0,
     ):
+        self.address = ports.loopback()
         self.groups = groups
         self.seed = seed
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="clementinelead-"))
@@ -94,10 +94,10 @@
         self._control_port_by_id: dict[str, int] = {}
         self._data_port_by_id: dict[str, int] = {}
         self._target_port_by_id: dict[str, tuple[int, int]] = {}
-        self._store_port = self._ports.pick(SYSTEM_ADDRESS)
-        self._ingress = self._ports.pick(SYSTEM_ADDRESS)
-        self._egress = self._ports.pick(SYSTEM_ADDRESS)
-        self._return_port = self._ports.pick("0.0.0.0")
+        self._store_port = self._ports.pick(self.address)
+        self._ingress = self._ports.pick(self.address)
+        self._egress = self._ports.pick(self.address)
+        self._return_port = self._ports.pick(CALLER_ADDRESSES[0])
         self._zone_by_id: dict[str, str] = {}
         for identifier in self.balancers:
             self._assign(identifier)
@@ -110,7 +110,7 @@
     @property
     def store_url(self) -> str:
         """URL of the stand-in store."""
-        return f"http://{SYSTEM_ADDRESS}:{self._store_port}"
+        return f"http://{self.address}:{self._store_port}"
 
     # Start.
 
@@ -131,7 +131,7 @@
         """Starts targets and the shortest-queue baseline in place of all."""
         identifier = self.balancers[0]
         arguments = [
-            f"--address={SYSTEM_ADDRESS}",
+            f"--address={self.address}",
             f"--port={self._data_port_by_id[identifier]}",
             f"--http-port={self.http_port_by_id[identifier]}",
         ]
@@ -139,12 +139,11 @@
             self.start_target(target)
             port, _ = self._target_port_by_id[target.id]
             arguments.append(
-                f"--target={SYSTEM_ADDRESS}:{port}:{target.speed}:"
-                f"{target.slots}"
+                f"--target={self.address}:{port}:{target.speed}:{target.slots}"
             )
         self._python(identifier, "bench.oracle", *arguments)
         http_port = self.http_port_by_id[identifier]
-        self._wait_http(f"http://{SYSTEM_ADDRESS}:{http_port}/ready")
+        self._wait_http(f"http://{self.address}:{http_port}/ready")
         self.start_fabric()
         time.sleep(START_MARGIN_S)
 
@@ -153,7 +152,7 @@
         self._python(
             "store",
             "standins.store",
-            f"--address={SYSTEM_ADDRESS}",
+            f"--address={self.address}",
             f"--port={self._store_port}",
             f"--seed={self.seed}",
         )
@@ -162,8 +161,8 @@
     def start_fabric(self) -> None:
         """Starts the stand-in fabric."""
         arguments = [
-            f"--ingress={SYSTEM_ADDRESS}:{self._ingress}",
-            f"--egress={SYSTEM_ADDRESS}:{self._egress}",
+            f"--ingress={self.address}:{self._ingress}",
+            f"--egress={self.address}:{self._egress}",
             f"--return-port={self._return_port}",
             f"--seed={self.seed}",
         ]
@@ -171,7 +170,7 @@
             data_port = self._data_port_by_id[identifier]
             http_port = self.http_port_by_id[identifier]
             arguments.append(
-                f"--balancer={SYSTEM_ADDRESS}:{data_port}:{http_port}"
+                f"--balancer={self.address}:{data_port}:{http_port}"
             )
         self._python("fabric", "standins.fabric", *arguments)
 
@@ -189,8 +188,8 @@
         """Starts a stand-in target."""
         if target.id not in self._target_port_by_id:
             self._target_port_by_id[target.id] = (
-                self._ports.pick(SYSTEM_ADDRESS),
-                self._ports.pick(SYSTEM_ADDRESS),
+                self._ports.pick(self.address),
+                self._ports.pick(self.address),
             )
         port, http_port = self._target_port_by_id[target.id]
         self._python(
@@ -198,7 +197,7 @@
             "standins.target",
             f"--identifier={target.id}",
             f"--service={target.service}",
-            f"--address={SYSTEM_ADDRESS}",
+            f"--address={self.address}",
             f"--port={port}",
             f"--http-port={http_port}",
             f"--return-port={self._return_port}",
@@ -221,7 +220,7 @@
     def shed(self, identifier: str, **report: object) -> None:
         """Makes a target's load report say what is given."""
         _, http_port = self._target_port_by_id[identifier]
-        _put_json(f"http://{SYSTEM_ADDRESS}:{http_port}/shedding", report)
+        _put_json(f"http://{self.address}:{http_port}/shedding", report)
 
     def start_callers(
         self, plans: list[dict[str, object]], seconds: float, name: str
@@ -234,7 +233,7 @@
             name,
             "standins.caller",
             f"--plan={path}",
-            f"--fabric-ingress={SYSTEM_ADDRESS}:{self._ingress}",
+            f"--fabric-ingress={self.address}:{self._ingress}",
             *addresses,
             f"--return-port={self._return_port}",
             f"--seconds={seconds}",
@@ -288,7 +287,7 @@
     def status(self, identifier: str) -> dict[str, object]:
         """Returns what a process says of itself, empty if nothing."""
         port = self.http_port_by_id[identifier]
-        return _get_json(f"http://{SYSTEM_ADDRESS}:{port}/status")
+        return _get_json(f"http://{self.address}:{port}/status")
 
     def settings_path(self, identifier: str) -> pathlib.Path:
         """Returns the settings file of a process."""
@@ -383,21 +382,21 @@
         self._process_by_name[name] = _Process(process, command)
 
     def _assign(self, identifier: str) -> None:
-        self._data_port_by_id[identifier] = self._ports.pick(SYSTEM_ADDRESS)
-        self._control_port_by_id[identifier] = self._ports.pick(SYSTEM_ADDRESS)
-        self.http_port_by_id[identifier] = self._ports.pick(SYSTEM_ADDRESS)
+        self._data_port_by_id[identifier] = self._ports.pick(self.address)
+        self._control_port_by_id[identifier] = self._ports.pick(self.address)
+        self.http_port_by_id[identifier] = self._ports.pick(self.address)
         number = len(self._zone_by_id)
         self._zone_by_id[identifier] = ZONES[number % len(ZONES)]
 
     def _common(self, identifier: str) -> str:
         seeds = ", ".join(
-            f"{SYSTEM_ADDRESS}:{self._control_port_by_id[balancer]}"
+            f"{self.address}:{self._control_port_by_id[balancer]}"
             for balancer in self.balancers
         )
         return (
             f"[node]\nid = {identifier}\nregion = north\n"
             f"zone = {self._zone_by_id[identifier]}\n"
-            f"address = {SYSTEM_ADDRESS}\n"
+            f"address = {self.address}\n"
             f"data_port = {self._data_port_by_id[identifier]}\n"
             f"control_port = {self._control_port_by_id[identifier]}\n"
             f"http_port = {self.http_port_by_id[identifier]}\n\n"
@@ -416,12 +415,12 @@
         port, http_port = self._target_port_by_id[target.id]
         text = self._common(target.id)
         text += (
-            f"[target]\nendpoint = {SYSTEM_ADDRESS}:{port}\n"
-            f"egress = {SYSTEM_ADDRESS}:{self._egress}\n"
+            f"[target]\nendpoint = {self.address}:{port}\n"
+            f"egress = {self.address}:{self._egress}\n"
             f"services = {target.service}\nslots = {target.slots}\n"
             f"weight = {target.weight}\n"
             f"cold_start_s = {self._cold_start_s}\n"
-            f"load_url = http://{SYSTEM_ADDRESS}:{http_port}/load\n"
+            f"load_url = http://{self.address}:{http_port}/load\n"
         )
         self._write(target.id, text)
 
--- a/bench/ports.py
+++ b/bench/ports.py
@@ -3,13 +3,19 @@
 import random
 import socket
 
-__all__ = ["Ports"]
+__all__ = ["Ports", "loopback"]
 
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
 """Below the range from which the kernel gives ports to connections."""
 
 
+def loopback() -> str:
+    """Returns a loopback address for one run, so that runs do not meet."""
+    generator = random.SystemRandom()
+    return f"127.{generator.randrange(64, 250)}.{generator.randrange(250)}.1"
+
+
 class Ports:
     """Picks ports that nothing uses now, none of them twice.
 
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -44,10 +44,10 @@
         wrapped = transport.get_extra_info("socket")
         wrapped.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 << 20)
     def datagram_received(self, data, address):
-        self.send(data, ("127.0.0.1", int(sys.argv[2])))
+        self.send(data, (sys.argv[1], int(sys.argv[3])))
 async def main():
     await asyncio.get_running_loop().create_datagram_endpoint(
-        Relay, local_addr=("127.0.0.1", int(sys.argv[1])))
+        Relay, local_addr=(sys.argv[1], int(sys.argv[2])))
     await asyncio.Event().wait()
 uvloop.run(main())
 """
@@ -145,10 +145,10 @@
     return Rate(count / elapsed, spent / max(1, count) * 1e6)
 
 
-def _sink(port: int) -> socket.socket:
+def _sink(address: str, port: int) -> socket.socket:
     sink = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sink.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8 << 20)
-    sink.bind((clusters.SYSTEM_ADDRESS, port))
+    sink.bind((address, port))
     sink.setblocking(False)
     return sink
 
@@ -157,7 +157,7 @@
     """Points the only side process's settings at the sink."""
     path = cluster.settings_path("lookups-0")
     text = path.read_text("utf-8")
-    endpoint = f"endpoint = {clusters.SYSTEM_ADDRESS}:{port}"
+    endpoint = f"endpoint = {cluster.address}:{port}"
     lines = [
         endpoint if line.startswith("endpoint") else line
         for line in text.splitlines()
@@ -219,11 +219,18 @@
     group = clusters.Group("lookups", "10.9.0.1", 43, (1.0,))
     cluster = clusters.Cluster([group], balancers=1, seed=seed)
     picker = ports.Ports()
-    relay_port = picker.pick(clusters.SYSTEM_ADDRESS)
-    sink_port = picker.pick(clusters.SYSTEM_ADDRESS)
-    sink = _sink(sink_port)
+    relay_port = picker.pick(cluster.address)
+    sink_port = picker.pick(cluster.address)
+    sink = _sink(cluster.address, sink_port)
     relay = subprocess.Popen(
-        [sys.executable, "-c", RELAY, str(relay_port), str(sink_port)]
+        [
+            sys.executable,
+            "-c",
+            RELAY,
+            cluster.address,
+            str(relay_port),
+            str(sink_port),
+        ]
     )
     try:
         _prepared(cluster, sink_port)
@@ -244,7 +251,7 @@
 ) -> dict[str, object]:
     side = cluster.targets[0].id
     balancer = cluster.balancers[0]
-    local = clusters.SYSTEM_ADDRESS
+    local = cluster.address
     side_address = (local, cluster.data_port(side))
     candidate = envelopes.Candidate(envelopes.candidate_id(side), side_address)
     route = envelopes.encode_route(
