Add the administration API: teams, tokens, limits, TLS with key reload

Cause: several teams share the platform and had only the operators' command, which sees everything and reads the whole configuration for each change. Change: HTTP with JSON on the balancers; tokens by team and right, of which settings hold only hashes; rate limits by team; conditional changes; the change's identifier as idempotency key; OpenAPI description; a port of its own with TLS, certificate and key taken over when they are replaced. Left: the operators' command does not use the API yet.

--- /dev/null
+++ b/clementinelead/administration/__init__.py
@@ -0,0 +1,1 @@
+"""Administration API: several teams change their own services over HTTP."""
--- a/clementinelead/configurations/repositories.py
+++ b/clementinelead/configurations/repositories.py
@@ -83,7 +83,7 @@
         self._store = store
         self._prefix = prefix
         self._random = generator
-        self._content_by_digest: dict[str, bytes] = {}
+        self._value_by_digest: dict[str, pydantic.BaseModel] = {}
         self._reads = asyncio.Semaphore(_MAX_READS)
 
     @property
@@ -251,23 +251,24 @@
         return f"{self._prefix}/values/{digest}"
 
     async def _value(self, digest: str, model: type[_Model]) -> _Model:
-        content = self._content_by_digest.get(digest)
-        if content is None:
-            async with self._reads:
-                entry = await self._store.get(self._value_key(digest))
-            content = entry.value
-            if chunks.digest(content) != digest:
-                raise exceptions.StoreUnavailableError(
-                    f"value {digest} is missing or damaged"
-                )
-            self._keep(digest, content)
-        return model.model_validate_json(content)
-
-    def _keep(self, digest: str, content: bytes) -> None:
+        known = self._value_by_digest.get(digest)
+        if isinstance(known, model):
+            return known
+        async with self._reads:
+            entry = await self._store.get(self._value_key(digest))
+        if chunks.digest(entry.value) != digest:
+            raise exceptions.StoreUnavailableError(
+                f"value {digest} is missing or damaged"
+            )
+        value = model.model_validate_json(entry.value)
+        self._keep(digest, value)
+        return value
+
+    def _keep(self, digest: str, value: pydantic.BaseModel) -> None:
         """Keeps a value, which never changes, instead of reading it again."""
-        while len(self._content_by_digest) >= _MAX_KEPT_VALUES:
-            del self._content_by_digest[next(iter(self._content_by_digest))]
-        self._content_by_digest[digest] = content
+        while len(self._value_by_digest) >= _MAX_KEPT_VALUES:
+            del self._value_by_digest[next(iter(self._value_by_digest))]
+        self._value_by_digest[digest] = value
 
     async def _entries(
         self, digest_by_number: collections.abc.Mapping[int, str]
--- a/clementinelead/processes/balancer.py
+++ b/clementinelead/processes/balancer.py
@@ -13,11 +13,16 @@
 import typer
 
 from clementinelead import exceptions
+from clementinelead.administration import api
+from clementinelead.administration import limits
+from clementinelead.administration import tokens
 from clementinelead.configurations import adoption
+from clementinelead.configurations import repositories
 from clementinelead.memberships import members
 from clementinelead.memberships import records
 from clementinelead.placements import forwarding
 from clementinelead.placements import targets
+from clementinelead.processes import administration_site
 from clementinelead.processes import config_watch
 from clementinelead.processes import node as node_module
 from clementinelead.processes import runtime
@@ -77,6 +82,9 @@
         self._rebuild_scheduled = False
         self._stopping = False
         self._synced = False
+        self._site = administration_site.AdministrationSite(
+            settings.api, settings.node.address
+        )
         router = self.node.application.router
         router.add_get("/ready", self._on_ready)
         router.add_get("/status", self._on_status)
@@ -90,6 +98,8 @@
         """
         await self.node.start(stopping)
         try:
+            repository = self._make_repository()
+            await self._serve_administration(repository)
             loop = asyncio.get_running_loop()
             address = self._settings.node.address
             transport, _ = await loop.create_datagram_endpoint(
@@ -98,14 +108,7 @@
                 family=socket.AF_INET,
             )
             sockets.enlarge_buffers(transport)
-            store = consul.ConsulStore(
-                self.node.session,
-                self._settings.store.url,
-                self._settings.store.timeout_s,
-            )
-            watch = config_watch.ConfigurationWatch(
-                self.node, store, self._settings.store.prefix
-            )
+            watch = config_watch.ConfigurationWatch(self.node, repository)
             self.node.spawn(watch.run())
             self.node.announce(state=records.State.COLD)
             self.node.spawn(self._become_ready())
@@ -114,9 +117,35 @@
             await self._drain()
             transport.close()
         finally:
+            await self._site.stop()
             await self.node.stop()
         loguru.logger.info("balancer stopped")
 
+    def _make_repository(self) -> repositories.Repository:
+        settings = self._settings.store
+        store = consul.ConsulStore(
+            self.node.session, settings.url, settings.timeout_s
+        )
+        return repositories.Repository(store, settings.prefix, self.node.random)
+
+    async def _serve_administration(
+        self, repository: repositories.Repository
+    ) -> None:
+        settings = self._settings.api
+        if not settings.port:
+            return
+        administration = api.Administration(
+            tuple(tokens.parse(text) for text in settings.tokens),
+            limits.TeamLimits(settings.requests_per_s, settings.burst),
+            self.node.adopted,
+            self.node.gossiper.table,
+            repository,
+        )
+        application = web.Application()
+        administration.add_routes(application)
+        await self._site.start(application)
+        self.node.spawn(self._site.reload_forever())
+
     def ready(self) -> bool:
         """Tells whether the fabric should hand packets to this process."""
         if self._stopping or self.node.adopted.revision == 0:
--- a/clementinelead/processes/config_watch.py
+++ b/clementinelead/processes/config_watch.py
@@ -11,7 +11,6 @@
 from clementinelead.configurations import repositories
 from clementinelead.memberships import records
 from clementinelead.processes import node as node_module
-from clementinelead.stores import protocols
 
 __all__ = ["ConfigurationWatch", "is_watcher"]
 
@@ -47,11 +46,10 @@
     def __init__(
         self,
         node: node_module.Node,
-        store: protocols.Store,
-        prefix: str,
+        repository: repositories.Repository,
     ):
         self._node = node
-        self._repository = repositories.Repository(store, prefix, node.random)
+        self._repository = repository
 
     async def run(self) -> None:
         """Watches until cancelled; an outage of the store is waited out."""
--- /dev/null
+++ b/clementinelead/processes/tests/test_administration_site.py
@@ -0,0 +1,89 @@
+"""TLS of the administration API, and keys that are replaced while it runs."""
+
+import asyncio
+import os
+import ssl
+
+import aiohttp
+from aiohttp import web
+import pytest
+import trustme
+
+from bench import ports
+from clementinelead.processes import administration_site
+from clementinelead.settings import models
+
+ADDRESS = "127.0.0.1"
+
+
+def write(folder, authority):
+    """Writes a certificate and a key of an authority."""
+    issued = authority.issue_cert(ADDRESS)
+    issued.private_key_pem.write_to_path(folder / "key.pem")
+    issued.cert_chain_pems[0].write_to_path(folder / "certificate.pem")
+
+
+def settings(folder):
+    return models.Api(
+        port=ports.Ports().pick(ADDRESS),
+        certificate=str(folder / "certificate.pem"),
+        key=str(folder / "key.pem"),
+    )
+
+
+async def asked(port, authority):
+    """Returns the answer to a caller that trusts one authority only."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    authority.configure_trust(context)
+    connector = aiohttp.TCPConnector(ssl=context)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        async with session.get(f"https://{ADDRESS}:{port}/") as response:
+            return await response.text()
+
+
+async def hello(_):
+    return web.Response(text="hello")
+
+
+def test_a_replaced_certificate_is_taken_over(tmp_path):
+    async def scenario():
+        old, new = trustme.CA(), trustme.CA()
+        write(tmp_path, old)
+        chosen = settings(tmp_path)
+        site = administration_site.AdministrationSite(chosen, ADDRESS)
+        application = web.Application()
+        application.router.add_get("/", hello)
+        await site.start(application)
+        try:
+            assert await asked(chosen.port, old) == "hello"
+            assert not site.reload()
+            write(tmp_path, new)
+            os.utime(tmp_path / "key.pem", ns=(2**62, 2**62))
+            assert site.reload()
+            assert await asked(chosen.port, new) == "hello"
+            with pytest.raises(aiohttp.ClientError):
+                await asked(chosen.port, old)
+        finally:
+            await site.stop()
+
+    asyncio.run(scenario())
+
+
+def test_a_key_that_does_not_fit_leaves_the_old_one_in_use(tmp_path):
+    async def scenario():
+        authority = trustme.CA()
+        write(tmp_path, authority)
+        chosen = settings(tmp_path)
+        site = administration_site.AdministrationSite(chosen, ADDRESS)
+        application = web.Application()
+        application.router.add_get("/", hello)
+        await site.start(application)
+        try:
+            (tmp_path / "key.pem").write_text("not a key")
+            os.utime(tmp_path / "key.pem", ns=(2**62, 2**62))
+            assert not site.reload()
+            assert await asked(chosen.port, authority) == "hello"
+        finally:
+            await site.stop()
+
+    asyncio.run(scenario())
--- a/clementinelead/settings/models.py
+++ b/clementinelead/settings/models.py
@@ -5,6 +5,8 @@
 
 import pydantic
 
+from clementinelead.administration import tokens
+
 __all__ = [
     "BalancerSettings",
     "Cluster",
@@ -43,6 +45,14 @@
 
 Endpoint = typing.Annotated[str, pydantic.AfterValidator(_check_endpoint)]
 Address = typing.Annotated[str, pydantic.AfterValidator(_check_address)]
+
+
+def _check_token(text: str) -> str:
+    tokens.parse(text)
+    return text
+
+
+Token = typing.Annotated[str, pydantic.AfterValidator(_check_token)]
 Name = typing.Annotated[
     str, pydantic.StringConstraints(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")
 ]
@@ -112,6 +122,31 @@
     )
 
 
+class Api(_Section):
+    """The administration API; without a port it is not served."""
+
+    port: int = pydantic.Field(
+        default=0, ge=0, le=65535, description="TCP port, 0 for none"
+    )
+    certificate: str = pydantic.Field(
+        default="", description="PEM file; empty for HTTP without TLS"
+    )
+    key: str = pydantic.Field(
+        default="", description="PEM file, if not in the certificate's"
+    )
+    tokens: tuple[Token, ...] = pydantic.Field(
+        default=(),
+        description="team:read|change:sha256 of the token, comma separated;"
+        " team * is all teams",
+    )
+    requests_per_s: float = pydantic.Field(
+        default=10.0, gt=0, description="requests a second of one team"
+    )
+    burst: float = pydantic.Field(
+        default=50.0, ge=1, description="requests of one team at once"
+    )
+
+
 class Forwarding(_Section):
     """Limits of a balancer."""
 
@@ -163,6 +198,7 @@
     cluster: Cluster
     store: Store
     logs: Logs = Logs()
+    api: Api = Api()
     forwarding: Forwarding = Forwarding()
 
 
