Find peers by contact keys; never call a change rejected that was made

Cause: a newcomer whose seeds are all gone found nobody, and the store client's leases were used by nothing. Its first test showed a worse fault: aiohttp sends a PUT again when the connection breaks; a swap that took effect and lost its answer is then answered no, and if the store goes away before the head is read again, the change was called rejected ('nothing was changed') though it was made. Change: contact keys under leases, held by two balancers a zone; any answer but yes leaves the outcome open until the head has been read again. The stand-in really loses answers now; it used to send them. Measured: the test of a lost answer followed by an outage gave Rejected before and gives Unknown now, which settles as accepted.

--- a/clementinelead/configurations/repositories.py
+++ b/clementinelead/configurations/repositories.py
@@ -66,8 +66,16 @@
 _Model = typing.TypeVar("_Model", bound=pydantic.BaseModel)
 
 
-class _LostAnswer(Exception):  # noqa: N818
-    """The swap of the head may have taken effect."""
+@dataclasses.dataclass
+class _Progress:
+    """What is known of a change's own writes.
+
+    Attributes:
+        swapped_at: Index at which a swap of the head was sent whose effect
+            is not known, None if there is none.
+    """
+
+    swapped_at: int | None = None
 
 
 class Repository:
@@ -163,27 +171,21 @@
             author: Who makes it; carries the change's identifier.
             timeout_s: Time after which the outcome is unknown, seconds.
         """
-        maybe_written = False
+        progress = _Progress()
         backoff_s = _FIRST_BACKOFF_S
         try:
             async with asyncio.timeout(timeout_s):
                 while True:
                     try:
-                        outcome = await self._attempt(edit, author)
-                        if maybe_written and isinstance(outcome, Rejected):
-                            return Unknown(author.change)
+                        outcome = await self._attempt(edit, author, progress)
                         if outcome is not None:
                             return outcome
-                    except (_LostAnswer, asyncio.CancelledError) as error:
-                        maybe_written = True
-                        if isinstance(error, asyncio.CancelledError):
-                            raise
                     except exceptions.StoreUnavailableError:
                         pass
                     await asyncio.sleep(backoff_s * self._random.random())
                     backoff_s = min(_MAX_BACKOFF_S, backoff_s * 2)
         except TimeoutError:
-            if maybe_written:
+            if progress.swapped_at is not None:
                 return Unknown(author.change)
             finding = exceptions.Finding(
                 "store", "did not answer; nothing was changed"
@@ -214,26 +216,33 @@
                 return Rejected((finding,))
 
     async def _attempt(
-        self, edit: Edit, author: models.Author
-    ) -> Accepted | Rejected | None:
-        """Tries a change once; returns None when another change won."""
+        self, edit: Edit, author: models.Author, progress: _Progress
+    ) -> ChangeOutcome | None:
+        """Tries a change once; returns None when another change won.
+
+        Any answer to a swap but yes leaves open whether it took effect: a
+        client library may have sent it twice. Reading the head again tells,
+        since a swap at an old index can't take effect any more.
+        """
         configuration, modification = await self.configuration()
         revision = configuration.index.recent.get(author.change)
         if revision is not None:
             return Accepted(revision)
+        if progress.swapped_at != modification:
+            progress.swapped_at = None
         try:
             draft = edit(configuration)
             write = drafts.written(configuration, draft, author)
         except exceptions.FindingsError as error:
+            if progress.swapped_at is not None:
+                return Unknown(author.change)
             return Rejected(error.findings)
         for digest, content in write.content_by_digest.items():
             await self._store.swap(self._value_key(digest), content, 0)
-        try:
-            swapped = await self._store.swap(
-                self.head_key, chunks.encode(write.head), modification
-            )
-        except exceptions.StoreUnavailableError as error:
-            raise _LostAnswer from error
+        progress.swapped_at = modification
+        swapped = await self._store.swap(
+            self.head_key, chunks.encode(write.head), modification
+        )
         if not swapped:
             return None
         await self._delete(write.deletions)
--- a/clementinelead/memberships/gossip.py
+++ b/clementinelead/memberships/gossip.py
@@ -88,6 +88,7 @@
 _DEATH_ATTENTION_SHARE = 0.5
 _RECORDS_PER_PUSH = 8
 _PEERS_PER_REFRESH = 1_000
+_MAX_FOUND_SEEDS = 16
 _MIN_PUSH_BYTES = 600
 _DEAD_PROBE_ROUNDS = 16
 
@@ -245,6 +246,12 @@
         self._queue(self.own)
         return self._urgent_news(now), change
 
+    def add_seeds(self, addresses: tuple[tuple[str, int], ...]) -> None:
+        """Adds control addresses to ask while nobody is known."""
+        own = self.own.control_address
+        new = set(addresses) - set(self._seeds) - {own}
+        self._seeds += tuple(sorted(new))[:_MAX_FOUND_SEEDS]
+
     def forget_news(self) -> None:
         """Drops what waits to ride on messages, as if all knew it."""
         self._remaining_by_id.clear()
--- a/clementinelead/processes/balancer.py
+++ b/clementinelead/processes/balancer.py
@@ -24,6 +24,7 @@
 from clementinelead.placements import targets
 from clementinelead.processes import administration_site
 from clementinelead.processes import config_watch
+from clementinelead.processes import contacts
 from clementinelead.processes import node as node_module
 from clementinelead.processes import runtime
 from clementinelead.processes import sockets
@@ -98,7 +99,14 @@
         """
         await self.node.start(stopping)
         try:
-            repository = self._make_repository()
+            store = consul.ConsulStore(
+                self.node.session,
+                self._settings.store.url,
+                self._settings.store.timeout_s,
+            )
+            repository = repositories.Repository(
+                store, self._settings.store.prefix, self.node.random
+            )
             await self._serve_administration(repository)
             loop = asyncio.get_running_loop()
             address = self._settings.node.address
@@ -110,6 +118,11 @@
             sockets.enlarge_buffers(transport)
             watch = config_watch.ConfigurationWatch(self.node, repository)
             self.node.spawn(watch.run())
+            prefix = self._settings.store.prefix
+            holder = contacts.ContactHolder(self.node, store, prefix)
+            finder = contacts.ContactFinder(self.node, store, prefix)
+            self.node.spawn(holder.run())
+            self.node.spawn(finder.run())
             self.node.announce(state=records.State.COLD)
             self.node.spawn(self._become_ready())
             loguru.logger.info("balancer started")
@@ -121,13 +134,6 @@
             await self.node.stop()
         loguru.logger.info("balancer stopped")
 
-    def _make_repository(self) -> repositories.Repository:
-        settings = self._settings.store
-        store = consul.ConsulStore(
-            self.node.session, settings.url, settings.timeout_s
-        )
-        return repositories.Repository(store, settings.prefix, self.node.random)
-
     async def _serve_administration(
         self, repository: repositories.Repository
     ) -> None:
--- a/clementinelead/processes/side.py
+++ b/clementinelead/processes/side.py
@@ -28,11 +28,13 @@
 from clementinelead.packets import headers
 from clementinelead.placements import forwarding
 from clementinelead.placements import targets
+from clementinelead.processes import contacts
 from clementinelead.processes import load_reports
 from clementinelead.processes import node as node_module
 from clementinelead.processes import runtime
 from clementinelead.processes import sockets
 from clementinelead.settings import models as settings_models
+from clementinelead.stores import consul
 from clementinelead.telemetry import logs
 from clementinelead.telemetry import metrics
 
@@ -210,6 +212,7 @@
             sockets.enlarge_buffers(transport)
             self.node.spawn(self._tick_forever())
             self.node.spawn(self._join())
+            self._find_contacts()
             if self._settings.target.load_url:
                 reports = load_reports.LoadReports(
                     self.node.session,
@@ -227,6 +230,17 @@
 
     # Joining.
 
+    def _find_contacts(self) -> None:
+        """Looks for peers in the store too, if the settings name one."""
+        settings = self._settings.store
+        if settings is None:
+            return
+        store = consul.ConsulStore(
+            self.node.session, settings.url, settings.timeout_s
+        )
+        finder = contacts.ContactFinder(self.node, store, settings.prefix)
+        self.node.spawn(finder.run())
+
     async def _join(self) -> None:
         """Learns view, configuration and own flows, then announces itself."""
         await self._meet_balancer()
--- a/clementinelead/settings/ini.py
+++ b/clementinelead/settings/ini.py
@@ -45,18 +45,27 @@
     return [part for part in parts if part]
 
 
+def _part(
+    model: type[pydantic.BaseModel], section: str
+) -> type[pydantic.BaseModel] | None:
+    """Returns the model of a section, which may be optional."""
+    field = model.model_fields.get(section)
+    if field is None:
+        return None
+    for part in (field.annotation, *typing.get_args(field.annotation)):
+        if isinstance(part, type) and issubclass(part, pydantic.BaseModel):
+            return part
+    return None
+
+
 def _values(
     model: type[pydantic.BaseModel], parser: configparser.ConfigParser
 ) -> dict[str, dict[str, object]]:
     values: dict[str, dict[str, object]] = {}
     for section in parser.sections():
-        field = model.model_fields.get(section)
-        part = field.annotation if field else None
-        known = isinstance(part, type) and issubclass(part, pydantic.BaseModel)
+        part = _part(model, section)
         values[section] = {
-            key: _items(text)
-            if known and _is_sequence(typing.cast(typing.Any, part), key)
-            else text
+            key: _items(text) if part and _is_sequence(part, key) else text
             for key, text in parser.items(section)
         }
     return values
@@ -66,8 +75,8 @@
     """Returns what a settings key accepts, from the model's own words."""
     if not place or place[0] not in model.model_fields:
         return "sections " + ", ".join(model.model_fields)
-    part = model.model_fields[place[0]].annotation
-    if not (isinstance(part, type) and issubclass(part, pydantic.BaseModel)):
+    part = _part(model, place[0])
+    if part is None:
         return ""
     if len(place) < 2 or place[1] not in part.model_fields:
         return "keys " + ", ".join(part.model_fields)
@@ -122,6 +131,8 @@
     parser = _parser()
     content = json.loads(settings.model_dump_json())
     for section, values in content.items():
+        if values is None:
+            continue
         parser[section] = {key: _text(value) for key, value in values.items()}
     buffer = io.StringIO()
     parser.write(buffer)
--- a/clementinelead/settings/models.py
+++ b/clementinelead/settings/models.py
@@ -208,6 +208,7 @@
     node: Node
     cluster: Cluster
     target: Target
+    store: Store | None = None
     logs: Logs = Logs()
 
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -159,7 +159,8 @@
         self._items[key] = _Item(value, self._touch(), session)
         if self._random.random() < self.faults.lose_answers:
             assert request.transport is not None
-            request.transport.close()
+            request.transport.abort()
+            self.calls["lost_answer"] += 1
         return web.json_response(True)
 
     async def _delete(self, request: web.Request) -> web.Response:
