--- a/bench/run.py
+++ b/bench/run.py
@@ -10,6 +10,7 @@
 from bench import throughput
 from bench.scenarios import changes
 from bench.scenarios import configs
+from bench.scenarios import hints
 from bench.scenarios import loads
 from bench.scenarios import memberships
 from bench.scenarios import slopes
@@ -27,6 +28,7 @@
     "config": configs.config,
     "crash": changes.crash,
     "drain": changes.drain,
+    "hints": hints.hints,
     "liars": changes.liars,
     "load70": loads.load70,
     "load90": loads.load90,
--- a/clementinelead/flows/loads.py
+++ b/clementinelead/flows/loads.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 
-__all__ = ["Acceptance", "Limits", "LoadEstimate"]
+__all__ = ["Acceptance", "HintBounds", "Limits", "LoadEstimate"]
 
 _SMOOTHING = 0.02
 _INITIAL_SERVICE_S = 0.05
@@ -11,8 +11,6 @@
 _COLD_SHARE = 0.25
 _UNANSWERED_LIMIT = 3
 _UNANSWERED_PAUSE_S = 2.0
-_MIN_HINT_S = 0.6
-_MAX_HINT_S = 5.0
 NO_LOAD_MS = 0xFFFF_FFFF
 
 
@@ -33,6 +31,19 @@
     cold_start_s: float = 5.0
 
 
+@dataclasses.dataclass(frozen=True)
+class HintBounds:
+    """Bounds of a shedding target's own word on when to come back, seconds.
+
+    The least is a little more than the interval of load reports, so that a
+    hint of zero is no loop; the most keeps an hour's hint from idling a
+    target whose reports have ceased.
+    """
+
+    min_s: float = 0.6
+    max_s: float = 5.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Acceptance:
     """Whether a target can take a new flow, and why not.
@@ -57,8 +68,14 @@
     from what the target says of itself: load endpoints lag or mislead.
     """
 
-    def __init__(self, limits: Limits, started: float):
+    def __init__(
+        self,
+        limits: Limits,
+        started: float,
+        hints: HintBounds = HintBounds(),
+    ):
         self.limits = limits
+        self.hints = hints
         self.started = started
         self.working = 0
         self.held = 0
@@ -142,7 +159,7 @@
         if not shedding:
             self._shedding_until = now
             return
-        wait = min(_MAX_HINT_S, max(_MIN_HINT_S, retry_after_s))
+        wait = min(self.hints.max_s, max(self.hints.min_s, retry_after_s))
         self._shedding_until = now + wait
 
     def answered(self) -> None:
