--- a/clementinelead/memberships/records.py
+++ b/clementinelead/memberships/records.py
@@ -92,8 +92,7 @@
 def supersedes(new: Record, old: Record | None) -> bool:
     """Tells whether a record replaces another one of the same process.
 
-    Examples:
-        >>> supersedes.__name__
-        'supersedes'
+    A death outranks the life of the same version, and a raised sequence
+    outranks a death.
     """
     return old is None or new.version > old.version
--- a/clementinelead/processes/balancer.py
+++ b/clementinelead/processes/balancer.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections.abc
 import json
-import pathlib
 import socket
 import time
 import typing
@@ -296,13 +295,7 @@
 
 
 def _command(
-    settings: typing.Annotated[
-        pathlib.Path, typer.Argument(help="Settings file (INI).")
-    ],
-    check: typing.Annotated[
-        bool,
-        typer.Option("--check", help="Print the effective settings and end."),
-    ] = False,
+    settings: runtime.SettingsPath, check: runtime.Check = False
 ) -> None:
     """Forwards the fabric's packets to the targets' side processes.
 
--- a/clementinelead/processes/runtime.py
+++ b/clementinelead/processes/runtime.py
@@ -16,7 +16,15 @@
 from clementinelead import exceptions
 from clementinelead.settings import ini
 
-__all__ = ["ExitCode", "load_settings", "run"]
+__all__ = ["Check", "ExitCode", "SettingsPath", "load_settings", "run"]
+
+SettingsPath = typing.Annotated[
+    pathlib.Path, typer.Argument(help="Settings file (INI).")
+]
+Check = typing.Annotated[
+    bool,
+    typer.Option("--check", help="Print the effective settings and end."),
+]
 
 Model = typing.TypeVar("Model", bound=pydantic.BaseModel)
 
--- a/clementinelead/processes/side.py
+++ b/clementinelead/processes/side.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import pathlib
 import socket
 import time
 import typing
@@ -630,13 +629,7 @@
 
 
 def _command(
-    settings: typing.Annotated[
-        pathlib.Path, typer.Argument(help="Settings file (INI).")
-    ],
-    check: typing.Annotated[
-        bool,
-        typer.Option("--check", help="Print the effective settings and end."),
-    ] = False,
+    settings: runtime.SettingsPath, check: runtime.Check = False
 ) -> None:
     """Accepts and delivers flows beside one target.
 
