Compare whole tables only when views have differed for a while

Cause: a differing digest led to a comparison over HTTP at once, at most each 5 to 15 s. At full size news is always under way, so nearly each message would differ; docs/CAPACITY.md had not counted the bytes. Change: a difference has to last for 3 s; the schedule is a module that the bench's network uses too. Left: how rare it is at 51,300 members.

--- a/bench/gossip_network.py
+++ b/bench/gossip_network.py
@@ -13,13 +13,13 @@
 from clementinelead.memberships import gossip
 from clementinelead.memberships import members
 from clementinelead.memberships import records
+from clementinelead.memberships import repairs
 from clementinelead.messages import controls
 
 __all__ = ["GossipNetwork", "Link"]
 
 TICK_S = 0.05
 TAG_BYTES = 16
-SYNC_INTERVAL_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -41,6 +41,7 @@
     Attributes:
         nodes: Decisions of the nodes that run, by identifier.
         bytes_by_id: Bytes that each node has sent.
+        repairs: How often two nodes have compared whole tables.
         now: Present time, seconds.
     """
 
@@ -65,7 +66,8 @@
         self._id_by_address: dict[tuple[str, int], str] = {}
         self._counter = itertools.count()
         self._queue: list[tuple[float, int, str, str, bytes]] = []
-        self._next_sync: dict[str, float] = {}
+        self.repairs = 0
+        self._repairs: dict[str, repairs.RepairSchedule] = {}
         self._number = 0
         for _ in range(count):
             self.join(known=True)
@@ -105,7 +107,9 @@
         )
         self.nodes[identifier] = node
         self._id_by_address[own.control_address] = identifier
-        self._next_sync[identifier] = self.now
+        self._repairs[identifier] = repairs.RepairSchedule(
+            self._generator(number)
+        )
         if not known:
             others = [other for other in self.nodes if other != identifier]
             self._sync(identifier, self._random.choice(others))
@@ -221,11 +225,10 @@
         sends, changes = node.on_control(control, address, at)
         self._note(receiver, changes)
         self._post_all(receiver, sends)
-        if control.digest != node.table.digest and source is not None:
-            if at >= self._next_sync[receiver]:
-                wait = SYNC_INTERVAL_S * (0.5 + self._random.random())
-                self._next_sync[receiver] = at + wait
-                self._sync(receiver, sender)
+        differs = control.digest != node.table.digest
+        if self._repairs[receiver].due(differs, at) and source is not None:
+            self.repairs += 1
+            self._sync(receiver, sender)
 
     def _sync(self, receiver: str, sender: str) -> None:
         """Repairs one node's view from another one's, as over HTTP."""
--- a/clementinelead/processes/node.py
+++ b/clementinelead/processes/node.py
@@ -15,6 +15,7 @@
 from clementinelead.memberships import gossip
 from clementinelead.memberships import members
 from clementinelead.memberships import records
+from clementinelead.memberships import repairs
 from clementinelead.messages import controls
 from clementinelead.processes import control_channel
 from clementinelead.processes import peers
@@ -24,7 +25,6 @@
 __all__ = ["Node", "Subscriber"]
 
 GOSSIP_TICK_S = 0.05
-SYNC_INTERVAL_S = 10.0
 FOLLOW_RETRY_S = 0.5
 FOLLOW_JITTER_S = 0.05
 
@@ -131,7 +131,7 @@
         self._failure: BaseException | None = None
         self._runner: web.AppRunner | None = None
         self._following = False
-        self._next_sync = now
+        self._repairs = repairs.RepairSchedule(self.random)
         self._session: aiohttp.ClientSession | None = None
 
     @property
@@ -293,17 +293,14 @@
         if control.revision > self.adopted.revision and not self._following:
             self._following = True
             self.spawn(self._follow(control.sender, control.revision))
-        if control.digest != self.gossiper.table.digest:
-            if now >= self._next_sync:
-                wait = SYNC_INTERVAL_S * (0.5 + self.random.random())
-                self._next_sync = now + wait
-                self.spawn(self._sync(control.sender))
+        differs = control.digest != self.gossiper.table.digest
+        if self._repairs.due(differs, now):
+            self.spawn(self._sync(control.sender))
         self._subscriber.on_control(control, source, now)
 
     async def _sync(self, sender: str) -> None:
         peer = self.gossiper.table.by_id.get(sender)
         if peer is None:
-            self._next_sync = time.monotonic()
             return
         try:
             await self.sync_members(peer)
