--- a/standins/target.py
+++ b/standins/target.py
@@ -21,6 +21,7 @@
 _RETRANSMIT_S = 0.3
 _CLOSED_KEPT_S = 3.0
 _TIMER_S = 0.05
+_COLD_SHARE = 0.25
 
 _Key = tuple[tuple[str, int], tuple[str, int]]
 
@@ -61,8 +62,11 @@
         limit: int,
         return_port: int,
         log: typing.TextIO,
+        cold_s: float = 0.0,
     ):
         self.identifier = identifier
+        self._started = time.monotonic()
+        self._cold_s = cold_s
         self.service = service
         self.slots = slots
         self.speed = speed
@@ -206,7 +210,7 @@
     async def _work(self, job: _Job) -> None:
         request = job.request
         self.record("execute", request=request["id"], work=request["work"])
-        await asyncio.sleep(request["work"] / self.speed)
+        await asyncio.sleep(request["work"] / self._present_speed())
         self.busy -= 1
         self._start_jobs()
         parts = request.get("parts", 1)
@@ -217,6 +221,15 @@
             line["pad"] = "x" * request.get("bytes", 0)
             self._answer(job.connection, json.dumps(line).encode() + b"\n")
 
+    def _present_speed(self) -> float:
+        """Returns the speed, which grows from a quarter after a cold start."""
+        age = time.monotonic() - self._started
+        if age >= self._cold_s:
+            return self.speed
+        return self.speed * (
+            _COLD_SHARE + (1 - _COLD_SHARE) * age / self._cold_s
+        )
+
     def _answer(self, connection: _Connection, data: bytes) -> None:
         if connection.protocol == segments.UDP:
             self._answers_by_request[json.loads(data)["id"]] = data
@@ -334,11 +347,14 @@
     slots: typing.Annotated[int, typer.Option()] = 2,
     speed: typing.Annotated[float, typer.Option()] = 1.0,
     limit: typing.Annotated[int, typer.Option()] = 2000,
+    cold_s: typing.Annotated[
+        float, typer.Option(help="Seconds until the full speed.")
+    ] = 0.0,
 ) -> None:
     """Runs a stand-in target."""
     with log.open("a", encoding="utf-8") as file:
         target = StandInTarget(
-            identifier, service, slots, speed, limit, return_port, file
+            identifier, service, slots, speed, limit, return_port, file, cold_s
         )
         uvloop.run(_run(target, (address, port), http_port))
 
