Remove constants, classes and attributes that nothing reads

Cause: a search for unused names found nine left-overs (a flow address class, two drop and rejection causes, a lag that nobody read, three constants). Measured: types clean; the tests of packets, flows, memberships and sheets pass.

--- a/clementinelead/configurations/models.py
+++ b/clementinelead/configurations/models.py
@@ -17,7 +17,6 @@
     "Service",
 ]
 
-SCHEMA_VERSION = 1
 POLICIES = ("hunting", "weighted-hash", "plain-hash")
 """Placement policies: ``hunting`` passes a flow on until a target accepts."""
 
--- a/clementinelead/configurations/sheets.py
+++ b/clementinelead/configurations/sheets.py
@@ -15,7 +15,6 @@
 COLUMNS = tuple(models.Service.model_fields)
 """All columns; those not in ``REQUIRED`` may be absent or empty."""
 
-MAX_ROWS = 100_000
 _HEADER_ROWS = 1
 
 
--- a/clementinelead/flows/views.py
+++ b/clementinelead/flows/views.py
@@ -1,6 +1,5 @@
 """What a side process knows of the targets of one service."""
 
-import collections.abc
 import dataclasses
 import functools
 
@@ -133,6 +132,3 @@
         candidates = route.candidates if route else ()
         others = [other.id for other in candidates if other.id != me.id]
         return tuple(others[:count])
-
-
-Views = collections.abc.Mapping[str, ServiceView]
--- a/clementinelead/memberships/authentication.py
+++ b/clementinelead/memberships/authentication.py
@@ -17,7 +17,6 @@
     MALFORMED = "malformed"
     FORGED = "forged"
     REPLAYED = "replayed"
-    UNKNOWN_SENDER = "unknown_sender"
 
 
 def _tag(key: bytes, payload: bytes) -> bytes:
--- a/clementinelead/packets/headers.py
+++ b/clementinelead/packets/headers.py
@@ -1,6 +1,5 @@
 """Header fields of IPv4 packets that carry TCP or UDP."""
 
-import dataclasses
 import enum
 import ipaddress
 import struct
@@ -53,24 +52,12 @@
     FOREIGN = "foreign"
     HOP_BUDGET = "hop_budget"
     NO_OWNER = "no_owner"
-    STALE_OWNER = "stale_owner"
     DISTRUST = "distrust"
     RECOVERING = "recovering"
     OTHER_DECIDES = "other_decides"
     SYN_PAYLOAD = "syn_payload"
 
 
-@dataclasses.dataclass(frozen=True)
-class FlowAddress:
-    """The readable form of a flow key."""
-
-    source: str
-    source_port: int
-    destination: str
-    destination_port: int
-    protocol: int
-
-
 def flow_key(packet: bytes) -> FlowKey | DropCause:
     """Returns the flow key of a caller's packet, or why it has none.
 
--- a/clementinelead/processes/node.py
+++ b/clementinelead/processes/node.py
@@ -121,7 +121,6 @@
             lambda: len(self.gossiper.table.by_id),
             "Membership records known",
         )
-        self.lag_s = 0.0
         self._settings = node
         self._keys = keys
         self._services = services
@@ -261,13 +260,9 @@
             self._subscriber.on_members(changes, now)
 
     async def _tick_forever(self) -> None:
-        previous = time.monotonic()
         while True:
             await asyncio.sleep(GOSSIP_TICK_S)
-            now = time.monotonic()
-            self.lag_s = now - previous - GOSSIP_TICK_S
-            previous = now
-            self._tick(now)
+            self._tick(time.monotonic())
 
     def _tick(self, now: float) -> None:
         sends, changes = self.gossiper.on_tick(now)
--- a/standins/segments.py
+++ b/standins/segments.py
@@ -11,7 +11,6 @@
 SYN = dpkt.tcp.TH_SYN
 RST = dpkt.tcp.TH_RST
 ACK = dpkt.tcp.TH_ACK
-PSH = dpkt.tcp.TH_PUSH
 TCP = dpkt.ip.IP_PROTO_TCP
 UDP = dpkt.ip.IP_PROTO_UDP
 SEQUENCE_SPACE = 1 << 32
