Let a drain without a bound take its services' drain_bound_s

Cause: reading the code again showed that the sheet's documented column drain_bound_s was read by nothing; each drain had its own 3,600 s. Change: a drain may have no bound of its own; the side process then takes the longest of its services', and keeps flows to their end if it has none.

--- a/clementinelead/administration/api.py
+++ b/clementinelead/administration/api.py
@@ -120,14 +120,17 @@
         target = request.match_info["target"]
         self._check_target(target, grant)
         values = await _body(request)
-        bound = values.get("bound_s", 3600.0)
-        if not isinstance(bound, int | float) or bound < 0:
+        given = values.get("bound_s")
+        bound: float | None = None
+        if isinstance(given, int | float) and given >= 0:
+            bound = float(given)
+        elif given is not None:
             finding = exceptions.Finding("bound_s", "is not a time", "seconds")
             return self._outcome(repositories.Rejected((finding,)))
         return await self._change(
             request,
             grant,
-            lambda author: edits.drain_edit(target, float(bound), author),
+            lambda author: edits.drain_edit(target, bound, author),
         )
 
     async def _undrain(self, request: web.Request) -> web.Response:
--- a/clementinelead/configurations/edits.py
+++ b/clementinelead/configurations/edits.py
@@ -89,12 +89,15 @@
     return edit
 
 
-def drain_edit(target: str, bound_s: float, author: models.Author) -> Edit:
+def drain_edit(
+    target: str, bound_s: float | None, author: models.Author
+) -> Edit:
     """Returns the edit that drains a target.
 
     Args:
         target: Identifier of the target.
-        bound_s: Time that it keeps its flows, seconds.
+        bound_s: Time that it keeps its flows, seconds; None for its
+            services' own bound.
         author: Who drains it.
     """
 
--- a/clementinelead/configurations/models.py
+++ b/clementinelead/configurations/models.py
@@ -1,6 +1,8 @@
 """Schema of the configuration, as the store holds it."""
 
+import collections.abc
 import ipaddress
+import math
 import typing
 
 import pydantic
@@ -112,14 +114,30 @@
 
     Attributes:
         target: Identifier of the target.
-        bound_s: Time that it keeps its flows, seconds.
+        bound_s: Time that it keeps its flows, seconds; None for the longest
+            ``drain_bound_s`` of its services.
         author: Who drains it.
     """
 
     target: str
-    bound_s: float
+    bound_s: float | None
     author: Author
 
+    def effective_bound_s(
+        self, services: collections.abc.Iterable[Service]
+    ) -> float:
+        """Returns how long the target keeps its flows, seconds.
+
+        Without a bound or a service it keeps them to their end.
+
+        Args:
+            services: Services that the target serves.
+        """
+        if self.bound_s is not None:
+            return self.bound_s
+        bounds = (service.drain_bound_s for service in services)
+        return max(bounds, default=math.inf)
+
 
 class Head(_Frozen):
     """The one record that changes by compare-and-swap; small on purpose.
--- a/clementinelead/processes/operator.py
+++ b/clementinelead/processes/operator.py
@@ -323,8 +323,12 @@
     target: typing.Annotated[str, typer.Argument(help="Identifier.")],
     settings: Settings,
     bound: typing.Annotated[
-        float, typer.Option(help="Seconds that the target keeps its flows.")
-    ] = 3600.0,
+        float | None,
+        typer.Option(
+            help="Seconds that the target keeps its flows; its services'"
+            " drain_bound_s if not given."
+        ),
+    ] = None,
     undo: typing.Annotated[
         bool, typer.Option("--undo", help="Take it back into service.")
     ] = False,
@@ -426,6 +430,12 @@
     return f"{author.operator}, shift {author.shift}, {at}: {why}"
 
 
+def _bound_text(drain: models.Drain) -> str:
+    if drain.bound_s is None:
+        return "its services' drain_bound_s"
+    return f"{drain.bound_s:.0f} s"
+
+
 def _print_handover(configuration: models.Configuration) -> None:
     print(f"Revision {configuration.revision} is in force.")
     print("Changed by hand since the last sheet:")
@@ -442,7 +452,7 @@
     print("\n".join(lines) or "  nothing")
     print("Draining:")
     drains = [
-        f"  {name}, keeps flows for {drain.bound_s:.0f} s"
+        f"  {name}, keeps flows for {_bound_text(drain)}"
         f"  ({_who(drain.author)})"
         for name, drain in sorted(configuration.index.drains.items())
     ]
--- a/clementinelead/processes/side.py
+++ b/clementinelead/processes/side.py
@@ -13,6 +13,7 @@
 from clementinelead import exceptions
 from clementinelead.charts import charts
 from clementinelead.configurations import adoption
+from clementinelead.configurations import models as config_models
 from clementinelead.flows import decisions
 from clementinelead.flows import loads
 from clementinelead.flows import locators
@@ -386,7 +387,7 @@
             self._announce_state()
             loguru.logger.info(
                 "draining bound_s={} flows={}",
-                drain.bound_s,
+                self._drain_bound_s(drain),
                 len(self.decider.flows),
             )
         elif drain is None and state == "draining":
@@ -397,10 +398,14 @@
             if self.estimate.held == 0 and self.decider.registrar.pending == 0:
                 self.lifecycle.emptied()  # type: ignore[attr-defined]
                 self._announce_state()
-            elif now - self._drain_began >= drain.bound_s:
+            elif now - self._drain_began >= self._drain_bound_s(drain):
                 self.lifecycle.bound_reached()  # type: ignore[attr-defined]
                 self._announce_state()
 
+    def _drain_bound_s(self, drain: config_models.Drain) -> float:
+        entries = self.node.adopted.entry_by_name.values()
+        return drain.effective_bound_s(entry.service for entry in entries)
+
     def _announce_state(self) -> None:
         self.decider.state = self.lifecycle.state
         self.node.announce(state=_STATE_BY_NAME[self.lifecycle.state])
