Move what the operators' command prints to a module of its own

Measured: handover, plan, drain and a rejected removal tried against the stand-in store, output as before; all tests pass.

--- a/clementinelead/processes/operator.py
+++ b/clementinelead/processes/operator.py
@@ -22,6 +22,7 @@
 from clementinelead.configurations import models
 from clementinelead.configurations import repositories
 from clementinelead.configurations import sheets
+from clementinelead.processes import operator_output
 from clementinelead.processes import runtime
 from clementinelead.settings import models as settings_models
 from clementinelead.stores import consul
@@ -108,15 +109,10 @@
         print(f"the store is away: {error}", file=sys.stderr)
         raise typer.Exit(runtime.ExitCode.FAILED) from error
     except exceptions.FindingsError as error:
-        _print_findings(error.findings)
+        operator_output.print_findings(error.findings)
         raise typer.Exit(runtime.ExitCode.FAILED) from error
 
 
-def _print_findings(findings: tuple[exceptions.Finding, ...]) -> None:
-    for finding in findings:
-        print(finding, file=sys.stderr)
-
-
 def _author(context: _Context, change: str, reason: str) -> models.Author:
     return models.Author(
         change=change or str(uuid.uuid4()),
@@ -143,7 +139,7 @@
             content = {"outcome": "rejected", "findings": places}
             code = runtime.ExitCode.FAILED
             if not as_json:
-                _print_findings(findings)
+                operator_output.print_findings(findings)
         case repositories.Unknown(change):
             command = f"clementinelead settle {change} --settings {settings}"
             text = f"unknown; this tells it later: {command}"
@@ -189,7 +185,7 @@
     try:
         return sheets.read(path)
     except exceptions.FindingsError as error:
-        _print_findings(error.findings)
+        operator_output.print_findings(error.findings)
         raise typer.Exit(runtime.ExitCode.FAILED) from error
 
 
@@ -220,37 +216,11 @@
         }
         print(json.dumps(content))
     else:
-        _print_plan(made)
+        operator_output.print_plan(made)
     if made.conflicts:
         raise typer.Exit(runtime.ExitCode.FAILED)
 
 
-def _print_plan(made: merges.Plan) -> None:
-    console = rich.console.Console()
-    console.print(f"Plan for revision {made.revision}:")
-    for change in made.changes:
-        console.print(
-            f"  change {change.service} {change.field}:"
-            f" {change.before} -> {change.after}",
-            style="yellow",
-            markup=False,
-        )
-    for change in made.kept:
-        console.print(
-            f"  keep   {change.service} {change.field}: {change.after}",
-            style="green",
-            markup=False,
-        )
-    for conflict in made.conflicts:
-        console.print(
-            f"  CONFLICT {conflict.finding()}", style="red", markup=False
-        )
-    console.print(
-        f"{len(made.changes)} changes, {len(made.kept)} kept by hand,"
-        f" {len(made.conflicts)} conflicts"
-    )
-
-
 @sheet_application.command("apply")
 def sheet_apply(
     file: typing.Annotated[pathlib.Path, typer.Argument(help="CSV file.")],
@@ -421,42 +391,7 @@
         }
         print(json.dumps(content))
         return
-    _print_handover(configuration)
-
-
-def _who(author: models.Author) -> str:
-    at = time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime(author.time))
-    why = author.reason or "no reason given"
-    return f"{author.operator}, shift {author.shift}, {at}: {why}"
-
-
-def _bound_text(drain: models.Drain) -> str:
-    if drain.bound_s is None:
-        return "its services' drain_bound_s"
-    return f"{drain.bound_s:.0f} s"
-
-
-def _print_handover(configuration: models.Configuration) -> None:
-    print(f"Revision {configuration.revision} is in force.")
-    print("Changed by hand since the last sheet:")
-    lines = [
-        f"  {name}.{field} = {getattr(entry.service, field, 'added')}"
-        f"  ({_who(author)})"
-        for name, entry in sorted(configuration.entry_by_name.items())
-        for field, author in sorted(entry.by_hand.items())
-    ]
-    lines += [
-        f"  {name} removed  ({_who(author)})"
-        for name, author in sorted(configuration.index.removed.items())
-    ]
-    print("\n".join(lines) or "  nothing")
-    print("Draining:")
-    drains = [
-        f"  {name}, keeps flows for {_bound_text(drain)}"
-        f"  ({_who(drain.author)})"
-        for name, drain in sorted(configuration.index.drains.items())
-    ]
-    print("\n".join(drains) or "  nothing")
+    operator_output.print_handover(configuration)
 
 
 @application.command("status")
--- /dev/null
+++ b/clementinelead/processes/operator_output.py
@@ -0,0 +1,81 @@
+"""What the operators' command prints for people."""
+
+import sys
+import time
+
+import rich.console
+
+from clementinelead import exceptions
+from clementinelead.configurations import merges
+from clementinelead.configurations import models
+
+__all__ = ["print_findings", "print_handover", "print_plan"]
+
+
+def print_findings(findings: tuple[exceptions.Finding, ...]) -> None:
+    """Prints findings to standard error, one a line."""
+    for finding in findings:
+        print(finding, file=sys.stderr)
+
+
+def print_plan(made: merges.Plan) -> None:
+    """Prints what applying a sheet would do, coloured on a terminal."""
+    console = rich.console.Console()
+    console.print(f"Plan for revision {made.revision}:")
+    for change in made.changes:
+        console.print(
+            f"  change {change.service} {change.field}:"
+            f" {change.before} -> {change.after}",
+            style="yellow",
+            markup=False,
+        )
+    for change in made.kept:
+        console.print(
+            f"  keep   {change.service} {change.field}: {change.after}",
+            style="green",
+            markup=False,
+        )
+    for conflict in made.conflicts:
+        console.print(
+            f"  CONFLICT {conflict.finding()}", style="red", markup=False
+        )
+    console.print(
+        f"{len(made.changes)} changes, {len(made.kept)} kept by hand,"
+        f" {len(made.conflicts)} conflicts"
+    )
+
+
+def _who(author: models.Author) -> str:
+    at = time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime(author.time))
+    why = author.reason or "no reason given"
+    return f"{author.operator}, shift {author.shift}, {at}: {why}"
+
+
+def _bound_text(drain: models.Drain) -> str:
+    if drain.bound_s is None:
+        return "its services' drain_bound_s"
+    return f"{drain.bound_s:.0f} s"
+
+
+def print_handover(configuration: models.Configuration) -> None:
+    """Prints what differs from the sheet, who changed it and why."""
+    print(f"Revision {configuration.revision} is in force.")
+    print("Changed by hand since the last sheet:")
+    lines = [
+        f"  {name}.{field} = {getattr(entry.service, field, 'added')}"
+        f"  ({_who(author)})"
+        for name, entry in sorted(configuration.entry_by_name.items())
+        for field, author in sorted(entry.by_hand.items())
+    ]
+    lines += [
+        f"  {name} removed  ({_who(author)})"
+        for name, author in sorted(configuration.index.removed.items())
+    ]
+    print("\n".join(lines) or "  nothing")
+    print("Draining:")
+    drains = [
+        f"  {name}, keeps flows for {_bound_text(drain)}"
+        f"  ({_who(drain.author)})"
+        for name, drain in sorted(configuration.index.drains.items())
+    ]
+    print("\n".join(drains) or "  nothing")
