--- a/clementinelead/exceptions.py
+++ b/clementinelead/exceptions.py
@@ -8,6 +8,7 @@
     "FindingsError",
     "MalformedMessageError",
     "PeerUnavailableError",
+    "SettingsError",
     "StoreUnavailableError",
     "TaskFailedError",
 ]
@@ -25,6 +26,10 @@
     """Another process did not answer usefully."""
 
 
+class SettingsError(ClementineleadError):
+    """The settings of a process are missing or wrong."""
+
+
 class StoreUnavailableError(ClementineleadError):
     """The platform's store did not answer, or its answer was lost."""
 
--- a/clementinelead/flows/loads.py
+++ b/clementinelead/flows/loads.py
@@ -142,6 +142,16 @@
         self.held += 1
         return ahead
 
+    def resumed(self) -> int:
+        """Counts more work in a flow that is held already.
+
+        Returns:
+            How many were at work before it.
+        """
+        ahead = self.working
+        self.working += 1
+        return ahead
+
     def reported(
         self, shedding: bool, retry_after_s: float, now: float
     ) -> None:
--- a/clementinelead/memberships/gossip.py
+++ b/clementinelead/memberships/gossip.py
@@ -246,6 +246,21 @@
         self._queue(self.own)
         return self._urgent_news(now), change
 
+    def outrank(self, record: records.Record) -> None:
+        """Raises the incarnation above that of a former process's record.
+
+        A process whose clock was set back starts with a lower incarnation
+        than its predecessor had. Once announced, the incarnation stays.
+
+        Args:
+            record: A record of the same identifier.
+        """
+        if self.announced or record.incarnation < self.own.incarnation:
+            return
+        self.own = dataclasses.replace(
+            self.own, incarnation=record.incarnation + 1
+        )
+
     def add_seeds(self, addresses: tuple[tuple[str, int], ...]) -> None:
         """Adds control addresses to ask while nobody is known."""
         own = self.own.control_address
--- a/clementinelead/placements/forwarding.py
+++ b/clementinelead/placements/forwarding.py
@@ -9,7 +9,7 @@
 from clementinelead.messages import envelopes
 from clementinelead.packets import headers
 from clementinelead.placements import tables
-from clementinelead.telemetry import metrics
+from clementinelead.telemetry import counters
 
 __all__ = ["Forwarder", "Routing", "table_of"]
 
@@ -63,7 +63,7 @@
 
     def __init__(self, on_routing: collections.abc.Callable[[Routing], None]):
         self.forwarded = 0
-        self.drops = metrics.CounterSet()
+        self.drops = counters.CounterSet()
         self._on_routing = on_routing
         self._routes_by_address: dict[
             bytes, tuple[envelopes.Route, ...] | None
--- /dev/null
+++ b/clementinelead/platform/settings.py
@@ -0,0 +1,143 @@
+"""The platform's settings file, translated into the product's settings."""
+
+import dataclasses
+import os
+import pathlib
+import tomllib
+
+import msgspec
+
+from clementinelead import exceptions
+from clementinelead.processes import relay_settings
+
+__all__ = ["NodeSettings", "load"]
+
+FILE_VARIABLE = "CLEMENTINELEAD_NODE_FILE"
+METRICS_PORT = 9464  # as deploy/system.toml names it
+
+_DATA_OFFSET = 0
+_CONTROL_OFFSET = 1
+_HTTP_OFFSET = 2
+_MS_PER_S = 1000.0
+
+
+class _Listen(msgspec.Struct):
+    datagram_addr: str  # UDP; for a balancer, packets of callers come here
+    ready: str = ""
+    control: str = ""  # heartbeats, and where newcomers find a balancer
+    outbound: str = ""  # UDP; the target sends its packets here
+
+
+class _Store(msgspec.Struct):
+    address: str
+
+
+class _Bounds(msgspec.Struct):
+    grace_s: float = 6.0
+
+
+class _File(msgspec.Struct):
+    node_name: str
+    ip: str
+    zone: str
+    region: str
+    internal_ports: tuple[int, int]
+    listen: _Listen
+    platform: _Store
+    seeds: list[str] = []
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    app: str = ""  # UDP and TCP; the target on this machine
+    service: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class NodeSettings:
+    """Settings of one process on this platform.
+
+    Attributes:
+        relay: What the product's processes take.
+        packets: Where packets of the fabric come, for a balancer.
+        answers: Where the target's packets come, for a side process.
+        target: Where the target takes packets, for a side process.
+        service: Service of the target, for a side process.
+        ready: Where readiness is asked for, None if nobody does.
+        control: Where heartbeats come, None if none do.
+        store: The platform's metadata store.
+        caller_port: UDP port at which all callers take packets.
+    """
+
+    relay: relay_settings.RelaySettings
+    packets: tuple[str, int]
+    answers: tuple[str, int] | None
+    target: tuple[str, int] | None
+    service: str
+    ready: tuple[str, int] | None
+    control: tuple[str, int] | None
+    store: tuple[str, int]
+    caller_port: int
+
+
+def load() -> NodeSettings:
+    """Returns the settings from the file that the environment names.
+
+    Raises:
+        exceptions.SettingsError: The file is missing or wrong.
+    """
+    path = os.environ.get(FILE_VARIABLE, "")
+    try:
+        content = tomllib.loads(pathlib.Path(path).read_text("utf-8"))
+        return translate(content)
+    except (OSError, ValueError) as error:
+        raise exceptions.SettingsError(f"{path or FILE_VARIABLE}: {error}") from error
+
+
+def translate(content: dict[str, object]) -> NodeSettings:
+    """Returns the settings that a file's content means.
+
+    Args:
+        content: Content of the file.
+
+    Raises:
+        ValueError: A field is missing or of another kind.
+    """
+    file = msgspec.convert(content, type=_File)
+    first, last = file.internal_ports
+    if last - first < _HTTP_OFFSET:
+        raise ValueError("internal_ports: three ports are needed")
+    packets = _endpoint(file.listen.datagram_addr)
+    store = _endpoint(file.platform.address)
+    relay = relay_settings.RelaySettings(
+        id=file.node_name,
+        cluster=file.platform.address,
+        region=file.region,
+        zone=file.zone,
+        address=file.ip,
+        data_port=first + _DATA_OFFSET,
+        control_port=first + _CONTROL_OFFSET,
+        http_port=first + _HTTP_OFFSET,
+        metrics_port=METRICS_PORT,
+        seeds=tuple(_endpoint(seed)[0] for seed in file.seeds),
+        stop_s=file.bounds.grace_s,
+    )
+    return NodeSettings(
+        relay=relay,
+        packets=packets,
+        answers=_optional_endpoint(file.listen.outbound),
+        target=_optional_endpoint(file.app),
+        service=file.service,
+        ready=_optional_endpoint(file.listen.ready),
+        control=_optional_endpoint(file.listen.control),
+        store=store,
+        caller_port=packets[1],
+    )
+
+
+def _endpoint(text: str) -> tuple[str, int]:
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isdecimal():
+        raise ValueError(f"{text!r} is no address and port")
+    return host, int(port)
+
+
+def _optional_endpoint(text: str) -> tuple[str, int] | None:
+    return _endpoint(text) if text else None
--- a/clementinelead/processes/control_channel.py
+++ b/clementinelead/processes/control_channel.py
@@ -12,7 +12,7 @@
 from clementinelead.memberships import budgets
 from clementinelead.memberships import gossip
 from clementinelead.messages import controls
-from clementinelead.telemetry import metrics
+from clementinelead.telemetry import counters
 
 __all__ = ["ControlChannel"]
 
@@ -45,7 +45,7 @@
         revision: collections.abc.Callable[[], int],
         load: collections.abc.Callable[[], controls.TargetLoad | None],
     ):
-        self.counters = metrics.CounterSet()
+        self.counters = counters.CounterSet()
         self._gossiper = gossiper
         self._sealer = sealer
         self._receiver = receiver
--- /dev/null
+++ b/clementinelead/processes/datagrams.py
@@ -0,0 +1,70 @@
+"""UDP sockets of the packet path, read until they are empty."""
+
+import asyncio
+import collections.abc
+import socket
+
+from clementinelead.processes import sockets
+from clementinelead.telemetry import counters
+
+__all__ = ["DatagramSocket"]
+
+MAX_BATCH = 64
+"""Datagrams read before other work gets a turn."""
+
+_MAX_BYTES = 2_048
+
+Receiver = collections.abc.Callable[[bytes, tuple[str, int]], None]
+
+
+class DatagramSocket:
+    """A UDP socket that reads all that has come with one wake-up.
+
+    Attributes:
+        counts: Datagrams that could not be sent, by cause.
+    """
+
+    def __init__(self, address: tuple[str, int], receiver: Receiver):
+        """Binds the socket.
+
+        Args:
+            address: IP address and port.
+            receiver: Gets each datagram and its source.
+
+        Raises:
+            OSError: The port is taken.
+        """
+        self.counts = counters.CounterSet()
+        self._receiver = receiver
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        sockets.enlarge(self._socket)
+        self._socket.bind(address)
+
+    def start(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Reads from now on."""
+        loop.add_reader(self._socket.fileno(), self._read)
+
+    def close(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Closes the socket."""
+        loop.remove_reader(self._socket.fileno())
+        self._socket.close()
+
+    def send(self, data: bytes, address: tuple[str, int]) -> None:
+        """Sends a datagram; one that finds no room is lost and counted."""
+        try:
+            self._socket.sendto(data, address)
+        except OSError as error:
+            self.counts.add(type(error).__name__)
+
+    def _read(self) -> None:
+        for _ in range(MAX_BATCH):
+            try:
+                data, source = self._socket.recvfrom(_MAX_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # An earlier datagram met a closed port.
+                self.counts.add(type(error).__name__)
+                continue
+            self._receiver(data, source)
--- /dev/null
+++ b/clementinelead/processes/decision_log.py
@@ -0,0 +1,36 @@
+"""Log lines of flow decisions, bounded under load."""
+
+import time
+
+import loguru
+
+from clementinelead.relays import formats
+from clementinelead.relays import outcomes
+from clementinelead.telemetry import logs
+
+__all__ = ["DecisionLog"]
+
+LINES_PER_S = 300.0
+"""Decisions logged a second; more are counted and told in the next line."""
+
+
+class DecisionLog:
+    """Writes a line for each decision, as long as there are not too many."""
+
+    def __init__(self, packet_format: formats.PacketFormat):
+        self._format = packet_format
+        self._limit = logs.RateLimit(LINES_PER_S)
+
+    def report(self, decision: outcomes.Decision) -> None:
+        """Logs a decision."""
+        if not self._limit.allows(time.monotonic()):
+            return
+        left_out = self._limit.take_left_out()
+        fields = decision.inputs
+        if left_out:
+            fields = {**fields, "left_out": left_out}
+        loguru.logger.bind(
+            flow=self._format.text(decision.key),
+            outcome=decision.outcome,
+            **fields,
+        ).info(decision.event)
--- /dev/null
+++ b/clementinelead/processes/http_client.py
@@ -0,0 +1,124 @@
+"""A small HTTP/1.1 client: one connection a call, one deadline a call.
+
+Connections may go silent without a reset, so none is kept between calls and
+each call as a whole has a deadline.
+"""
+
+import asyncio
+import dataclasses
+
+import h11
+
+__all__ = ["Answer", "NoAnswer", "call"]
+
+MAX_BODY_BYTES = 8 << 20
+_READ_BYTES = 65_536
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """A whole response."""
+
+    status: int
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class NoAnswer:
+    """No whole response came.
+
+    Attributes:
+        reason: What happened.
+        sent: Whether the request may have reached the server.
+    """
+
+    reason: str
+    sent: bool
+
+
+async def call(
+    address: tuple[str, int],
+    method: str,
+    target: str,
+    body: bytes,
+    timeout_s: float,
+) -> Answer | NoAnswer:
+    """Returns the answer to a request.
+
+    Args:
+        address: IP address and port of the server.
+        method: Method in capitals.
+        target: Path and query, encoded.
+        body: Body, JSON if not empty.
+        timeout_s: Deadline of the whole call, seconds.
+    """
+    exchange = _Exchange(address, method, target, body)
+    try:
+        return await asyncio.wait_for(exchange.run(), timeout_s)
+    except TimeoutError:
+        return NoAnswer("deadline", exchange.sent)
+    except (OSError, h11.ProtocolError) as error:
+        return NoAnswer(str(error) or type(error).__name__, exchange.sent)
+    finally:
+        exchange.close()
+
+
+class _Exchange:
+    """One request and its response."""
+
+    def __init__(
+        self, address: tuple[str, int], method: str, target: str, body: bytes
+    ):
+        self.sent = False
+        self._address = address
+        self._method = method
+        self._target = target
+        self._body = body
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def run(self) -> Answer:
+        host, port = self._address
+        reader, self._writer = await asyncio.open_connection(host, port)
+        connection = h11.Connection(h11.CLIENT)
+        headers = [
+            ("Host", f"{host}:{port}"),
+            ("Connection", "close"),
+            ("Content-Length", str(len(self._body))),
+        ]
+        if self._body:
+            headers.append(("Content-Type", "application/json"))
+        head = h11.Request(
+            method=self._method, target=self._target, headers=headers
+        )
+        data = connection.send(head) or b""
+        if self._body:
+            data += connection.send(h11.Data(data=self._body)) or b""
+        data += connection.send(h11.EndOfMessage()) or b""
+        self.sent = True
+        self._writer.write(data)
+        return await _read_answer(connection, reader)
+
+    def close(self) -> None:
+        if self._writer is not None:
+            self._writer.transport.abort()
+
+
+async def _read_answer(
+    connection: h11.Connection, reader: asyncio.StreamReader
+) -> Answer:
+    status = 0
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await reader.read(_READ_BYTES))
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > MAX_BODY_BYTES:
+                raise h11.RemoteProtocolError("the body is too large")
+        elif isinstance(event, h11.EndOfMessage):
+            return Answer(status, bytes(body))
+        elif isinstance(event, h11.ConnectionClosed):
+            raise h11.RemoteProtocolError("closed before the answer")
--- /dev/null
+++ b/clementinelead/processes/http_site.py
@@ -0,0 +1,171 @@
+"""A small HTTP/1.1 server on one port: readiness, heartbeats, metrics.
+
+It is built on ``h11`` because a process beside a target has to start within
+tenths of a second of processor time.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import urllib.parse
+
+import h11
+import loguru
+
+__all__ = ["HttpSite", "Request", "Response"]
+
+IDLE_S = 30.0
+"""Time without a request after which a connection is closed."""
+
+MAX_BODY_BYTES = 65_536
+"""A heartbeat has some hundred bytes."""
+
+MAX_CONNECTIONS = 64
+_READ_BYTES = 16_384
+_NO_BODY = b""
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """A request.
+
+    Attributes:
+        method: Method in capitals.
+        path: Path without the query, percent-decoded.
+        query: Values of the query by name, the last of each.
+        body: Whole body.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Response:
+    """A response."""
+
+    status: int
+    body: bytes = _NO_BODY
+    content_type: str = "application/json"
+
+
+Handler = collections.abc.Callable[[Request], Response]
+
+
+class HttpSite:
+    """Serves handlers by method and path prefix."""
+
+    def __init__(self) -> None:
+        self._handlers: list[tuple[str, str, Handler]] = []
+        self._server: asyncio.Server | None = None
+        self._connections = 0
+
+    def add(self, method: str, prefix: str, handler: Handler) -> None:
+        """Serves a method and all paths that begin with a prefix."""
+        self._handlers.append((method, prefix, handler))
+
+    async def start(self, address: str, port: int) -> None:
+        """Opens the port.
+
+        Raises:
+            OSError: The port is taken.
+        """
+        self._server = await asyncio.start_server(
+            self._serve, address, port, limit=_READ_BYTES
+        )
+
+    async def stop(self) -> None:
+        """Closes the port; open connections end with their request."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._connections >= MAX_CONNECTIONS:
+            writer.close()
+            return
+        self._connections += 1
+        connection = h11.Connection(h11.SERVER)
+        try:
+            while await self._serve_one(connection, reader, writer):
+                connection.start_next_cycle()
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
+            loguru.logger.debug("connection ended: {}", error)
+        finally:
+            self._connections -= 1
+            writer.close()
+
+    async def _serve_one(
+        self,
+        connection: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answers a request; tells whether another one may follow."""
+        request = await _read_request(connection, reader)
+        if request is None:
+            return False
+        response = self._respond(request)
+        headers = [
+            ("Content-Type", response.content_type),
+            ("Content-Length", str(len(response.body))),
+        ]
+        head = h11.Response(status_code=response.status, headers=headers)
+        data = connection.send(head) or b""
+        if request.method != "HEAD":
+            data += connection.send(h11.Data(data=response.body)) or b""
+        data += connection.send(h11.EndOfMessage()) or b""
+        writer.write(data)
+        await asyncio.wait_for(writer.drain(), IDLE_S)
+        return bool(
+            connection.our_state is h11.DONE
+            and connection.their_state is h11.DONE
+        )
+
+    def _respond(self, request: Request) -> Response:
+        found = False
+        for method, prefix, handler in self._handlers:
+            if request.path.startswith(prefix):
+                found = True
+                if method == request.method:
+                    return handler(request)
+        return Response(405 if found else 404)
+
+
+async def _read_request(
+    connection: h11.Connection, reader: asyncio.StreamReader
+) -> Request | None:
+    """Returns the next request, None if the peer has closed.
+
+    Raises:
+        h11.ProtocolError: The peer does not speak HTTP.
+        TimeoutError: Nothing came for a while.
+    """
+    head: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            data = await asyncio.wait_for(reader.read(_READ_BYTES), IDLE_S)
+            connection.receive_data(data)
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > MAX_BODY_BYTES:
+                raise h11.RemoteProtocolError("the body is too large")
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return _request(head, bytes(body))
+        else:
+            return None
+
+
+def _request(head: h11.Request, body: bytes) -> Request:
+    target = head.target.decode("latin-1")
+    path, _, query = target.partition("?")
+    pairs = urllib.parse.parse_qsl(query)
+    method = head.method.decode("latin-1").upper()
+    return Request(method, urllib.parse.unquote(path), dict(pairs), body)
--- /dev/null
+++ b/clementinelead/processes/relay_balancer.py
@@ -0,0 +1,234 @@
+"""The relaying balancer: callers' packets, peers' answers, readiness."""
+
+import asyncio
+import time
+
+import loguru
+
+from clementinelead.memberships import members
+from clementinelead.memberships import records
+from clementinelead.processes import datagrams
+from clementinelead.processes import decision_log
+from clementinelead.processes import http_site
+from clementinelead.processes import metrics_page
+from clementinelead.processes import relay_node
+from clementinelead.processes import relay_settings
+from clementinelead.processes import route_watch
+from clementinelead.relays import candidates
+from clementinelead.relays import formats
+from clementinelead.relays import outcomes
+from clementinelead.relays import routes
+from clementinelead.relays import steering
+
+__all__ = ["RelayBalancer"]
+
+BUSY_TICK_S = 0.004
+"""Timer of placements and searches while there are any, seconds."""
+
+QUIET_S = 0.7
+"""Time without callers' packets after which a stop may go on, seconds."""
+
+MIN_STOP_S = 1.2
+"""Time in which the fabric notices that a process is not ready, seconds."""
+
+STOP_MARGIN_S = 1.0
+"""Time left for the end of a process, seconds."""
+
+_LEAVING_KEPT_S = 8.0
+"""Time that a side process which stops is still asked for flows, seconds."""
+
+
+class RelayBalancer:
+    """Wires the steering decisions to sockets and members.
+
+    Attributes:
+        node: Gossip and routes.
+        steering: The decisions.
+    """
+
+    def __init__(
+        self,
+        settings: relay_settings.RelaySettings,
+        callers_address: tuple[str, int],
+        packet_format: formats.PacketFormat,
+        source: route_watch.RouteSource,
+    ):
+        """Prepares the process.
+
+        Args:
+            settings: Settings.
+            callers_address: Where the fabric hands over callers' packets.
+            packet_format: Format of the packets.
+            source: Where new routes come from.
+        """
+        self._settings = settings
+        self._callers_address = callers_address
+        self.node = relay_node.RelayNode(
+            settings, records.Role.BALANCER, (), self
+        )
+        log = decision_log.DecisionLog(packet_format)
+        self.steering = steering.Steering(
+            packet_format, log.report, settings.zone
+        )
+        self._watch = route_watch.RouteWatch(self.node, source)
+        self._stopping = False
+        self._last_packet = 0.0
+        self._tick_scheduled = False
+        self._left_at_by_id: dict[str, float] = {}
+        self._loop: asyncio.AbstractEventLoop
+        self._callers: datagrams.DatagramSocket
+        self._peers: datagrams.DatagramSocket
+        self.metrics = metrics_page.MetricsPage(settings.id, "balancer")
+        self.metrics.count(
+            "flow_decisions", self.steering.counts, "Flow decisions by outcome"
+        )
+        self.metrics.gauge(
+            "flows_cached", lambda: self.steering.flows, "Flows in the cache"
+        )
+        self.metrics.gauge(
+            "routes_version", lambda: self.node.table.version, "Routes in force"
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether the fabric should hand packets to this process."""
+        if self._stopping or not self.node.joined:
+            return False
+        return self.node.table.version > 0
+
+    def respond_ready(self, _: http_site.Request) -> http_site.Response:
+        """Answers the fabric's question."""
+        return http_site.Response(200 if self.ready else 503)
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Runs until asked to stop, then until the fabric has turned away.
+
+        Raises:
+            OSError: A port is taken.
+        """
+        self._loop = asyncio.get_running_loop()
+        address = (self._settings.address, self._settings.data_port)
+        self._callers = datagrams.DatagramSocket(
+            self._callers_address, self._on_packet
+        )
+        self._peers = datagrams.DatagramSocket(address, self._on_frame)
+        await self.node.start(stopping)
+        try:
+            self._callers.start(self._loop)
+            self._peers.start(self._loop)
+            self.node.spawn(self._watch.run())
+            await stopping.wait()
+            await self._drain()
+        finally:
+            self._callers.close(self._loop)
+            self._peers.close(self._loop)
+            await self.node.stop()
+
+    async def _drain(self) -> None:
+        """Forwards on until the fabric no longer sends anything."""
+        self._stopping = True
+        loguru.logger.bind(flows=self.steering.flows).info("draining")
+        self.node.announce(state=records.State.LEAVING)
+        started = time.monotonic()
+        latest = started + max(0.0, self._settings.stop_s - STOP_MARGIN_S)
+        await asyncio.sleep(min(MIN_STOP_S, latest - started))
+        while (now := time.monotonic()) < latest:
+            if now - self._last_packet >= QUIET_S:
+                return
+            await asyncio.sleep(QUIET_S / 4)
+
+    # Datagrams.
+
+    def _on_packet(self, data: bytes, _: tuple[str, int]) -> None:
+        now = time.monotonic()
+        self._last_packet = now
+        self._send(self.steering.on_packet(data, now))
+
+    def _on_frame(self, data: bytes, source: tuple[str, int]) -> None:
+        now = time.monotonic()
+        self._send(self.steering.on_frame(data, source, now))
+
+    def _send(self, several: list[outcomes.Outcome]) -> None:
+        for outcome in several:
+            match outcome:
+                case outcomes.ToPeer(address, data):
+                    self._peers.send(data, address)
+                case outcomes.ToCaller(address, data):
+                    self._callers.send(data, address)
+        if not self._tick_scheduled and self.steering.busy:
+            self._tick_scheduled = True
+            self._loop.call_later(BUSY_TICK_S, self._busy_tick)
+
+    def _busy_tick(self) -> None:
+        self._tick_scheduled = False
+        self._send(self.steering.on_tick(time.monotonic()))
+
+    # What the node learns.
+
+    def on_tick(self, now: float) -> None:
+        """Lets time pass for the decisions."""
+        self._send(self.steering.on_tick(now))
+        for identifier, left_at in list(self._left_at_by_id.items()):
+            if now - left_at > _LEAVING_KEPT_S:
+                del self._left_at_by_id[identifier]
+                record = self.node.gossiper.table.by_id.get(identifier)
+                if record is not None:
+                    self._update_targets(record.services)
+
+    def on_routes(self, table: routes.RoutingTable, now: float) -> None:
+        """Puts new routes in force."""
+        self.steering.set_routes(table, now)
+
+    def on_members(self, changes: list[members.Change], now: float) -> None:
+        """Takes over the targets of the services that changed."""
+        services: set[str] = set()
+        for change in changes:
+            record = change.new
+            if record.role is not records.Role.SIDE:
+                continue
+            services.update(record.services)
+            if change.old is not None:
+                services.update(change.old.services)
+            if record.state is records.State.LEAVING:
+                self._left_at_by_id[record.id] = now
+            else:
+                self._left_at_by_id.pop(record.id, None)
+            loguru.logger.bind(
+                member=record.id,
+                state=record.state.name.lower(),
+                health=record.health.name.lower(),
+                incarnation=record.incarnation,
+                sequence=record.sequence,
+                service=",".join(record.services),
+            ).info("member changed")
+        self._update_targets(tuple(services))
+
+    def _update_targets(self, services: tuple[str, ...]) -> None:
+        by_service: dict[str, list[candidates.Target]] = {
+            service: [] for service in services
+        }
+        for record in self.node.gossiper.table.by_id.values():
+            if record.role is not records.Role.SIDE:
+                continue
+            if not self._may_hold_flows(record):
+                continue
+            for service in by_service.keys() & set(record.services):
+                by_service[service].append(_target(record))
+        for service, targets in by_service.items():
+            self.steering.set_targets(service, tuple(targets))
+
+    def _may_hold_flows(self, record: records.Record) -> bool:
+        if record.health is records.Health.DEAD:
+            return False
+        if record.state is records.State.LEAVING:
+            return record.id in self._left_at_by_id
+        return True
+
+
+def _target(record: records.Record) -> candidates.Target:
+    return candidates.Target(
+        record.id,
+        record.data_address,
+        record.zone,
+        record.state is records.State.READY,
+    )
--- /dev/null
+++ b/clementinelead/processes/relay_node.py
@@ -0,0 +1,365 @@
+"""What relaying balancers and side processes have in common."""
+
+import asyncio
+import collections.abc
+import random
+import time
+import typing
+
+import loguru
+import msgspec
+
+from clementinelead import exceptions
+from clementinelead.memberships import authentication
+from clementinelead.memberships import gossip
+from clementinelead.memberships import members
+from clementinelead.memberships import records
+from clementinelead.memberships import repairs
+from clementinelead.messages import controls
+from clementinelead.processes import control_channel
+from clementinelead.processes import http_client
+from clementinelead.processes import http_site
+from clementinelead.processes import relay_settings
+from clementinelead.relays import routes
+
+__all__ = ["RelayNode", "Subscriber"]
+
+TICK_S = 0.05
+"""Interval of the gossip's timer, seconds."""
+
+JOIN_RETRY_S = 0.15
+"""Pause between two rounds of asking the seeds, seconds."""
+
+ALONE_S = 2.5
+"""Time after which a process that no seed answers starts alone, seconds."""
+
+PEER_TIMEOUT_S = 1.0
+"""Deadline of a question to a peer, seconds."""
+
+FOLLOW_RETRY_S = 0.3
+"""Longest pause before routes are asked for again, seconds."""
+
+_PUBLIC_KEY = b"clementinelead"
+"""Key of the control datagrams where the settings bring no secret.
+
+It tells strays of another cluster or version apart; it keeps nobody out.
+"""
+
+_MEMBERS_PATH = "/peer/members"
+_ROUTES_PATH = "/peer/routes"
+_OK = 200
+
+
+class Subscriber(typing.Protocol):
+    """Hears of what a node learns."""
+
+    def on_members(self, changes: list[members.Change], now: float) -> None:
+        """Called when membership records have changed."""
+
+    def on_routes(self, table: routes.RoutingTable, now: float) -> None:
+        """Called when routes of a higher version are in force."""
+
+    def on_tick(self, now: float) -> None:
+        """Called every ``TICK_S``."""
+
+
+class RelayNode:
+    """Gossip, routes and the peers' HTTP of one process.
+
+    Attributes:
+        gossiper: Membership decisions.
+        table: Routes in force.
+        joined: Whether the members are known as a peer knows them.
+    """
+
+    def __init__(
+        self,
+        settings: relay_settings.RelaySettings,
+        role: records.Role,
+        services: tuple[str, ...],
+        subscriber: Subscriber,
+    ):
+        now = time.monotonic()
+        own = records.Record(
+            id=settings.id,
+            incarnation=time.time_ns() // 1_000_000,
+            sequence=0,
+            role=role,
+            state=records.State.COLD,
+            region=settings.region,
+            zone=settings.zone,
+            address=settings.address,
+            data_port=settings.data_port,
+            control_port=settings.control_port,
+            http_port=settings.http_port,
+            services=services,
+        )
+        self.random = random.Random(f"{own.id}/{own.incarnation}")
+        others = [seed for seed in settings.seeds if seed != settings.address]
+        self.gossiper = gossip.Gossiper(
+            own,
+            tuple((seed, settings.control_port) for seed in others),
+            gossip.Options(),
+            self.random,
+            now,
+        )
+        self.table = routes.EMPTY
+        self.joined = False
+        self._seeds = others
+        self._settings = settings
+        self._subscriber = subscriber
+        self._channel = control_channel.ControlChannel(
+            self.gossiper,
+            authentication.Sealer(settings.cluster, (_PUBLIC_KEY,)),
+            self._on_control,
+            lambda: self.table.version,
+            lambda: None,
+        )
+        self._site = http_site.HttpSite()
+        self._site.add("GET", _MEMBERS_PATH, self._serve_members)
+        self._site.add("GET", _ROUTES_PATH, self._serve_routes)
+        self._repairs = repairs.RepairSchedule(self.random)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stopping = asyncio.Event()
+        self._failure: BaseException | None = None
+        self._following = False
+
+    async def start(self, stopping: asyncio.Event) -> None:
+        """Opens the sockets and begins to join.
+
+        Args:
+            stopping: Set here too when a task fails.
+
+        Raises:
+            OSError: A port is taken.
+        """
+        self._stopping = stopping
+        address = self._settings.address
+        await self._channel.open((address, self._settings.control_port))
+        await self._site.start(address, self._settings.http_port)
+        self.spawn(self._tick_forever())
+        self.spawn(self._join())
+
+    async def stop(self) -> None:
+        """Stops the tasks and closes the sockets.
+
+        Raises:
+            exceptions.TaskFailedError: A task failed.
+        """
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._site.stop()
+        self._channel.close()
+        if self._failure is not None:
+            raise exceptions.TaskFailedError(str(self._failure))
+
+    def spawn(
+        self, coroutine: collections.abc.Coroutine[None, None, None]
+    ) -> None:
+        """Runs a coroutine until the node stops; its failure stops it."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        task.add_done_callback(self._on_done)
+        self._tasks.add(task)
+
+    def _on_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            loguru.logger.opt(exception=error).error("task failed")
+            self._failure = error
+            self._stopping.set()
+
+    def announce(self, **fields: object) -> None:
+        """Raises the own record and pushes it to others."""
+        now = time.monotonic()
+        sends, change = self.gossiper.announce(now, **fields)
+        for message in sends:
+            self._channel.send(message)
+        if change is not None:
+            self._subscriber.on_members([change], now)
+
+    def add_seeds(self, addresses: tuple[str, ...]) -> None:
+        """Adds IP addresses of processes to join through."""
+        for address in addresses:
+            if address not in (*self._seeds, self._settings.address):
+                self._seeds.append(address)
+        port = self._settings.control_port
+        self.gossiper.add_seeds(tuple((seed, port) for seed in self._seeds))
+
+    @property
+    def alone(self) -> bool:
+        """Whether no other process is known to live."""
+        return not self.gossiper.peers()
+
+    def adopt(self, table: routes.RoutingTable, source: str) -> None:
+        """Takes over routes if their version is higher.
+
+        Args:
+            table: The routes.
+            source: Where they came from, for the log.
+        """
+        if table.version <= self.table.version:
+            return
+        before = self.table.version
+        self.table = table
+        loguru.logger.bind(
+            version=table.version,
+            before=before,
+            routes=len(table.routes),
+            source=source,
+        ).info("routes adopted")
+        self._subscriber.on_routes(table, time.monotonic())
+        if before:
+            self._push_version()
+
+    def _push_version(self) -> None:
+        """Tells some peers at once that there is a higher version."""
+        others = self.gossiper.peers()
+        count = min(self.gossiper.options.fanout, len(others))
+        for peer in self.random.sample(others, count):
+            self._channel.send(
+                gossip.Send(peer.control_address, (), controls.Nothing())
+            )
+
+    # Joining.
+
+    async def _join(self) -> None:
+        """Learns the members and routes from a peer, then announces itself.
+
+        A record of a former process of this name may have a higher
+        incarnation, if the clock has been set back since; so the peer's view
+        comes first.
+        """
+        deadline = time.monotonic() + ALONE_S
+        while not await self._join_through_seeds():
+            if time.monotonic() >= deadline and not self.gossiper.announced:
+                loguru.logger.bind(seeds=self._seeds).warning(
+                    "no peer answers; starting alone"
+                )
+                self.joined = True
+                self.announce()
+            if not self.alone:
+                break
+            await asyncio.sleep(JOIN_RETRY_S * (0.5 + self.random.random()))
+        self.joined = True
+        if not self.gossiper.announced:
+            self.announce()
+        loguru.logger.bind(
+            members=len(self.gossiper.table.by_id), version=self.table.version
+        ).info("joined")
+
+    async def _join_through_seeds(self) -> bool:
+        """Tells whether a seed, or another member, has told its view."""
+        port = self._settings.http_port
+        asked = [self._sync((seed, port)) for seed in self._seeds]
+        return any(await asyncio.gather(*asked))
+
+    async def _sync(self, address: tuple[str, int]) -> bool:
+        """Takes over a peer's members and routes; tells whether it could."""
+        answer = await http_client.call(
+            address, "GET", _MEMBERS_PATH, b"", PEER_TIMEOUT_S
+        )
+        if not isinstance(answer, http_client.Answer) or answer.status != _OK:
+            loguru.logger.debug("members of {}: {}", address, answer)
+            return False
+        try:
+            found = controls.decode_records(answer.body)
+        except exceptions.MalformedMessageError as error:
+            loguru.logger.warning("members of {}: {}", address, error)
+            return False
+        self._raise_incarnation(found)
+        now = time.monotonic()
+        changes = self.gossiper.merge(found, now)
+        if changes:
+            self._subscriber.on_members(changes, now)
+        await self._fetch_routes(address)
+        return bool(found)
+
+    def _raise_incarnation(self, found: tuple[records.Record, ...]) -> None:
+        """Outranks the record of a former process of this name."""
+        for record in found:
+            if record.id == self.gossiper.own.id:
+                self.gossiper.outrank(record)
+
+    async def _fetch_routes(self, address: tuple[str, int]) -> None:
+        """Takes over a peer's routes if they are newer."""
+        answer = await http_client.call(
+            address,
+            "GET",
+            f"{_ROUTES_PATH}?since={self.table.version}",
+            b"",
+            PEER_TIMEOUT_S,
+        )
+        if not isinstance(answer, http_client.Answer) or answer.status != _OK:
+            loguru.logger.debug("routes of {}: {}", address, answer)
+            return
+        try:
+            table = msgspec.json.decode(answer.body, type=routes.RoutingTable)
+        except msgspec.DecodeError as error:
+            loguru.logger.warning("routes of {}: {}", address, error)
+            return
+        self.adopt(table, address[0])
+
+    def _serve_members(self, _: http_site.Request) -> http_site.Response:
+        table = self.gossiper.table
+        body = controls.encode_records(list(table.by_id.values()))
+        return http_site.Response(_OK, body, "application/octet-stream")
+
+    def _serve_routes(self, request: http_site.Request) -> http_site.Response:
+        since = request.query.get("since", "0")
+        if since.isdecimal() and self.table.version <= int(since):
+            return http_site.Response(304)
+        return http_site.Response(_OK, msgspec.json.encode(self.table))
+
+    # Gossip.
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = time.monotonic()
+            sends, changes = self.gossiper.on_tick(now)
+            for message in sends:
+                self._channel.send(message)
+            if changes:
+                self._subscriber.on_members(changes, now)
+            if self.gossiper.duplicate_identifier:
+                self.gossiper.duplicate_identifier = False
+                loguru.logger.error("another process has this identifier")
+            self._subscriber.on_tick(now)
+
+    def _on_control(
+        self, control: controls.Control, source: tuple[str, int]
+    ) -> None:
+        now = time.monotonic()
+        sends, changes = self.gossiper.on_control(control, source, now)
+        for message in sends:
+            self._channel.send(message)
+        if changes:
+            self._subscriber.on_members(changes, now)
+        if control.revision > self.table.version and not self._following:
+            self._following = True
+            self.spawn(self._follow(source[0], control.revision))
+        differs = control.digest != self.gossiper.table.digest
+        if self._repairs.due(differs, now):
+            self.spawn(self._repair(source[0]))
+
+    async def _repair(self, host: str) -> None:
+        await self._sync((host, self._settings.http_port))
+
+    async def _follow(self, host: str, version: int) -> None:
+        """Fetches routes of a higher version until they are in force."""
+        try:
+            while self.table.version < version:
+                await self._fetch_routes((host, self._settings.http_port))
+                if self.table.version >= version:
+                    return
+                await asyncio.sleep(FOLLOW_RETRY_S * self.random.random())
+                peers = self.gossiper.peers()
+                if peers:
+                    host = self.random.choice(peers).address
+        finally:
+            self._following = False
--- /dev/null
+++ b/clementinelead/processes/relay_side.py
@@ -0,0 +1,213 @@
+"""The relaying side process: beside one target that answers for itself."""
+
+import asyncio
+import time
+
+import loguru
+
+from clementinelead.memberships import members
+from clementinelead.memberships import records
+from clementinelead.processes import datagrams
+from clementinelead.processes import decision_log
+from clementinelead.processes import metrics_page
+from clementinelead.processes import relay_node
+from clementinelead.processes import relay_settings
+from clementinelead.relays import announcements
+from clementinelead.relays import formats
+from clementinelead.relays import holding
+from clementinelead.relays import outcomes
+from clementinelead.relays import routes
+
+__all__ = ["RelaySide"]
+
+MAX_LINGER_S = 1.5
+"""Time that a stop waits for work under way, seconds.
+
+Open feeds go on when the process is back; requests mostly end sooner.
+"""
+
+LINGER_STEP_S = 0.05
+RETURN_TICK_S = 0.01
+
+_STATE_BY_NAME = {
+    "cold": records.State.COLD,
+    "ready": records.State.READY,
+    "draining": records.State.DRAINING,
+    "leaving": records.State.LEAVING,
+    "dead": records.State.LEAVING,
+}
+
+
+class RelaySide:
+    """Wires the holding decisions to sockets, members and the target.
+
+    Attributes:
+        node: Gossip and routes.
+        holding: The decisions.
+    """
+
+    def __init__(
+        self,
+        settings: relay_settings.RelaySettings,
+        service: str,
+        target: tuple[str, int],
+        answers_address: tuple[str, int],
+        packet_format: formats.PacketFormat,
+    ):
+        """Prepares the process.
+
+        Args:
+            settings: Settings.
+            service: Name of the service that the target serves.
+            target: Where the target takes packets.
+            answers_address: Where the target sends its packets.
+            packet_format: Format of the packets.
+        """
+        self._settings = settings
+        self._target = target
+        self._answers_address = answers_address
+        self.node = relay_node.RelayNode(
+            settings, records.Role.SIDE, (service,), self
+        )
+        log = decision_log.DecisionLog(packet_format)
+        self.holding = holding.Holding(
+            packet_format, service, log.report, time.monotonic()
+        )
+        self._announced = records.State.COLD
+        self._tick_scheduled = False
+        self._loop: asyncio.AbstractEventLoop
+        self._answers: datagrams.DatagramSocket
+        self._peers: datagrams.DatagramSocket
+        self.metrics = metrics_page.MetricsPage(settings.id, "side")
+        self.metrics.count(
+            "flow_decisions", self.holding.counts, "Flow decisions by outcome"
+        )
+        self.metrics.gauge(
+            "flows_held", lambda: self.holding.flows, "Flows of the target"
+        )
+        self.metrics.gauge(
+            "work_under_way", lambda: self.holding.working, "Requests at work"
+        )
+        self.metrics.histogram(
+            "answer_seconds",
+            self.holding.latencies,
+            "Time from a request to the first byte of its answer, seconds",
+        )
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Runs until asked to stop, and until work under way has ended.
+
+        Raises:
+            OSError: A port is taken.
+        """
+        self._loop = asyncio.get_running_loop()
+        self._answers = datagrams.DatagramSocket(
+            self._answers_address, self._on_answer
+        )
+        address = (self._settings.address, self._settings.data_port)
+        self._peers = datagrams.DatagramSocket(address, self._on_frame)
+        await self.node.start(stopping)
+        try:
+            self._answers.start(self._loop)
+            self._peers.start(self._loop)
+            await stopping.wait()
+            await self._linger()
+        finally:
+            self._answers.close(self._loop)
+            self._peers.close(self._loop)
+            await self.node.stop()
+
+    async def _linger(self) -> None:
+        """Takes no new flow, and waits for the work under way."""
+        self.holding.leaving = True
+        gone = self.holding.lifecycle.state in ("leaving", "dead")
+        loguru.logger.bind(
+            flows=self.holding.flows, working=self.holding.working, gone=gone
+        ).info("draining")
+        self._announce()
+        latest = time.monotonic() + min(MAX_LINGER_S, self._settings.stop_s)
+        while not gone and time.monotonic() < latest:
+            await asyncio.sleep(LINGER_STEP_S)
+            if self.holding.working == 0:
+                return
+
+    # What the target says of itself.
+
+    def heartbeat(
+        self, announcement: announcements.Announcement
+    ) -> announcements.Verdict:
+        """Takes over a heartbeat of the target."""
+        verdict = self.holding.heartbeat(announcement, time.monotonic())
+        if verdict is not announcements.Verdict.SAME:
+            self._log_target(announcement.id, announcement.sequence, verdict)
+        self._announce()
+        return verdict
+
+    def depart(
+        self, departure: announcements.Departure
+    ) -> announcements.Verdict:
+        """Takes over that the target has ended."""
+        verdict = self.holding.lifecycle.depart(departure)
+        self._log_target(departure.id, 0, verdict)
+        self._announce()
+        return verdict
+
+    def _log_target(
+        self, identifier: str, sequence: int, verdict: announcements.Verdict
+    ) -> None:
+        loguru.logger.bind(
+            target=identifier,
+            sequence=sequence,
+            outcome=verdict.value,
+            state=self.holding.lifecycle.state,
+        ).info("target announced")
+
+    def _announce(self) -> None:
+        """Tells the others of a changed state."""
+        state = _STATE_BY_NAME[self.holding.lifecycle.state]
+        if self.holding.leaving:
+            state = records.State.LEAVING
+        if state is self._announced or not self.node.gossiper.announced:
+            return
+        self._announced = state
+        self.node.announce(state=state)
+
+    # Datagrams.
+
+    def _on_frame(self, data: bytes, source: tuple[str, int]) -> None:
+        now = time.monotonic()
+        self._send(self.holding.on_frame(data, source, now))
+
+    def _on_answer(self, data: bytes, _: tuple[str, int]) -> None:
+        now = time.monotonic()
+        self._send(self.holding.on_target_packet(data, now))
+
+    def _send(self, several: list[outcomes.Outcome]) -> None:
+        for outcome in several:
+            match outcome:
+                case outcomes.ToPeer(address, data):
+                    self._peers.send(data, address)
+                case outcomes.ToCaller(address, data):
+                    self._peers.send(data, address)
+                case outcomes.ToTarget(data):
+                    self._answers.send(data, self._target)
+        if not self._tick_scheduled and self.holding.probing:
+            self._tick_scheduled = True
+            self._loop.call_later(RETURN_TICK_S, self._return_tick)
+
+    def _return_tick(self) -> None:
+        self._tick_scheduled = False
+        self._send(self.holding.on_tick(time.monotonic()))
+
+    # What the node learns.
+
+    def on_tick(self, now: float) -> None:
+        """Lets time pass for the decisions."""
+        self._send(self.holding.on_tick(now))
+        self._announce()
+
+    def on_routes(self, table: routes.RoutingTable, now: float) -> None:
+        """Keeps the routes for balancers that start while the store is away."""
+
+    def on_members(self, changes: list[members.Change], now: float) -> None:
+        """Does nothing: a side process places no flows."""
--- a/clementinelead/processes/side.py
+++ b/clementinelead/processes/side.py
@@ -36,6 +36,7 @@
 from clementinelead.settings import models as settings_models
 from clementinelead.stores import consul
 from clementinelead.telemetry import logs
+from clementinelead.telemetry import counters
 from clementinelead.telemetry import metrics
 
 __all__ = ["Side", "main"]
@@ -175,7 +176,7 @@
             self,
         )
         self.lifecycle = Lifecycle()
-        self.drops = metrics.CounterSet()
+        self.drops = counters.CounterSet()
         self.last_tick = now
         self.delivered = 0
         self.passed_on = 0
--- a/clementinelead/processes/sockets.py
+++ b/clementinelead/processes/sockets.py
@@ -3,13 +3,17 @@
 import asyncio
 import socket
 
-__all__ = ["enlarge_buffers"]
+__all__ = ["enlarge", "enlarge_buffers"]
 
 BUFFER_BYTES = 4 << 20
 
 
-def enlarge_buffers(transport: asyncio.BaseTransport) -> None:
+def enlarge(raw: socket.socket) -> None:
     """Asks the kernel for room for bursts of packets."""
-    wrapped = transport.get_extra_info("socket")
-    wrapped.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
-    wrapped.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+
+
+def enlarge_buffers(transport: asyncio.BaseTransport) -> None:
+    """Asks the kernel for room for bursts of packets of a transport."""
+    enlarge(transport.get_extra_info("socket"))
--- /dev/null
+++ b/clementinelead/relays/holding.py
@@ -0,0 +1,536 @@
+"""The decisions of a side process beside a target that answers for itself.
+
+The target is the truth on its flows: it returns what it does not hold. This
+process knows from the packets of both directions which flows the target has,
+and how much work it has under way. After a start it may not know all of them;
+until it does, an unknown packet is handed to the target, which returns it if
+it is not its own.
+"""
+
+import collections.abc
+import dataclasses
+
+from clementinelead.relays import announcements
+from clementinelead.relays import formats
+from clementinelead.relays import frames
+from clementinelead.relays import outcomes
+from clementinelead.relays import workload
+from clementinelead.telemetry import counters
+
+__all__ = ["Holding"]
+
+LEARNING_S = 60.0
+"""Time after a start in which flows of before may still be open, seconds.
+
+Flows older than this, or idle for as long, may be discarded.
+"""
+
+RESERVED_S = 0.25
+"""Time that work is expected for after a flow has opened, seconds."""
+
+RETURN_S = 0.02
+"""Time in which a target returns a packet that is not its own, seconds."""
+
+PENDING_S = 1.5
+"""Time in which a target may answer an opening packet, seconds.
+
+Callers give an attempt up after 1.4 s.
+"""
+
+CLOSED_S = 10.0
+"""Time that a closed flow is kept for packets that are sent again."""
+
+IDLE_S = 75.0
+"""Time without a packet after which a flow is forgotten, seconds."""
+
+STUCK_WORK_S = 10.0
+"""Time after which work without an answer no longer counts, seconds."""
+
+EXPIRY_INTERVAL_S = 1.0
+
+_SEQUENCE_WINDOW = 1 << 24
+_MASK = (1 << 32) - 1
+
+_Kind = frames.Kind
+_Address = tuple[str, int]
+
+
+@dataclasses.dataclass(slots=True)
+class _Flow:
+    """A flow that the target holds.
+
+    Attributes:
+        sequence: First sequence number of the target, None if not seen.
+        last: Time of the last packet, seconds.
+        sender: Balancer that sent the last packet, None if not known.
+        settled: Whether the caller is known to have chosen this target.
+        confirmed: Whether the target has sent something for it.
+        working: Whether work is under way or expected.
+        asked: Time of the last data of the request, None before it.
+        ahead: Work that was under way before.
+        closing: Whether an end of it has been seen.
+    """
+
+    sequence: int | None
+    last: float
+    sender: _Address | None
+    settled: bool = False
+    confirmed: bool = False
+    working: bool = False
+    asked: float | None = None
+    ahead: int = 0
+    closing: bool = False
+
+
+class Holding:
+    """Decides about the packets of one target's flows.
+
+    Attributes:
+        lifecycle: State of the target.
+        work: Its load.
+        counts: Decisions by outcome.
+        latencies: Time from request to answer, seconds.
+        leaving: Whether this process is about to stop.
+    """
+
+    def __init__(
+        self,
+        packet_format: formats.PacketFormat,
+        service: str,
+        report: collections.abc.Callable[[outcomes.Decision], None],
+        now: float,
+    ):
+        """Starts without a target.
+
+        Args:
+            packet_format: Format of the callers' packets.
+            service: Name of the service that the target is to serve.
+            report: Gets each decision for the log.
+            now: Present time, seconds.
+        """
+        self.lifecycle = announcements.TargetLifecycle(service)
+        self.work = workload.Workload(now)
+        self.counts = counters.CounterSet()
+        self.latencies = counters.Histogram(LATENCY_BOUNDS_S)
+        self.leaving = False
+        self._format = packet_format
+        self._number = frames.service_number(service)
+        self._report = report
+        self._flow_by_key: dict[bytes, _Flow] = {}
+        self._opener_by_key: dict[bytes, tuple[_Address, float]] = {}
+        self._reserved_until: dict[bytes, float] = {}
+        self._probe_by_key: dict[bytes, tuple[_Address, float]] = {}
+        self._learned_at = now + LEARNING_S
+        self._next_expiry = now
+
+    @property
+    def flows(self) -> int:
+        """Flows that the target holds."""
+        return len(self._flow_by_key)
+
+    @property
+    def working(self) -> int:
+        """Requests under way or expected."""
+        return self.work.estimate.working
+
+    @property
+    def accepting(self) -> bool:
+        """Whether the target takes new flows."""
+        return self.lifecycle.accepting and not self.leaving
+
+    # What the target says of itself.
+
+    def heartbeat(
+        self, announcement: announcements.Announcement, now: float
+    ) -> announcements.Verdict:
+        """Takes over a heartbeat of the target.
+
+        Args:
+            announcement: The heartbeat.
+            now: Present time, seconds.
+        """
+        known = self.lifecycle.current
+        verdict = self.lifecycle.heartbeat(announcement)
+        if verdict is announcements.Verdict.STARTED:
+            self.work.configure(
+                announcement.slots, announcement.warmup_s, now
+            )
+            if known is not None:
+                self._forget_flows(now)
+            if known is not None or announcement.sequence <= 1:
+                self._learned_at = now
+        return verdict
+
+    def _forget_flows(self, now: float) -> None:
+        """Forgets the flows of a target that has been replaced."""
+        for key in list(self._flow_by_key):
+            self._forget(key, now)
+        self._opener_by_key.clear()
+        self._probe_by_key.clear()
+
+    def _forget(self, key: bytes, now: float) -> None:
+        flow = self._flow_by_key.pop(key)
+        self._reserved_until.pop(key, None)
+        if flow.working:
+            self.work.released(now)
+        self.work.estimate.closed()
+
+    # Datagrams of balancers.
+
+    def on_frame(
+        self, data: bytes, source: _Address, now: float
+    ) -> list[outcomes.Outcome]:
+        """Returns what to do with a balancer's datagram.
+
+        Args:
+            data: The datagram.
+            source: Address that it came from.
+            now: Present time, seconds.
+        """
+        frame = frames.decode(data)
+        if frame is None:
+            self.counts.add("malformed_frame")
+            return []
+        if frame.service != self._number:
+            return self._deny(frame, source)
+        match frame.kind:
+            case _Kind.PACKET | _Kind.PROBE:
+                return self._on_packet(frame, source, now)
+            case _Kind.PLACE:
+                return self._on_place(frame, source, now)
+            case _Kind.ASK_LOAD:
+                return self._on_ask_load(frame, source, now)
+            case _Kind.ASK_HELD:
+                return self._on_ask_held(frame, source, now)
+        self.counts.add("foreign_frame")
+        return []
+
+    def _answer(
+        self,
+        kind: frames.Kind,
+        frame: frames.Frame,
+        source: _Address,
+        payload: bytes = b"",
+        value: int = 0,
+    ) -> outcomes.Outcome:
+        message = frames.encode(kind, frame.service, frame.key, payload, value)
+        return outcomes.ToPeer(source, message)
+
+    def _deny(
+        self, frame: frames.Frame, source: _Address
+    ) -> list[outcomes.Outcome]:
+        """Answers for a service that the target does not serve."""
+        self.counts.add("other_service")
+        match frame.kind:
+            case _Kind.PACKET | _Kind.PROBE:
+                kind, payload = _Kind.NOT_HELD, frame.payload
+            case _Kind.PLACE:
+                kind, payload = _Kind.REFUSED, b""
+            case _Kind.ASK_LOAD:
+                return [
+                    self._answer(
+                        _Kind.LOAD, frame, source, value=frames.NOT_ACCEPTING
+                    )
+                ]
+            case _Kind.ASK_HELD:
+                kind, payload = _Kind.ABSENT, frame.payload
+            case _:
+                return []
+        return [self._answer(kind, frame, source, payload)]
+
+    def _on_ask_load(
+        self, frame: frames.Frame, source: _Address, now: float
+    ) -> list[outcomes.Outcome]:
+        load = frames.NOT_ACCEPTING
+        if frame.key in self._flow_by_key:
+            load = 0
+        elif self.accepting:
+            load = self.work.load_ms(now)
+        return [self._answer(_Kind.LOAD, frame, source, value=load)]
+
+    def _on_place(
+        self, frame: frames.Frame, source: _Address, now: float
+    ) -> list[outcomes.Outcome]:
+        """Hands an opening packet to the target if it takes new flows."""
+        key = frame.key
+        flow = self._flow_by_key.get(key)
+        if flow is None and not self.accepting:
+            self.counts.add("refused")
+            self._log("acceptance", "refused", key, now)
+            return [self._answer(_Kind.REFUSED, frame, source)]
+        if flow is not None:
+            flow.sender = source
+        self._opener_by_key[key] = (source, now + PENDING_S)
+        return [outcomes.ToTarget(frame.payload)]
+
+    def _on_packet(
+        self, frame: frames.Frame, source: _Address, now: float
+    ) -> list[outcomes.Outcome]:
+        """Hands a packet of an open flow to the target."""
+        key = frame.key
+        segment = self._format.from_caller(frame.payload)
+        if segment is None or segment.key != key:
+            self.counts.add("malformed_packet")
+            return []
+        flow = self._flow_by_key.get(key)
+        if flow is None:
+            return self._on_unknown(frame, segment, source, now)
+        if not flow.settled and not segment.opens:
+            if not _follows(flow, segment):
+                self._forget(key, now)
+                self.counts.add("opened_elsewhere")
+                self._log("flow", "opened elsewhere", key, now)
+                return [
+                    self._answer(_Kind.NOT_HELD, frame, source, frame.payload)
+                ]
+            flow.settled = True
+        flow.sender = source
+        flow.last = now
+        if segment.length:
+            self._note_request(key, flow, now)
+        if segment.closes or segment.resets:
+            flow.closing = True
+        return [outcomes.ToTarget(frame.payload)]
+
+    def _on_unknown(
+        self,
+        frame: frames.Frame,
+        segment: formats.Segment,
+        source: _Address,
+        now: float,
+    ) -> list[outcomes.Outcome]:
+        """Handles a packet of a flow that is not known here."""
+        if segment.opens:
+            return self._on_place(frame, source, now)
+        if now >= self._learned_at:
+            self.counts.add("not_held")
+            return [self._answer(_Kind.NOT_HELD, frame, source, frame.payload)]
+        self._restore(frame.key, None, source, now)
+        self._probe_by_key[frame.key] = (source, now + RETURN_S)
+        self.counts.add("probed")
+        return [outcomes.ToTarget(frame.payload)]
+
+    def _restore(
+        self,
+        key: bytes,
+        sequence: int | None,
+        sender: _Address | None,
+        now: float,
+    ) -> _Flow:
+        """Takes up a flow that the target has, or may have."""
+        flow = _Flow(sequence, now, sender, settled=sequence is None)
+        self._flow_by_key[key] = flow
+        self.work.estimate.held += 1
+        return flow
+
+    def _on_ask_held(
+        self, frame: frames.Frame, source: _Address, now: float
+    ) -> list[outcomes.Outcome]:
+        """Tells which of some flows the target holds."""
+        keys = frames.split_keys(frame.payload, len(frame.key))
+        if keys is None:
+            self.counts.add("malformed_frame")
+            return []
+        held: list[bytes] = []
+        others: list[bytes] = []
+        for key in keys:
+            flow = self._flow_by_key.get(key)
+            certain = flow is not None and (flow.settled or flow.confirmed)
+            (held if certain else others).append(key)
+        doubt = _Kind.ABSENT if now >= self._learned_at else _Kind.UNSURE
+        answers = ((_Kind.HELD, held), (doubt, others))
+        return [
+            self._answer(kind, frame, source, frames.join_keys(part))
+            for kind, part in answers
+            if part
+        ]
+
+    # Packets of the target.
+
+    def on_target_packet(
+        self, data: bytes, now: float
+    ) -> list[outcomes.Outcome]:
+        """Returns what to do with a packet that the target sent.
+
+        Args:
+            data: The packet.
+            now: Present time, seconds.
+        """
+        segment = self._format.from_target(data)
+        if segment is None:
+            self.counts.add("malformed_packet")
+            return []
+        if segment.returned:
+            return self._on_returned(segment, data, now)
+        return self._on_answer(segment, data, now)
+
+    def _on_returned(
+        self, segment: formats.Segment, data: bytes, now: float
+    ) -> list[outcomes.Outcome]:
+        """Passes on that the target does not hold or can't take a flow."""
+        key = segment.key
+        self._probe_by_key.pop(key, None)
+        if segment.opens:
+            opener = self._opener_by_key.pop(key, None)
+            if opener is None:
+                return []
+            self.counts.add("refused")
+            self._log("acceptance", "refused by the target", key, now)
+            message = frames.encode(_Kind.REFUSED, self._number, key)
+            return [outcomes.ToPeer(opener[0], message)]
+        flow = self._flow_by_key.get(key)
+        if flow is None:
+            return []
+        self._forget(key, now)
+        self.counts.add("returned")
+        self._log("flow", "returned by the target", key, now)
+        if flow.sender is None:
+            return []
+        packet = self._format.restored(data)
+        message = frames.encode(_Kind.NOT_HELD, self._number, key, packet)
+        return [outcomes.ToPeer(flow.sender, message)]
+
+    def _on_answer(
+        self, segment: formats.Segment, data: bytes, now: float
+    ) -> list[outcomes.Outcome]:
+        """Sends a packet to its caller and learns from it."""
+        key = segment.key
+        sends: list[outcomes.Outcome] = []
+        flow = self._flow_by_key.get(key)
+        if segment.accepts:
+            flow = self._on_accepted(segment, flow, now, sends)
+        elif flow is None:
+            flow = self._restore(key, None, None, now)
+            flow.closing = segment.closes or segment.resets
+        flow.last = now
+        flow.confirmed = True
+        probe = self._probe_by_key.pop(key, None)
+        if probe is not None:
+            sends.append(self._held(key, probe[0]))
+        if segment.length and flow.working:
+            self._note_answer(key, flow, now)
+        if segment.closes or segment.resets:
+            flow.closing = True
+        sends.append(outcomes.ToCaller(self._format.caller(key), data))
+        return sends
+
+    def _on_accepted(
+        self,
+        segment: formats.Segment,
+        flow: _Flow | None,
+        now: float,
+        sends: list[outcomes.Outcome],
+    ) -> _Flow:
+        """Notes that the target has answered an opening packet."""
+        key = segment.key
+        opener = self._opener_by_key.get(key)
+        if flow is not None and flow.closing:
+            self._forget(key, now)
+            flow = None
+        if flow is None:
+            flow = _Flow(segment.sequence, now, opener[0] if opener else None)
+            flow.ahead = self.work.opened(now)
+            flow.working = True
+            self._flow_by_key[key] = flow
+            self._reserved_until[key] = now + RESERVED_S
+            self.counts.add("accepted")
+            self._log("acceptance", "accepted", key, now)
+        if opener is not None:
+            message = frames.encode(
+                _Kind.ACCEPTED, self._number, key, value=segment.sequence
+            )
+            sends.append(outcomes.ToPeer(opener[0], message))
+        return flow
+
+    def _held(self, key: bytes, address: _Address) -> outcomes.Outcome:
+        message = frames.encode(_Kind.HELD, self._number, key)
+        return outcomes.ToPeer(address, message)
+
+    # Work.
+
+    def _note_request(self, key: bytes, flow: _Flow, now: float) -> None:
+        if not flow.working:
+            flow.ahead = self.work.resumed(now)
+            flow.working = True
+        self._reserved_until.pop(key, None)
+        flow.asked = now
+
+    def _note_answer(self, key: bytes, flow: _Flow, now: float) -> None:
+        self._reserved_until.pop(key, None)
+        flow.working = False
+        if flow.asked is None:
+            self.work.released(now)
+            return
+        duration = now - flow.asked
+        self.latencies.observe(duration)
+        self.work.finished(duration, flow.ahead, now)
+        flow.asked = None
+
+    # The passing of time.
+
+    @property
+    def probing(self) -> bool:
+        """Whether ``on_tick`` is to be called every few milliseconds."""
+        return bool(self._probe_by_key)
+
+    def on_tick(self, now: float) -> list[outcomes.Outcome]:
+        """Returns what to do because time has passed.
+
+        Args:
+            now: Present time, seconds.
+        """
+        sends: list[outcomes.Outcome] = []
+        for key, (address, deadline) in list(self._probe_by_key.items()):
+            if now >= deadline:
+                del self._probe_by_key[key]
+                if key in self._flow_by_key:
+                    sends.append(self._held(key, address))
+        for key, until in list(self._reserved_until.items()):
+            if until > now:
+                break
+            del self._reserved_until[key]
+            self._release(self._flow_by_key[key], now)
+        if now >= self._next_expiry:
+            self._next_expiry = now + EXPIRY_INTERVAL_S
+            self._expire(now)
+        return sends
+
+    def _release(self, flow: _Flow, now: float) -> None:
+        if flow.working:
+            flow.working = False
+            flow.asked = None
+            self.work.released(now)
+
+    def _expire(self, now: float) -> None:
+        for key, flow in list(self._flow_by_key.items()):
+            idle = now - flow.last
+            if idle > (CLOSED_S if flow.closing else IDLE_S):
+                self._forget(key, now)
+            elif flow.asked is not None and now - flow.asked > STUCK_WORK_S:
+                self._release(flow, now)
+        for key, (_, until) in list(self._opener_by_key.items()):
+            if until <= now:
+                del self._opener_by_key[key]
+
+    def _log(self, event: str, outcome: str, key: bytes, now: float) -> None:
+        current = self.lifecycle.current
+        inputs: dict[str, object] = {
+            "state": self.lifecycle.state,
+            "leaving": self.leaving,
+            "target": current.id if current else None,
+            "working": self.working,
+            "flows": self.flows,
+            "service_ms": round(self.work.estimate.service_s * 1000, 1),
+        }
+        self._report(outcomes.Decision(event, outcome, key, inputs))
+
+
+LATENCY_BOUNDS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+
+
+def _follows(flow: _Flow, segment: formats.Segment) -> bool:
+    """Tells whether a caller's packet acknowledges this target's answer."""
+    if flow.sequence is None:
+        return True
+    distance = (segment.acknowledgement - flow.sequence) & _MASK
+    return distance < _SEQUENCE_WINDOW
--- /dev/null
+++ b/clementinelead/relays/routes.py
@@ -0,0 +1,95 @@
+"""Routes: which services the flows to an address go to."""
+
+import dataclasses
+
+import xxhash
+
+from clementinelead.relays import frames
+
+__all__ = ["Route", "RoutingTable", "Share", "EMPTY"]
+
+_SPLIT_SEED = 0x53
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """A service's share of the new flows of a route.
+
+    Attributes:
+        service: Name of the service.
+        weight: Relative share, not negative.
+    """
+
+    service: str
+    weight: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """What becomes of the flows to one address.
+
+    Attributes:
+        name: Name of the route, for logs.
+        address: The address as the packet format's keys spell it.
+        shares: Services that take the new flows, at least one.
+    """
+
+    name: str
+    address: bytes
+    shares: tuple[Share, ...]
+
+    def service(self, key: bytes) -> str:
+        """Returns the service of a new flow, the same at all balancers.
+
+        The flow's hash draws it, so a change of weights moves only as many
+        new flows as it must.
+
+        Args:
+            key: Flow key.
+
+        Examples:
+            >>> shares = (Share("a", 0), Share("b", 10))
+            >>> Route("r", b"address", shares).service(b"any flow")
+            'b'
+        """
+        total = sum(share.weight for share in self.shares)
+        if total <= 0 or len(self.shares) == 1:
+            return self.shares[0].service
+        draw = xxhash.xxh3_64_intdigest(key, seed=_SPLIT_SEED) % total
+        for share in self.shares:
+            draw -= share.weight
+            if draw < 0:
+                return share.service
+        raise AssertionError("the draw is below the sum of the weights")
+
+
+@dataclasses.dataclass(frozen=True)
+class RoutingTable:
+    """All routes of one version of the configuration.
+
+    Attributes:
+        version: Rises with each change; 0 before the first.
+        routes: The routes.
+        idle_timeout_s: Time after which an idle flow may be forgotten.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    idle_timeout_s: float
+
+    @property
+    def by_address(self) -> dict[bytes, Route]:
+        """The routes by address."""
+        return {route.address: route for route in self.routes}
+
+    @property
+    def service_by_number(self) -> dict[int, str]:
+        """The names of all services by their numbers in datagrams."""
+        names = {
+            share.service for route in self.routes for share in route.shares
+        }
+        return {frames.service_number(name): name for name in names}
+
+
+DEFAULT_IDLE_TIMEOUT_S = 60.0
+EMPTY = RoutingTable(0, (), DEFAULT_IDLE_TIMEOUT_S)
--- /dev/null
+++ b/clementinelead/relays/workload.py
@@ -0,0 +1,82 @@
+"""The load of a target, from the packets that pass in both directions."""
+
+import math
+
+from clementinelead.flows import loads
+from clementinelead.relays import frames
+
+__all__ = ["Workload"]
+
+SMOOTHING_S = 2.0
+"""Time constant of the utilisation; feeds ask about once a second."""
+
+MAX_UTILISATION = 0.9
+"""Above it the expected time would grow without bound."""
+
+_MAX_LOAD_MS = frames.NOT_ACCEPTING - 1
+
+
+class Workload:
+    """Work under way at the target and the time a new flow would take there.
+
+    A feed that is open and idle is no work now, but will be; so the expected
+    time also grows with the share of time that the target has been at work
+    lately.
+    """
+
+    def __init__(self, started: float):
+        """Starts with no work.
+
+        Args:
+            started: Present time, seconds.
+        """
+        self.estimate = loads.LoadEstimate(loads.Limits(), started)
+        self._utilisation = 0.0
+        self._updated = started
+
+    def configure(self, slots: int, warmup_s: float, now: float) -> None:
+        """Takes over what a target that has just started says of itself.
+
+        Args:
+            slots: Requests that it works on at once.
+            warmup_s: Time that it stays slow, seconds.
+            now: Present time, seconds.
+        """
+        self.estimate.limits = loads.Limits(
+            slots=max(1, slots), cold_start_s=warmup_s
+        )
+        self.estimate.started = now
+
+    def load_ms(self, now: float) -> int:
+        """Returns when a flow that comes now would be done, milliseconds."""
+        self._update(now)
+        rest = 1.0 - min(MAX_UTILISATION, self._utilisation)
+        return min(_MAX_LOAD_MS, int(self.estimate.completion_ms(now) / rest))
+
+    def opened(self, now: float) -> int:
+        """Counts a new flow with work; returns what was under way before."""
+        self._update(now)
+        return self.estimate.opened()
+
+    def resumed(self, now: float) -> int:
+        """Counts work in an open flow; returns what was under way before."""
+        self._update(now)
+        return self.estimate.resumed()
+
+    def finished(self, duration_s: float, ahead: int, now: float) -> None:
+        """Counts work that has ended, and learns from its duration."""
+        self._update(now)
+        self.estimate.finished(duration_s, ahead)
+
+    def released(self, now: float) -> None:
+        """Counts work that was given up or never began."""
+        self._update(now)
+        self.estimate.released()
+
+    def _update(self, now: float) -> None:
+        """Brings the utilisation up to now, before the work changes."""
+        elapsed = max(0.0, now - self._updated)
+        self._updated = now
+        busy = min(1.0, self.estimate.working / self.estimate.limits.slots)
+        kept = math.exp(-elapsed / SMOOTHING_S)
+        self._utilisation = self._utilisation * kept + busy * (1.0 - kept)
--- a/clementinelead/telemetry/metrics.py
+++ b/clementinelead/telemetry/metrics.py
@@ -1,7 +1,7 @@
 """Metrics by OpenTelemetry, read in the Prometheus text format."""
 
-import collections
 import collections.abc
+import itertools
 
 from opentelemetry import metrics as otel_metrics
 from opentelemetry.exporter import prometheus
@@ -9,29 +9,19 @@
 from opentelemetry.sdk import resources
 import prometheus_client
 
-__all__ = ["CounterSet", "Metrics"]
+from clementinelead.telemetry import counters
 
+__all__ = ["Metrics"]
 
-class CounterSet:
-    """Counts by cause, cheap enough for each packet.
 
-    OpenTelemetry reads the counts when it is asked to, so counting costs one
-    dictionary update.
-    """
-
-    def __init__(self) -> None:
-        self.by_cause: collections.Counter[str] = collections.Counter()
-
-    def add(self, cause: str, number: int = 1) -> None:
-        """Adds to the count of a cause."""
-        self.by_cause[cause] += number
-
-    def observations(self) -> list[otel_metrics.Observation]:
-        """Returns the counts as OpenTelemetry reads them."""
-        return [
-            otel_metrics.Observation(number, {"cause": cause})
-            for cause, number in self.by_cause.items()
-        ]
+def _observations(
+    counted: counters.CounterSet,
+) -> list[otel_metrics.Observation]:
+    """Returns the counts of a set as OpenTelemetry reads them."""
+    return [
+        otel_metrics.Observation(number, {"cause": cause})
+        for cause, number in counted.by_cause.items()
+    ]
 
 
 class Metrics:
@@ -50,16 +40,18 @@
         )
         self._meter = provider.get_meter("clementinelead")
 
-    def count(self, name: str, counters: CounterSet, description: str) -> None:
+    def count(
+        self, name: str, counted: counters.CounterSet, description: str
+    ) -> None:
         """Publishes a set of counters.
 
         Args:
             name: Name of the metric.
-            counters: The counters.
+            counted: The counters.
             description: What they count.
         """
         self._meter.create_observable_counter(
-            name, [lambda _: counters.observations()], description=description
+            name, [lambda _: _observations(counted)], description=description
         )
 
     def gauge(
@@ -81,6 +73,32 @@
             description=description,
         )
 
+    def histogram(
+        self, name: str, observed: counters.Histogram, description: str
+    ) -> None:
+        """Publishes a histogram as counts by upper bound, and its sum.
+
+        Args:
+            name: Name of the metric.
+            observed: The histogram.
+            description: What it measures, with its unit.
+        """
+
+        def buckets(
+            _: otel_metrics.CallbackOptions,
+        ) -> list[otel_metrics.Observation]:
+            bounds = [*(str(bound) for bound in observed.bounds), "+Inf"]
+            running = itertools.accumulate(observed.counts)
+            return [
+                otel_metrics.Observation(number, {"le": bound})
+                for bound, number in zip(bounds, running, strict=True)
+            ]
+
+        self._meter.create_observable_counter(
+            f"{name}_bucket", [buckets], description=description
+        )
+        self.gauge(f"{name}_sum", lambda: observed.total, description)
+
     @staticmethod
     def exposition() -> bytes:
         """Returns all metrics in the Prometheus text format."""
--- /dev/null
+++ b/clementinelead/telemetry/structured.py
@@ -0,0 +1,122 @@
+"""Structured log lines on standard output that never block the process."""
+
+import collections
+import datetime
+import json
+import os
+import typing
+
+import loguru
+
+if typing.TYPE_CHECKING:
+    import asyncio
+
+__all__ = ["LineWriter", "configure"]
+
+MAX_WAITING_BYTES = 1 << 20
+"""Lines kept while the reader of the output is slow; then lines are lost."""
+
+
+class LineWriter:
+    """Writes lines to a descriptor without waiting for its reader.
+
+    Attributes:
+        lost: Lines dropped because the reader was too slow.
+    """
+
+    def __init__(self, descriptor: int):
+        self.lost = 0
+        self._descriptor = descriptor
+        self._waiting: collections.deque[bytes] = collections.deque()
+        self._waiting_bytes = 0
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._subscribed = False
+        os.set_blocking(descriptor, False)
+
+    def attach(self, loop: "asyncio.AbstractEventLoop") -> None:
+        """Lets a loop write what waits when the reader goes on."""
+        self._loop = loop
+
+    def write(self, line: bytes) -> None:
+        """Writes a line now, or keeps it for later, or counts it as lost."""
+        if self._waiting:
+            self._keep(line)
+            return
+        rest = self._attempt(line)
+        if rest:
+            self._keep(rest)
+
+    def flush(self) -> None:
+        """Writes what waits as far as the reader takes it."""
+        while self._waiting:
+            line = self._waiting.popleft()
+            self._waiting_bytes -= len(line)
+            rest = self._attempt(line)
+            if rest:
+                self._waiting.appendleft(rest)
+                self._waiting_bytes += len(rest)
+                return
+        if self._subscribed and self._loop is not None:
+            self._loop.remove_writer(self._descriptor)
+            self._subscribed = False
+
+    def _attempt(self, line: bytes) -> bytes:
+        """Returns what of a line could not be written."""
+        try:
+            written = os.write(self._descriptor, line)
+        except BlockingIOError:
+            return line
+        except OSError:
+            # Nobody reads any more; there is nowhere left to say so.
+            self.lost += 1
+            return b""
+        return line[written:]
+
+    def _keep(self, line: bytes) -> None:
+        if self._waiting_bytes + len(line) > MAX_WAITING_BYTES:
+            self.lost += 1
+            return
+        self._waiting.append(line)
+        self._waiting_bytes += len(line)
+        if self._loop is not None and not self._subscribed:
+            try:
+                self._loop.add_writer(self._descriptor, self.flush)
+            except (OSError, NotImplementedError):
+                # A regular file can't be watched, and never blocks.
+                return
+            self._subscribed = True
+
+
+def _line(message: "loguru.Message") -> bytes:
+    """Returns a log record as one line of JSON."""
+    record = message.record
+    moment = record["time"].astimezone(datetime.UTC)
+    content = {
+        "time": moment.isoformat(timespec="milliseconds"),
+        "level": record["level"].name,
+        "event": record["message"],
+        **record["extra"],
+    }
+    return json.dumps(content, default=str).encode() + b"\n"
+
+
+def configure(node: str, descriptor: int) -> LineWriter:
+    """Directs the log to a descriptor, a JSON object a line.
+
+    Args:
+        node: Identifier that each line carries.
+        descriptor: Where the lines go, standard output as a rule.
+
+    Returns:
+        The writer, so that a loop can be attached to it.
+    """
+    writer = LineWriter(descriptor)
+    loguru.logger.remove()
+    loguru.logger.configure(extra={"node": node})
+    loguru.logger.add(
+        lambda message: writer.write(_line(message)),
+        level="INFO",
+        format="{message}",
+        catch=False,
+    )
+    return writer
