--- a/clementinelead/processes/control_channel.py
+++ b/clementinelead/processes/control_channel.py
@@ -4,6 +4,7 @@
 import collections.abc
 import socket
 import time
+import typing
 
 import loguru
 
@@ -68,10 +69,13 @@
             OSError: The port is taken.
         """
         loop = asyncio.get_running_loop()
-        transport, _ = await loop.create_datagram_endpoint(
+        await loop.create_datagram_endpoint(
             lambda: self, local_addr=address, family=socket.AF_INET
         )
-        self._transport = transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport; a datagram may come before ``open`` returns."""
+        self._transport = typing.cast(asyncio.DatagramTransport, transport)
 
     def close(self) -> None:
         """Closes the socket."""
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -33,6 +33,12 @@
 ALONE_S = 2.5
 """Time after which a process that no seed answers starts alone, seconds."""
 
+RESYNC_PAUSES_S = (0.3, 0.6, 1.2)
+"""Pauses before views are compared again after joining, seconds.
+
+Many processes may start at the same time, and learn of each other only now.
+"""
+
 PEER_TIMEOUT_S = 1.0
 """Deadline of a question to a peer, seconds."""
 
@@ -235,25 +241,28 @@
         comes first.
         """
         deadline = time.monotonic() + ALONE_S
-        while not await self._join_through_seeds():
+        while not await self._join_through_seeds() and self.alone:
             if time.monotonic() >= deadline and not self.gossiper.announced:
-                loguru.logger.bind(seeds=self._seeds).warning(
-                    "no peer answers; starting alone"
-                )
-                self.joined = True
-                self.announce()
-            if not self.alone:
-                break
+                self._enter("no peer answers; starting alone")
             await asyncio.sleep(JOIN_RETRY_S * (0.5 + self.random.random()))
+        self._enter("joined")
+        for pause in RESYNC_PAUSES_S:
+            await asyncio.sleep(pause * (0.5 + self.random.random()))
+            await self._join_through_seeds()
+
+    def _enter(self, event: str) -> None:
+        """Announces this process, if it has not been yet."""
         self.joined = True
         if not self.gossiper.announced:
             self.announce()
         loguru.logger.bind(
-            members=len(self.gossiper.table.by_id), version=self.table.version
-        ).info("joined")
+            members=len(self.gossiper.table.by_id),
+            version=self.table.version,
+            seeds=len(self._seeds),
+        ).info(event)
 
     async def _join_through_seeds(self) -> bool:
-        """Tells whether a seed, or another member, has told its view."""
+        """Tells whether a seed has told its view."""
         port = self._settings.http_port
         asked = [self._sync((seed, port)) for seed in self._seeds]
         return any(await asyncio.gather(*asked))
@@ -277,7 +286,7 @@
         if changes:
             self._subscriber.on_members(changes, now)
         await self._fetch_routes(address)
-        return bool(found)
+        return True
 
     def _raise_incarnation(self, found: tuple[records.Record, ...]) -> None:
         """Outranks the record of a former process of this name."""
