--- a/clementinelead/platform/heartbeats.py
+++ b/clementinelead/platform/heartbeats.py
@@ -93,6 +93,4 @@
 
 
 def _answer(verdict: announcements.Verdict) -> http_site.Response:
-    return http_site.Response(
-        _CONFLICT if verdict in _REFUSED else _OK, b"{}"
-    )
+    return http_site.Response(_CONFLICT if verdict in _REFUSED else _OK, b"{}")
--- a/clementinelead/platform/settings.py
+++ b/clementinelead/platform/settings.py
@@ -88,7 +88,9 @@
         content = tomllib.loads(pathlib.Path(path).read_text("utf-8"))
         return translate(content)
     except (OSError, ValueError) as error:
-        raise exceptions.SettingsError(f"{path or FILE_VARIABLE}: {error}") from error
+        raise exceptions.SettingsError(
+            f"{path or FILE_VARIABLE}: {error}"
+        ) from error
 
 
 def translate(content: dict[str, object]) -> NodeSettings:
--- a/clementinelead/platform/side.py
+++ b/clementinelead/platform/side.py
@@ -25,7 +25,9 @@
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
     if loaded.target is None or loaded.answers is None:
-        print("settings: a side process needs app and outbound", file=sys.stderr)
+        print(
+            "settings: a side process needs app and outbound", file=sys.stderr
+        )
         return EXIT_SETTINGS
     side = relay_side.RelaySide(
         loaded.relay,
@@ -42,9 +44,7 @@
     metrics = http_site.HttpSite()
     metrics.add("GET", "/metrics", side.metrics.respond)
     sites.append((metrics, (loaded.relay.address, loaded.relay.metrics_port)))
-    return lifetime.run(
-        loaded.relay.id, side.run, sites, lambda: reload(side)
-    )
+    return lifetime.run(loaded.relay.id, side.run, sites, lambda: reload(side))
 
 
 def reload(side: relay_side.RelaySide) -> None:
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -231,4 +231,5 @@
         record.data_address,
         record.zone,
         record.state is records.State.READY,
+        record.state is records.State.COLD,
     )
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -39,6 +39,12 @@
 Many processes may start at the same time, and learn of each other only now.
 """
 
+DIRECT_MEMBERS = 200
+"""Members up to which news of a process goes straight to all balancers.
+
+Above it gossip alone carries it, at a cost that does not grow with them.
+"""
+
 PEER_TIMEOUT_S = 1.0
 """Deadline of a question to a peer, seconds."""
 
@@ -54,6 +60,8 @@
 _MEMBERS_PATH = "/peer/members"
 _ROUTES_PATH = "/peer/routes"
 _OK = 200
+_NOT_MODIFIED = 304
+_BAD_REQUEST = 400
 
 
 class Subscriber(typing.Protocol):
@@ -122,7 +130,7 @@
             lambda: None,
         )
         self._site = http_site.HttpSite()
-        self._site.add("GET", _MEMBERS_PATH, self._serve_members)
+        self._site.add("POST", _MEMBERS_PATH, self._serve_members)
         self._site.add("GET", _ROUTES_PATH, self._serve_routes)
         self._repairs = repairs.RepairSchedule(self.random)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -185,9 +193,44 @@
         sends, change = self.gossiper.announce(now, **fields)
         for message in sends:
             self._channel.send(message)
+        if len(self.gossiper.table.by_id) <= DIRECT_MEMBERS:
+            for peer in self.gossiper.peers():
+                if peer.role is records.Role.BALANCER:
+                    self._tell(peer)
         if change is not None:
             self._subscriber.on_members([change], now)
 
+    def _tell(self, peer: records.Record) -> None:
+        """Sends the own record to a peer."""
+        self._channel.send(
+            gossip.Send(
+                peer.control_address,
+                (self.gossiper.own,),
+                controls.Nothing(),
+            )
+        )
+
+    def _take(self, changes: list[members.Change], now: float) -> None:
+        """Hands changes on; greets balancers that have just started.
+
+        A balancer that starts when all do learns the targets sooner so.
+        """
+        if not changes:
+            return
+        self._subscriber.on_members(changes, now)
+        few = len(self.gossiper.table.by_id) <= DIRECT_MEMBERS
+        if not few or not self.gossiper.announced:
+            return
+        for change in changes:
+            record = change.new
+            if record.role is not records.Role.BALANCER:
+                continue
+            if record.id == self.gossiper.own.id or members.ended(record):
+                continue
+            old = change.old
+            if old is None or old.incarnation != record.incarnation:
+                self._tell(record)
+
     def add_seeds(self, addresses: tuple[str, ...]) -> None:
         """Adds IP addresses of processes to join through."""
         for address in addresses:
@@ -240,15 +283,27 @@
         incarnation, if the clock has been set back since; so the peer's view
         comes first.
         """
-        deadline = time.monotonic() + ALONE_S
-        while not await self._join_through_seeds() and self.alone:
-            if time.monotonic() >= deadline and not self.gossiper.announced:
-                self._enter("no peer answers; starting alone")
-            await asyncio.sleep(JOIN_RETRY_S * (0.5 + self.random.random()))
-        self._enter("joined")
+        joined = asyncio.Event()
+        for seed in self._seeds:
+            self.spawn(self._join_through(seed, joined))
+        try:
+            await asyncio.wait_for(joined.wait(), ALONE_S)
+            self._enter("joined")
+        except TimeoutError:
+            self._enter("no peer answers; starting alone")
         for pause in RESYNC_PAUSES_S:
             await asyncio.sleep(pause * (0.5 + self.random.random()))
-            await self._join_through_seeds()
+            peers = self.gossiper.peers()
+            if peers:
+                await self._repair(self.random.choice(peers).address)
+
+    async def _join_through(self, seed: str, joined: asyncio.Event) -> None:
+        """Exchanges views with a seed, again and again until one has."""
+        while not await self._sync((seed, self._settings.http_port)):
+            if joined.is_set() or not self.alone:
+                break
+            await asyncio.sleep(JOIN_RETRY_S * (0.5 + self.random.random()))
+        joined.set()
 
     def _enter(self, event: str) -> None:
         """Announces this process, if it has not been yet."""
@@ -261,16 +316,19 @@
             seeds=len(self._seeds),
         ).info(event)
 
-    async def _join_through_seeds(self) -> bool:
-        """Tells whether a seed has told its view."""
-        port = self._settings.http_port
-        asked = [self._sync((seed, port)) for seed in self._seeds]
-        return any(await asyncio.gather(*asked))
-
     async def _sync(self, address: tuple[str, int]) -> bool:
-        """Takes over a peer's members and routes; tells whether it could."""
+        """Exchanges members with a peer and takes its routes if newer.
+
+        Returns:
+            Whether the peer has answered.
+        """
+        own = [self.gossiper.own] if self.gossiper.announced else []
         answer = await http_client.call(
-            address, "GET", _MEMBERS_PATH, b"", PEER_TIMEOUT_S
+            address,
+            "POST",
+            _MEMBERS_PATH,
+            controls.encode_records(own),
+            PEER_TIMEOUT_S,
         )
         if not isinstance(answer, http_client.Answer) or answer.status != _OK:
             loguru.logger.debug("members of {}: {}", address, answer)
@@ -283,8 +341,7 @@
         self._raise_incarnation(found)
         now = time.monotonic()
         changes = self.gossiper.merge(found, now)
-        if changes:
-            self._subscriber.on_members(changes, now)
+        self._take(changes, now)
         await self._fetch_routes(address)
         return True
 
@@ -313,7 +370,15 @@
             return
         self.adopt(table, address[0])
 
-    def _serve_members(self, _: http_site.Request) -> http_site.Response:
+    def _serve_members(self, request: http_site.Request) -> http_site.Response:
+        try:
+            told = controls.decode_records(request.body)
+        except exceptions.MalformedMessageError as error:
+            loguru.logger.warning("members told by a peer: {}", error)
+            return http_site.Response(_BAD_REQUEST)
+        now = time.monotonic()
+        changes = self.gossiper.merge(told, now)
+        self._take(changes, now)
         table = self.gossiper.table
         body = controls.encode_records(list(table.by_id.values()))
         return http_site.Response(_OK, body, "application/octet-stream")
@@ -321,7 +386,7 @@
     def _serve_routes(self, request: http_site.Request) -> http_site.Response:
         since = request.query.get("since", "0")
         if since.isdecimal() and self.table.version <= int(since):
-            return http_site.Response(304)
+            return http_site.Response(_NOT_MODIFIED)
         return http_site.Response(_OK, msgspec.json.encode(self.table))
 
     # Gossip.
@@ -333,8 +398,7 @@
             sends, changes = self.gossiper.on_tick(now)
             for message in sends:
                 self._channel.send(message)
-            if changes:
-                self._subscriber.on_members(changes, now)
+            self._take(changes, now)
             if self.gossiper.duplicate_identifier:
                 self.gossiper.duplicate_identifier = False
                 loguru.logger.error("another process has this identifier")
@@ -347,8 +411,7 @@
         sends, changes = self.gossiper.on_control(control, source, now)
         for message in sends:
             self._channel.send(message)
-        if changes:
-            self._subscriber.on_members(changes, now)
+        self._take(changes, now)
         if control.revision > self.table.version and not self._following:
             self._following = True
             self.spawn(self._follow(source[0], control.revision))
--- a/clementinelead/processes/side.py
+++ b/clementinelead/processes/side.py
@@ -35,9 +35,8 @@
 from clementinelead.processes import sockets
 from clementinelead.settings import models as settings_models
 from clementinelead.stores import consul
-from clementinelead.telemetry import logs
 from clementinelead.telemetry import counters
-from clementinelead.telemetry import metrics
+from clementinelead.telemetry import logs
 
 __all__ = ["Side", "main"]
 
--- a/clementinelead/relays/candidates.py
+++ b/clementinelead/relays/candidates.py
@@ -17,12 +17,14 @@
         address: IP address and UDP port of its side process.
         zone: Its availability zone.
         accepting: Whether it takes new flows, as far as the members know.
+        starting: Whether it has not said yet whether it does.
     """
 
     id: str
     address: tuple[str, int]
     zone: str
     accepting: bool
+    starting: bool
 
 
 def ranked(
--- a/clementinelead/relays/frames.py
+++ b/clementinelead/relays/frames.py
@@ -11,10 +11,10 @@
 import xxhash
 
 __all__ = [
-    "Frame",
-    "Kind",
     "MAX_KEYS",
     "NOT_ACCEPTING",
+    "Frame",
+    "Kind",
     "decode",
     "encode",
     "join_keys",
@@ -38,6 +38,7 @@
     HELD = 10  # side process: these flows are
     ABSENT = 11  # side process: these flows are not
     UNSURE = 12  # side process: its target may hold these flows
+    BUSY = 13  # side process: as LOAD, but a new flow had better wait
 
 
 NOT_ACCEPTING = 0xFFFF_FFFF
--- a/clementinelead/relays/holding.py
+++ b/clementinelead/relays/holding.py
@@ -43,12 +43,16 @@
 IDLE_S = 75.0
 """Time without a packet after which a flow is forgotten, seconds."""
 
-STUCK_WORK_S = 10.0
+TURNED_AWAY_S = 0.002
+"""An answer that comes sooner took no work: the target turned it away."""
+
+STUCK_WORK_S = 5.0
 """Time after which work without an answer no longer counts, seconds."""
 
 EXPIRY_INTERVAL_S = 1.0
 
 _SEQUENCE_WINDOW = 1 << 24
+_SEQUENCE_HALF = 1 << 31
 _MASK = (1 << 32) - 1
 
 _Kind = frames.Kind
@@ -67,6 +71,7 @@
         confirmed: Whether the target has sent something for it.
         working: Whether work is under way or expected.
         asked: Time of the last data of the request, None before it.
+        asked_end: Sequence number after the last data of the caller.
         ahead: Work that was under way before.
         closing: Whether an end of it has been seen.
     """
@@ -78,6 +83,7 @@
     confirmed: bool = False
     working: bool = False
     asked: float | None = None
+    asked_end: int | None = None
     ahead: int = 0
     closing: bool = False
 
@@ -152,9 +158,7 @@
         known = self.lifecycle.current
         verdict = self.lifecycle.heartbeat(announcement)
         if verdict is announcements.Verdict.STARTED:
-            self.work.configure(
-                announcement.slots, announcement.warmup_s, now
-            )
+            self.work.configure(announcement.slots, announcement.warmup_s, now)
             if known is not None:
                 self._forget_flows(now)
             if known is not None or announcement.sequence <= 1:
@@ -241,12 +245,15 @@
     def _on_ask_load(
         self, frame: frames.Frame, source: _Address, now: float
     ) -> list[outcomes.Outcome]:
+        kind = _Kind.LOAD
         load = frames.NOT_ACCEPTING
         if frame.key in self._flow_by_key:
             load = 0
         elif self.accepting:
             load = self.work.load_ms(now)
-        return [self._answer(_Kind.LOAD, frame, source, value=load)]
+            if self.work.busy:
+                kind = _Kind.BUSY
+        return [self._answer(kind, frame, source, value=load)]
 
     def _on_place(
         self, frame: frames.Frame, source: _Address, now: float
@@ -286,7 +293,7 @@
             flow.settled = True
         flow.sender = source
         flow.last = now
-        if segment.length:
+        if segment.length and _is_new(flow, segment):
             self._note_request(key, flow, now)
         if segment.closes or segment.resets:
             flow.closing = True
@@ -411,6 +418,8 @@
             self._note_answer(key, flow, now)
         if segment.closes or segment.resets:
             flow.closing = True
+            self._reserved_until.pop(key, None)
+            self._release(flow, now)
         sends.append(outcomes.ToCaller(self._format.caller(key), data))
         return sends
 
@@ -462,9 +471,12 @@
             self.work.released(now)
             return
         duration = now - flow.asked
-        self.latencies.observe(duration)
-        self.work.finished(duration, flow.ahead, now)
         flow.asked = None
+        self.latencies.observe(duration)
+        if duration < TURNED_AWAY_S:
+            self.work.released(now)
+        else:
+            self.work.finished(duration, flow.ahead, now)
 
     # The passing of time.
 
@@ -528,6 +540,19 @@
 LATENCY_BOUNDS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
 
 
+def _is_new(flow: _Flow, segment: formats.Segment) -> bool:
+    """Tells whether a caller's data has not been seen, and notes it.
+
+    Data that is sent again, after an answer that it crossed, is no new work.
+    """
+    end = (segment.sequence + segment.length) & _MASK
+    known = flow.asked_end
+    if known is not None and (end - known - 1) & _MASK >= _SEQUENCE_HALF:
+        return False
+    flow.asked_end = end
+    return True
+
+
 def _follows(flow: _Flow, segment: formats.Segment) -> bool:
     """Tells whether a caller's packet acknowledges this target's answer."""
     if flow.sequence is None:
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -21,6 +21,15 @@
 ACCEPT_S = 0.08
 """Time that a chosen target has to answer the opening packet, seconds."""
 
+HOLD_S = 0.4
+"""Time that a flow waits for a target whose queue is not full, seconds.
+
+Longer and the answer would hardly come in time.
+"""
+
+HOLD_STEP_S = 0.03
+"""Time after which the targets are asked again, seconds."""
+
 MAX_AGE_S = 1.4
 """Time after which the caller has given the attempt up, seconds."""
 
@@ -39,8 +48,8 @@
         waiting: Targets that have been asked and not answered.
         load_by_address: What the others have answered, milliseconds.
         tried: Targets that the packet has been sent to.
+        busy: Targets that have answered that a new flow had better wait.
         chosen: The target that has it now.
-        unsure: Whether some target could not say yet.
     """
 
     service: str
@@ -51,15 +60,16 @@
     waiting: set[tuple[str, int]]
     load_by_address: dict[tuple[str, int], int]
     tried: list[tuple[str, int]]
+    busy: set[tuple[str, int]]
     chosen: tuple[str, int] | None = None
-    unsure: bool = False
 
 
-def best(placement: Placement) -> tuple[str, int] | None:
+def best(placement: Placement, among_busy: bool) -> tuple[str, int] | None:
     """Returns the target soonest done of those that have answered.
 
     Args:
         placement: A placement.
+        among_busy: Whether targets with full queues count too.
 
     Returns:
         Its address, or None if no untried one accepts.
@@ -67,6 +77,8 @@
     found = None
     least = frames.NOT_ACCEPTING
     for address, load in placement.load_by_address.items():
+        if not among_busy and address in placement.busy:
+            continue
         if load < least and address not in placement.tried:
             found, least = address, load
     return found
--- a/clementinelead/relays/routes.py
+++ b/clementinelead/relays/routes.py
@@ -6,7 +6,7 @@
 
 from clementinelead.relays import frames
 
-__all__ = ["Route", "RoutingTable", "Share", "EMPTY"]
+__all__ = ["EMPTY", "Route", "RoutingTable", "Share"]
 
 _SPLIT_SEED = 0x53
 
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -58,9 +58,7 @@
         self._zone = zone
         self._by_address: dict[bytes, routes.Route] = {}
         self._retired: dict[bytes, tuple[routes.Route, float]] = {}
-        self._targets_by_service: dict[
-            str, tuple[candidates.Target, ...]
-        ] = {}
+        self._targets_by_service: dict[str, tuple[candidates.Target, ...]] = {}
         self._cache = flow_cache.FlowCache()
         self._responsive = responsiveness.Responsiveness()
         self._placement_by_key: dict[bytes, placing.Placement] = {}
@@ -178,12 +176,11 @@
             waiting=set(),
             load_by_address={},
             tried=[],
+            busy=set(),
         )
         self._placement_by_key[key] = placement
         asked = self._ask_more(key, placement, now)
-        if asked:
-            return asked
-        return self._give_up(key, placement, now)
+        return asked or self._decide_later(key, placement, now)
 
     def _ask_more(
         self, key: bytes, placement: placing.Placement, now: float
@@ -222,6 +219,8 @@
             return []
         placement.waiting.discard(source)
         placement.load_by_address[source] = frame.value
+        if frame.kind is _Kind.BUSY:
+            placement.busy.add(source)
         if not placement.waiting:
             return self._decide(frame.key, placement, now)
         placement.deadline = min(placement.deadline, now + placing.GATHER_S)
@@ -231,16 +230,10 @@
         self, key: bytes, placement: placing.Placement, now: float
     ) -> list[outcomes.Outcome]:
         """Sends the opening packet to the best target that has answered."""
-        address = placing.best(placement)
+        held = now - placement.begun >= placing.HOLD_S
+        address = placing.best(placement, among_busy=held)
         if address is None:
-            asked = self._ask_more(key, placement, now)
-            if asked:
-                placement.chosen = None
-                return asked
-            if placement.waiting:
-                placement.deadline = now + placing.ANSWER_S
-                return []
-            return self._give_up(key, placement, now)
+            return self._decide_later(key, placement, now)
         placement.chosen = address
         placement.tried.append(address)
         placement.deadline = now + placing.ACCEPT_S
@@ -251,6 +244,36 @@
         )
         return [outcomes.ToPeer(address, message)]
 
+    def _decide_later(
+        self, key: bytes, placement: placing.Placement, now: float
+    ) -> list[outcomes.Outcome]:
+        """Goes on where no target that has answered takes the flow now."""
+        placement.chosen = None
+        asked = self._ask_more(key, placement, now)
+        if asked:
+            return asked
+        if placement.waiting:
+            placement.deadline = now + placing.ANSWER_S
+            return []
+        if not placement.busy and not self._may_come(placement):
+            return self._give_up(key, placement, now)
+        self.counts.add("held_back")
+        placement.load_by_address.clear()
+        placement.tried.clear()
+        placement.busy.clear()
+        placement.deadline = now + placing.HOLD_STEP_S
+        return []
+
+    def _may_come(self, placement: placing.Placement) -> bool:
+        """Tells whether a target may soon take the flow.
+
+        One that starts or has left a packet unanswered may, and so may those
+        of a service of which none is known: all may be starting.
+        """
+        targets = self._targets_by_service.get(placement.service, ())
+        starting = any(target.starting for target in targets)
+        return not targets or starting or bool(placement.tried)
+
     def _on_accepted(
         self, frame: frames.Frame, source: _Address, now: float
     ) -> list[outcomes.Outcome]:
@@ -279,25 +302,15 @@
     def _give_up(
         self, key: bytes, placement: placing.Placement, now: float
     ) -> list[outcomes.Outcome]:
-        """Refuses a flow that no target takes; the caller hears at once.
-
-        Where targets may only not have said yet that they are ready, the next
-        copy of the opening packet tries again.
-        """
+        """Refuses a flow that no target takes; the caller hears at once."""
         del self._placement_by_key[key]
-        targets = self._targets_by_service.get(placement.service, ())
-        unsure = placement.unsure or not targets
-        unsure = unsure or bool(placement.waiting) or bool(placement.tried)
-        if unsure:
-            self._report_placement(key, placement, "left open", now)
-            return []
         segment = self._format.from_caller(placement.packet)
         assert segment is not None, "a placement's packet was parsed before"
-        return [
-            self._refuse(
-                segment, "no target accepts", {"service": placement.service}
-            )
-        ]
+        inputs: dict[str, object] = {
+            "service": placement.service,
+            "age_ms": round((now - placement.begun) * 1000, 1),
+        }
+        return [self._refuse(segment, "no target accepts", inputs)]
 
     def _refuse(
         self, segment: formats.Segment, cause: str, inputs: dict[str, object]
@@ -508,7 +521,7 @@
         if self._responsive.heard(source):
             self.counts.add("suspect_answered")
         match frame.kind:
-            case _Kind.LOAD:
+            case _Kind.LOAD | _Kind.BUSY:
                 return self._on_load(frame, source, now)
             case _Kind.ACCEPTED:
                 return self._on_accepted(frame, source, now)
--- a/clementinelead/relays/workload.py
+++ b/clementinelead/relays/workload.py
@@ -10,6 +10,12 @@
 SMOOTHING_S = 2.0
 """Time constant of the utilisation; feeds ask about once a second."""
 
+MAX_QUEUE = 3
+"""Requests that may wait at a target before new flows had better wait.
+
+Targets queue only a few requests and turn others away unserved.
+"""
+
 MAX_UTILISATION = 0.9
 """Above it the expected time would grow without bound."""
 
@@ -53,6 +59,12 @@
         rest = 1.0 - min(MAX_UTILISATION, self._utilisation)
         return min(_MAX_LOAD_MS, int(self.estimate.completion_ms(now) / rest))
 
+    @property
+    def busy(self) -> bool:
+        """Whether a new flow had better wait elsewhere."""
+        estimate = self.estimate
+        return estimate.working >= estimate.limits.slots + MAX_QUEUE
+
     def opened(self, now: float) -> int:
         """Counts a new flow with work; returns what was under way before."""
         self._update(now)
