--- a/clementinelead/processes/http_site.py
+++ b/clementinelead/processes/http_site.py
@@ -76,6 +76,12 @@
             self._serve, address, port, limit=_READ_BYTES
         )
 
+    @property
+    def port(self) -> int:
+        """Port that the site serves."""
+        assert self._server is not None, "the site has not started"
+        return int(self._server.sockets[0].getsockname()[1])
+
     async def stop(self) -> None:
         """Closes the port; open connections end with their request."""
         if self._server is not None:
@@ -108,7 +114,7 @@
         request = await _read_request(connection, reader)
         if request is None:
             return False
-        response = self._respond(request)
+        response = self.respond(request)
         headers = [
             ("Content-Type", response.content_type),
             ("Content-Length", str(len(response.body))),
@@ -125,7 +131,8 @@
             and connection.their_state is h11.DONE
         )
 
-    def _respond(self, request: Request) -> Response:
+    def respond(self, request: Request) -> Response:
+        """Returns the response of the first handler that fits."""
         found = False
         for method, prefix, handler in self._handlers:
             if request.path.startswith(prefix):
--- /dev/null
+++ b/clementinelead/processes/tests/test_http.py
@@ -0,0 +1,129 @@
+import asyncio
+
+import pytest
+
+from clementinelead.processes import http_client
+from clementinelead.processes import http_site
+
+HOST = "127.0.0.1"
+
+
+def _run(exchange):
+    """Runs a coroutine function against a site that echoes bodies."""
+
+    async def served():
+        site = http_site.HttpSite()
+        site.add(
+            "POST",
+            "/echo",
+            lambda request: http_site.Response(200, request.body),
+        )
+        site.add(
+            "GET",
+            "/query",
+            lambda request: http_site.Response(
+                200, request.query["a"].encode()
+            ),
+        )
+        await site.start(HOST, 0)
+        try:
+            return await exchange(site.port)
+        finally:
+            await site.stop()
+
+    return asyncio.run(served())
+
+
+async def _call(port, method, target, body=b"", timeout_s=2.0):
+    return await http_client.call((HOST, port), method, target, body, timeout_s)
+
+
+def test_body_comes_back():
+    body = b"x" * 50_000
+    answer = _run(lambda port: _call(port, "POST", "/echo", body))
+    assert answer == http_client.Answer(200, body)
+
+
+def test_query_is_decoded():
+    answer = _run(lambda port: _call(port, "GET", "/query?a=1%202"))
+    assert answer == http_client.Answer(200, b"1 2")
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "status"),
+    [("GET", "/nothing", 404), ("PUT", "/echo", 405)],
+)
+def test_unknown_calls_are_refused(method, target, status):
+    answer = _run(lambda port: _call(port, method, target))
+    assert answer.status == status
+
+
+def test_several_requests_share_a_connection():
+    async def exchange(port):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        head = b"POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n"
+        found = []
+        for body in (b"ab", b"cd"):
+            writer.write(head + body)
+            lines = await reader.readuntil(b"\r\n\r\n")
+            found.append((lines.split(b"\r\n")[0], await reader.readexactly(2)))
+        writer.close()
+        return found
+
+    assert _run(exchange) == [
+        (b"HTTP/1.1 200 ", b"ab"),
+        (b"HTTP/1.1 200 ", b"cd"),
+    ]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00\x01garbage\r\n\r\n",
+        b"POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n\r\n"
+        + b"x" * 70_000,
+    ],
+)
+def test_bad_requests_end_the_connection_and_no_more(data):
+    async def exchange(port):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(data)
+        try:
+            ended = await asyncio.wait_for(reader.read(), 2.0)
+        except ConnectionResetError:
+            ended = b""
+        writer.close()
+        return ended, await _call(port, "POST", "/echo", b"ok")
+
+    ended, answer = _run(exchange)
+    assert ended == b""
+    assert answer == http_client.Answer(200, b"ok")
+
+
+def test_closed_port_is_no_answer_and_nothing_was_sent():
+    async def exchange(port):
+        site = http_site.HttpSite()
+        await site.start(HOST, 0)
+        closed = site.port
+        await site.stop()
+        return await _call(closed, "GET", "/")
+
+    outcome = _run(exchange)
+    assert isinstance(outcome, http_client.NoAnswer)
+    assert not outcome.sent
+
+
+def test_silent_server_meets_the_deadline():
+    async def exchange(port):
+        async def hold(reader, writer):
+            await reader.read(1)
+            await asyncio.sleep(5.0)
+
+        server = await asyncio.start_server(hold, HOST, 0)
+        silent = server.sockets[0].getsockname()[1]
+        try:
+            return await _call(silent, "GET", "/", timeout_s=0.1)
+        finally:
+            server.close()
+
+    assert _run(exchange) == http_client.NoAnswer("deadline", sent=True)
--- /dev/null
+++ b/clementinelead/processes/tests/test_relay_node.py
@@ -0,0 +1,165 @@
+import asyncio
+import socket
+import time
+
+from clementinelead.memberships import records
+from clementinelead.processes import relay_node
+from clementinelead.processes import relay_settings
+from clementinelead.relays import routes
+
+JOIN_BOUND_S = 1.0
+"""Time in which processes that start together know each other.
+
+Well below the seconds after which a process would start alone.
+"""
+
+
+class Listener:
+    def __init__(self):
+        self.versions = []
+
+    def on_members(self, changes, now):
+        pass
+
+    def on_routes(self, table, now):
+        self.versions.append(table.version)
+
+    def on_tick(self, now):
+        pass
+
+
+def _free_ports():
+    """Returns three free ports; all nodes use the same, as in production."""
+    found = []
+    for _ in range(3):
+        probe = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        probe.bind(("127.0.0.1", 0))
+        found.append(probe)
+    ports = [probe.getsockname()[1] for probe in found]
+    for probe in found:
+        probe.close()
+    return ports
+
+
+def _node(number, ports, seeds, role=records.Role.BALANCER, name=""):
+    settings = relay_settings.RelaySettings(
+        id=name or f"node{number}",
+        cluster="test",
+        region="r",
+        zone="z",
+        address=f"127.0.0.{number}",
+        data_port=ports[0],
+        control_port=ports[1],
+        http_port=ports[2],
+        metrics_port=0,
+        seeds=seeds,
+        stop_s=1.0,
+    )
+    listener = Listener()
+    node = relay_node.RelayNode(settings, role, (), listener)
+    return node, listener
+
+
+async def _eventually(condition, bound_s):
+    deadline = time.monotonic() + bound_s
+    while not condition():
+        assert time.monotonic() < deadline, "not in time"
+        await asyncio.sleep(0.01)
+
+
+async def _run(nodes, check):
+    for node in nodes:
+        await node.start(asyncio.Event())
+    try:
+        await check()
+    finally:
+        for node in nodes:
+            await node.stop()
+
+
+def test_nodes_that_start_together_join_without_waiting_for_each_other():
+    ports = _free_ports()
+    seeds = ("127.0.0.2", "127.0.0.3")
+    nodes = [_node(number, ports, seeds)[0] for number in (2, 3, 4)]
+
+    async def check():
+        await _eventually(
+            lambda: all(
+                len(node.gossiper.table.by_id) == len(nodes) for node in nodes
+            ),
+            JOIN_BOUND_S,
+        )
+
+    asyncio.run(_run(nodes, check))
+
+
+def test_seed_that_does_not_answer_does_not_delay_the_join():
+    ports = _free_ports()
+
+    async def silent(reader, writer):
+        await asyncio.sleep(5.0)
+
+    async def main():
+        server = await asyncio.start_server(silent, "127.0.0.9", ports[2])
+        nodes = [
+            _node(2, ports, ("127.0.0.9",))[0],
+            _node(3, ports, ("127.0.0.9", "127.0.0.2"))[0],
+        ]
+
+        async def check():
+            await _eventually(lambda: nodes[1].joined, JOIN_BOUND_S)
+
+        try:
+            await _run(nodes, check)
+        finally:
+            server.close()
+
+    asyncio.run(main())
+
+
+def test_routes_reach_all_and_never_go_back():
+    ports = _free_ports()
+    nodes = []
+    listeners = []
+    for number in (2, 3, 4):
+        node, listener = _node(number, ports, ("127.0.0.2",))
+        nodes.append(node)
+        listeners.append(listener)
+
+    async def check():
+        await _eventually(lambda: not nodes[2].alone, JOIN_BOUND_S)
+        for version in (5, 9, 7):
+            nodes[1].adopt(routes.RoutingTable(version, (), 60.0), "test")
+        await _eventually(
+            lambda: all(node.table.version == 9 for node in nodes), 3.0
+        )
+
+    asyncio.run(_run(nodes, check))
+    for listener in listeners:
+        assert listener.versions == sorted(listener.versions)
+
+
+def test_process_whose_clock_went_back_outranks_its_predecessor():
+    ports = _free_ports()
+    first, _ = _node(2, ports, ())
+    second, _ = _node(3, ports, ("127.0.0.2",), name="again")
+    predecessor = second.gossiper.own
+    ahead = type(predecessor)(
+        **{
+            **{
+                name: getattr(predecessor, name)
+                for name in predecessor.__dataclass_fields__
+            },
+            "incarnation": predecessor.incarnation + 5_000,
+            "sequence": 40,
+        }
+    )
+    first.gossiper.merge((ahead,), time.monotonic())
+
+    async def check():
+        await _eventually(
+            lambda: first.gossiper.table.by_id["again"].version > ahead.version,
+            JOIN_BOUND_S,
+        )
+
+    asyncio.run(_run([first, second], check))
--- /dev/null
+++ b/clementinelead/relays/tests/network.py
@@ -0,0 +1,278 @@
+"""Balancers, side processes and targets in memory, with a clock of their own.
+
+Datagrams arrive in order after one step of time. A target is a dictionary of
+flows that answers and returns packets as the users' targets do.
+"""
+
+import dataclasses
+import heapq
+import struct
+
+from clementinelead.relays import announcements
+from clementinelead.relays import candidates
+from clementinelead.relays import formats
+from clementinelead.relays import holding
+from clementinelead.relays import outcomes
+from clementinelead.relays import routes
+from clementinelead.relays import steering
+
+SERVICE = "lookups"
+ROUTE_ADDRESS = b"S1"
+STEP_S = 0.001
+CALLER = ("caller", 1)
+_HEAD = struct.Struct("<4s2sBIIH")
+OPENS, ACCEPTS, CLOSES, RESETS, RETURNED = 1, 2, 4, 8, 16
+
+
+class Format:
+    """A packet format: caller, service address, flags, numbers, length."""
+
+    def from_caller(self, data: bytes) -> formats.Segment | None:
+        if len(data) < _HEAD.size:
+            return None
+        caller, address, flags, sequence, acknowledgement, length = (
+            _HEAD.unpack_from(data)
+        )
+        return formats.Segment(
+            key=caller + address,
+            opens=bool(flags & OPENS),
+            accepts=bool(flags & ACCEPTS),
+            closes=bool(flags & CLOSES),
+            resets=bool(flags & RESETS),
+            returned=bool(flags & RETURNED),
+            sequence=sequence,
+            acknowledgement=acknowledgement,
+            length=length,
+        )
+
+    from_target = from_caller
+
+    def service_address(self, key: bytes) -> bytes:
+        return key[4:]
+
+    def caller(self, key: bytes) -> tuple[str, int]:
+        return CALLER
+
+    def reset(self, segment: formats.Segment) -> bytes:
+        return packet(segment.key, RESETS)
+
+    def restored(self, data: bytes) -> bytes:
+        return data[:6] + bytes((data[6] & ~RETURNED,)) + data[7:]
+
+    def text(self, key: bytes) -> str:
+        return key.hex()
+
+
+def packet(
+    key: bytes,
+    flags: int = 0,
+    sequence: int = 0,
+    acknowledgement: int = 0,
+    length: int = 0,
+) -> bytes:
+    """Returns a packet of a flow."""
+    return _HEAD.pack(
+        key[:4], key[4:], flags, sequence, acknowledgement, length
+    )
+
+
+def flow_key(number: int, address: bytes = ROUTE_ADDRESS) -> bytes:
+    """Returns the key of a test's flow."""
+    return number.to_bytes(4, "big") + address
+
+
+class Target:
+    """A target: accepts flows up to a bound and returns foreign packets."""
+
+    def __init__(self, seed: int):
+        self.seed = seed
+        self.sequence_by_key: dict[bytes, int] = {}
+        self.delivered: list[bytes] = []
+        self.full = False
+
+    def receive(self, data: bytes) -> list[bytes]:
+        """Returns what the target sends for a packet."""
+        segment = Format().from_caller(data)
+        assert segment is not None
+        key = segment.key
+        if segment.opens and key not in self.sequence_by_key:
+            if self.full:
+                return [data[:6] + bytes((data[6] | RETURNED,)) + data[7:]]
+            self.sequence_by_key[key] = self.seed * 100_000_000
+        if key not in self.sequence_by_key:
+            return [data[:6] + bytes((data[6] | RETURNED,)) + data[7:]]
+        sequence = self.sequence_by_key[key]
+        if segment.opens:
+            return [packet(key, ACCEPTS, sequence)]
+        self.delivered.append(data)
+        if segment.length:
+            return [packet(key, 0, sequence + 1, length=10)]
+        return []
+
+
+@dataclasses.dataclass
+class Network:
+    """All parts and the datagrams between them.
+
+    Attributes:
+        now: Present time, seconds.
+        to_caller: Packets that callers have got, in order.
+        decisions: What the parts reported.
+        silent: Addresses whose datagrams get lost.
+    """
+
+    balancers: int = 1
+    targets: int = 3
+
+    def __post_init__(self) -> None:
+        self.now = 100.0
+        self.to_caller: list[bytes] = []
+        self.decisions: list[outcomes.Decision] = []
+        self.silent: set[tuple[str, int]] = set()
+        self._queue: list[tuple[float, int, object]] = []
+        self._number = 0
+        self.target_by_address = {
+            (f"side{number}", 1): Target(number + 1)
+            for number in range(self.targets)
+        }
+        self.side_by_address = {
+            address: self.new_side() for address in self.target_by_address
+        }
+        for number in range(self.targets):
+            self.beat(number)
+        self.balancer_by_address = {
+            (f"balancer{number}", 1): self.new_balancer()
+            for number in range(self.balancers)
+        }
+
+    def new_side(self) -> holding.Holding:
+        """Returns a side process that has just started."""
+        return holding.Holding(
+            Format(), SERVICE, self.decisions.append, self.now
+        )
+
+    def restart_side(self, number: int) -> None:
+        """Replaces a side process; its target lives on."""
+        self.side_by_address[(f"side{number}", 1)] = self.new_side()
+
+    def beat(
+        self, number: int, sequence: int = 1, draining: bool = False
+    ) -> announcements.Verdict:
+        """Lets a target announce itself to its side process."""
+        announcement = announcements.Announcement(
+            id=f"t{number}",
+            born=1,
+            sequence=sequence,
+            service=SERVICE,
+            slots=2,
+            draining=draining,
+            warmup_s=0.0,
+        )
+        side = self.side_by_address[(f"side{number}", 1)]
+        return side.heartbeat(announcement, self.now)
+
+    def new_balancer(self) -> steering.Steering:
+        """Returns a balancer that has just joined."""
+        new = steering.Steering(Format(), self.decisions.append, "z")
+        route = routes.Route("r", ROUTE_ADDRESS, (routes.Share(SERVICE, 1),))
+        new.set_routes(routes.RoutingTable(1, (route,), 60.0), self.now)
+        self.tell_targets(new)
+        return new
+
+    def tell_targets(self, balancer: steering.Steering) -> None:
+        """Tells a balancer of all targets as they are now."""
+        balancer.set_targets(
+            SERVICE,
+            tuple(
+                candidates.Target(
+                    address[0], address, "z", side.accepting, False
+                )
+                for address, side in self.side_by_address.items()
+            ),
+        )
+
+    def restart_balancer(self, number: int) -> None:
+        """Replaces a balancer."""
+        address = (f"balancer{number}", 1)
+        self.balancer_by_address[address] = self.new_balancer()
+
+    def send(self, data: bytes, balancer: int = 0) -> None:
+        """Hands a caller's packet to a balancer."""
+        address = (f"balancer{balancer}", 1)
+        steered = self.balancer_by_address[address]
+        self._take(address, steered.on_packet(data, self.now))
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_S
+            while self._queue and self._queue[0][0] <= self.now:
+                _, _, (source, address, data) = heapq.heappop(self._queue)
+                self._arrive(source, address, data)
+            for address, balancer in self.balancer_by_address.items():
+                self._take(address, balancer.on_tick(self.now))
+            for address, side in self.side_by_address.items():
+                self._take(address, side.on_tick(self.now))
+
+    def owners(self, key: bytes) -> list[tuple[str, int]]:
+        """Returns the side processes whose targets hold a flow."""
+        return [
+            address
+            for address, target in self.target_by_address.items()
+            if key in target.sequence_by_key
+        ]
+
+    def open(self, key: bytes, balancer: int = 0) -> tuple[str, int]:
+        """Opens a flow as a caller does; returns its owner's address."""
+        before = len(self.to_caller)
+        self.send(packet(key, OPENS), balancer)
+        self.run(0.1)
+        answers = [
+            Format().from_target(data) for data in self.to_caller[before:]
+        ]
+        accepted = [
+            answer.sequence
+            for answer in answers
+            if answer and answer.accepts and answer.key == key
+        ]
+        assert accepted, "the flow was not accepted"
+        self.send(packet(key, acknowledgement=accepted[0] + 1), balancer)
+        self.run(0.05)
+        return next(
+            address
+            for address, target in self.target_by_address.items()
+            if target.sequence_by_key.get(key) == accepted[0]
+        )
+
+    def _arrive(
+        self, source: tuple[str, int], address: tuple[str, int], data: bytes
+    ) -> None:
+        if source in self.silent or address in self.silent:
+            return
+        if address in self.balancer_by_address:
+            balancer = self.balancer_by_address[address]
+            self._take(address, balancer.on_frame(data, source, self.now))
+        elif address in self.side_by_address:
+            side = self.side_by_address[address]
+            self._take(address, side.on_frame(data, source, self.now))
+
+    def _take(
+        self, source: tuple[str, int], several: list[outcomes.Outcome]
+    ) -> None:
+        for outcome in several:
+            match outcome:
+                case outcomes.ToPeer(address, data):
+                    self._number += 1
+                    item = (source, address, data)
+                    due = self.now + STEP_S
+                    heapq.heappush(self._queue, (due, self._number, item))
+                case outcomes.ToCaller(_, data):
+                    self.to_caller.append(data)
+                case outcomes.ToTarget(data):
+                    side = self.side_by_address[source]
+                    target = self.target_by_address[source]
+                    for answer in target.receive(data):
+                        self._take(
+                            source, side.on_target_packet(answer, self.now)
+                        )
--- /dev/null
+++ b/clementinelead/relays/tests/test_holding.py
@@ -0,0 +1,127 @@
+from clementinelead.relays import frames
+from clementinelead.relays import holding
+from clementinelead.relays.tests import network
+
+BALANCER = ("balancer0", 1)
+NUMBER = frames.service_number(network.SERVICE)
+
+
+def _side(net):
+    return net.side_by_address[("side0", 1)]
+
+
+def _opened(net, key):
+    side = _side(net)
+    data = frames.encode(
+        frames.Kind.PLACE, NUMBER, key, network.packet(key, network.OPENS)
+    )
+    side.on_frame(data, BALANCER, net.now)
+    side.on_target_packet(network.packet(key, network.ACCEPTS, 500), net.now)
+    return side
+
+
+def _request(side, key, now, sequence=1):
+    data = network.packet(
+        key, sequence=sequence, acknowledgement=501, length=10
+    )
+    frame = frames.encode(frames.Kind.PACKET, NUMBER, key, data)
+    return side.on_frame(frame, BALANCER, now)
+
+
+def _answer(side, key, now, flags=0):
+    data = network.packet(key, flags, sequence=501, length=20)
+    return side.on_target_packet(data, now)
+
+
+def test_work_lasts_from_request_to_answer():
+    net = network.Network(targets=1)
+    key = network.flow_key(1)
+    side = _opened(net, key)
+    _request(side, key, net.now)
+    assert side.working == 1
+    _answer(side, key, net.now + 0.05)
+    assert side.working == 0
+
+
+def test_data_sent_again_after_the_answer_is_no_new_work():
+    net = network.Network(targets=1)
+    key = network.flow_key(1)
+    side = _opened(net, key)
+    _request(side, key, net.now)
+    _answer(side, key, net.now + 0.25)
+    _request(side, key, net.now + 0.26)
+    assert side.working == 0
+
+
+def test_next_request_of_a_flow_is_new_work():
+    net = network.Network(targets=1)
+    key = network.flow_key(1)
+    side = _opened(net, key)
+    _request(side, key, net.now)
+    _answer(side, key, net.now + 0.05)
+    _request(side, key, net.now + 1.0, sequence=11)
+    assert side.working == 1
+
+
+def test_opened_flow_without_request_stops_counting():
+    net = network.Network(targets=1)
+    side = _opened(net, network.flow_key(1))
+    assert side.working == 1
+    side.on_tick(net.now + holding.RESERVED_S + 0.01)
+    assert side.working == 0
+
+
+def test_reset_by_the_target_ends_work():
+    net = network.Network(targets=1)
+    key = network.flow_key(1)
+    side = _opened(net, key)
+    _request(side, key, net.now)
+    side.on_target_packet(network.packet(key, network.RESETS), net.now)
+    assert side.working == 0
+
+
+def test_answer_without_work_teaches_no_service_time():
+    net = network.Network(targets=1)
+    key = network.flow_key(1)
+    side = _opened(net, key)
+    before = side.work.estimate.service_s
+    _request(side, key, net.now)
+    _answer(side, key, net.now + 0.0005)
+    assert side.work.estimate.service_s == before
+
+
+def test_full_queue_is_told_to_the_balancer():
+    net = network.Network(targets=1)
+    for number in range(5):
+        key = network.flow_key(number)
+        _request(_opened(net, key), key, net.now)
+    question = frames.encode(frames.Kind.ASK_LOAD, NUMBER, b"newkey")
+    [answer] = _side(net).on_frame(question, BALANCER, net.now)
+    assert frames.decode(answer.data).kind is frames.Kind.BUSY
+
+
+def test_new_incarnation_of_the_target_has_none_of_the_old_flows():
+    net = network.Network(targets=1)
+    side = _opened(net, network.flow_key(1))
+    current = side.lifecycle.current
+    reborn = type(current)(
+        id="other",
+        born=current.born + 5,
+        sequence=1,
+        service=current.service,
+        slots=2,
+        draining=False,
+        warmup_s=0.0,
+    )
+    side.heartbeat(reborn, net.now)
+    assert side.flows == 0
+    assert side.working == 0
+
+
+def test_malformed_datagrams_are_counted_and_dropped():
+    net = network.Network(targets=1)
+    side = _side(net)
+    for data in (b"", b"\xc1", b"x" * 40, b"\xc1\x01\x00\xff" + bytes(12)):
+        assert side.on_frame(data, BALANCER, net.now) == []
+    assert side.counts.by_cause["malformed_frame"] == 4
+    assert side.on_target_packet(b"short", net.now) == []
--- /dev/null
+++ b/clementinelead/relays/tests/test_relaying.py
@@ -0,0 +1,219 @@
+"""Balancers and side processes together, with restarts and losses."""
+
+import random
+
+import pytest
+
+from clementinelead.relays import frames
+from clementinelead.relays import steering
+from clementinelead.relays.tests import network
+
+
+def _delivered(net, key):
+    return {
+        address: sum(
+            network.Format().from_caller(data).key == key
+            for data in target.delivered
+        )
+        for address, target in net.target_by_address.items()
+    }
+
+
+def _resets(net):
+    answers = map(network.Format().from_target, net.to_caller)
+    return [answer for answer in answers if answer.resets]
+
+
+def test_flow_opens_at_one_target_and_stays():
+    net = network.Network()
+    key = network.flow_key(1)
+    owner = net.open(key)
+    for number in range(5):
+        net.send(network.packet(key, sequence=number * 10, length=10))
+        net.run(0.01)
+    assert net.owners(key) == [owner]
+    assert _delivered(net, key)[owner] == 6
+
+
+def test_work_is_spread_over_free_targets():
+    net = network.Network(targets=3)
+    for number in range(6):
+        key = network.flow_key(number)
+        net.send(network.packet(key, network.OPENS))
+        net.run(0.02)
+    counts = [
+        len(target.sequence_by_key) for target in net.target_by_address.values()
+    ]
+    assert counts == [2, 2, 2]
+
+
+def test_balancer_that_restarts_finds_open_flows_again():
+    net = network.Network()
+    key = network.flow_key(1)
+    owner = net.open(key)
+    net.restart_balancer(0)
+    net.send(network.packet(key, length=10))
+    net.run(0.2)
+    assert _delivered(net, key)[owner] == 2
+    assert not _resets(net)
+
+
+def test_all_processes_restart_and_flows_go_on():
+    net = network.Network(targets=4)
+    keys = [network.flow_key(number) for number in range(20)]
+    owner_by_key = {key: net.open(key) for key in keys}
+    net.run(1.0)
+    for number in range(4):
+        net.restart_side(number)
+        net.beat(number, sequence=9)
+    net.restart_balancer(0)
+    for key in keys:
+        net.send(network.packet(key, length=10))
+    net.run(1.0)
+    for key in keys:
+        delivered = _delivered(net, key)
+        assert delivered[owner_by_key[key]] >= 2
+        assert sum(delivered.values()) == delivered[owner_by_key[key]]
+    assert not _resets(net)
+
+
+def test_side_process_beside_a_living_target_serves_its_flows_before_a_beat():
+    net = network.Network()
+    key = network.flow_key(1)
+    owner = net.open(key)
+    net.restart_side(int(owner[0][4:]))
+    net.send(network.packet(key, length=10))
+    net.run(0.2)
+    assert _delivered(net, key)[owner] == 2
+
+
+def test_silent_side_process_does_not_keep_a_new_flow_waiting():
+    net = network.Network(targets=2)
+    net.silent.add(("side0", 1))
+    begun = net.now
+    for number in range(4):
+        key = network.flow_key(number)
+        net.send(network.packet(key, network.OPENS))
+        while not net.owners(key):
+            net.run(0.001)
+    assert net.now - begun < 4 * 0.05
+
+
+def test_returned_opening_packet_goes_to_another_target():
+    net = network.Network(targets=3)
+    net.target_by_address[("side0", 1)].full = True
+    net.target_by_address[("side1", 1)].full = True
+    for number in range(10):
+        assert net.open(network.flow_key(number)) == ("side2", 1)
+
+
+def test_draining_target_gets_no_new_flow_at_once():
+    net = network.Network(targets=2)
+    net.beat(0, sequence=2, draining=True)
+    for number in range(10):
+        assert net.open(network.flow_key(number)) == ("side1", 1)
+
+
+def test_flow_is_refused_at_once_when_all_targets_drain():
+    net = network.Network(targets=2)
+    for number in range(2):
+        net.beat(number, sequence=2, draining=True)
+    net.tell_targets(net.balancer_by_address[("balancer0", 1)])
+    net.send(network.packet(network.flow_key(1), network.OPENS))
+    assert len(_resets(net)) == 1
+
+
+def test_open_flow_is_never_reset_by_a_search_in_vain():
+    net = network.Network()
+    net.send(network.packet(network.flow_key(1), length=10))
+    net.run(1.0)
+    assert not net.to_caller
+
+
+def test_caller_chooses_among_two_targets_that_answered():
+    net = network.Network(targets=2)
+    key = network.flow_key(1)
+    net.send(network.packet(key, network.OPENS))
+    net.run(0.05)
+    [first] = net.owners(key)
+    second = ({("side0", 1), ("side1", 1)} - {first}).pop()
+    number = frames.service_number(network.SERVICE)
+    # A copy of the opening packet that another balancer has placed elsewhere.
+    copy = frames.encode(
+        frames.Kind.PLACE, number, key, network.packet(key, network.OPENS)
+    )
+    side = net.side_by_address[second]
+    net._take(second, side.on_frame(copy, ("balancer0", 1), net.now))
+    net.run(0.05)
+    chosen = net.target_by_address[second].sequence_by_key[key]
+    net.send(network.packet(key, acknowledgement=chosen + 1, length=10))
+    net.run(0.2)
+    assert _delivered(net, key) == {first: 0, second: 1}
+
+
+def test_packet_for_another_service_is_not_delivered():
+    net = network.Network(targets=1)
+    key = network.flow_key(1)
+    foreign = frames.encode(
+        frames.Kind.PLACE,
+        frames.service_number("exports"),
+        key,
+        network.packet(key, network.OPENS),
+    )
+    side = net.side_by_address[("side0", 1)]
+    side.on_frame(foreign, ("balancer0", 1), net.now)
+    assert not net.owners(key)
+
+
+def test_flows_of_a_dropped_route_are_still_found():
+    net = network.Network()
+    key = network.flow_key(1)
+    owner = net.open(key)
+    balancer = net.balancer_by_address[("balancer0", 1)]
+    balancer.set_routes(steering.routes.RoutingTable(2, (), 60.0), net.now)
+    balancer._cache.forget(key)
+    net.send(network.packet(key, length=10))
+    net.run(0.2)
+    assert _delivered(net, key)[owner] == 2
+
+
+def test_routes_never_go_back():
+    net = network.Network()
+    balancer = net.balancer_by_address[("balancer0", 1)]
+    balancer.set_routes(steering.routes.RoutingTable(0, (), 60.0), net.now)
+    assert balancer.table.version == 1
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_random_restarts_never_lose_or_reset_an_open_flow(seed):
+    random_source = random.Random(seed)
+    net = network.Network(balancers=2, targets=4)
+    owner_by_key = {}
+    sequence_by_side = dict.fromkeys(range(4), 1)
+    for number in range(60):
+        action = random_source.random()
+        if action < 0.15:
+            net.restart_balancer(random_source.randrange(2))
+        elif action < 0.3:
+            side = random_source.randrange(4)
+            net.restart_side(side)
+            sequence_by_side[side] += 1
+            net.beat(side, sequence=sequence_by_side[side])
+        elif action < 0.6:
+            key = network.flow_key(number)
+            owner_by_key[key] = net.open(key, random_source.randrange(2))
+        elif owner_by_key:
+            key = random_source.choice(list(owner_by_key))
+            before = _delivered(net, key)
+            net.send(
+                network.packet(key, sequence=number * 10, length=10),
+                random_source.randrange(2),
+            )
+            net.run(0.5)
+            after = _delivered(net, key)
+            owner = owner_by_key[key]
+            assert after[owner] == before[owner] + 1
+            after[owner] -= 1
+            assert after == before
+        net.run(0.02)
+    assert not _resets(net)
