Hold new flows by the route's latency objective, the newest first

Change: the balancer tells the objective with its question, a target that would need three quarters of it itself says busy, flows wait at the balancer and ask less often the older they are, and are refused before the caller's attempt ends.

--- a/clementinelead/platform/configs.py
+++ b/clementinelead/platform/configs.py
@@ -19,6 +19,8 @@
     name: str
     host: str  # address of the service, as text
     prefix: str  # its port, between slashes
+    target_latency_ms: float = routes.DEFAULT_OBJECTIVE_MS
+    timeout_ms: float = routes.DEFAULT_TIMEOUT_MS
     service: str = ""
     backends: list[_Share] = []  # a split, in place of ``service``
 
@@ -61,4 +63,10 @@
     if not shares:
         shares = (routes.Share(route.service, 1),)
     address = packets.address_bytes(route.host, int(port))
-    return routes.Route(route.name, address, shares)
+    return routes.Route(
+        name=route.name,
+        address=address,
+        shares=shares,
+        objective_ms=max(1, int(route.target_latency_ms)),
+        timeout_ms=max(1, int(route.timeout_ms)),
+    )
--- a/clementinelead/relays/frames.py
+++ b/clementinelead/relays/frames.py
@@ -29,7 +29,7 @@
     PACKET = 1  # balancer: a packet of a flow that the receiver holds
     PLACE = 2  # balancer: an opening packet that the receiver is to accept
     PROBE = 3  # balancer: a packet of a flow that the receiver may hold
-    ASK_LOAD = 4  # balancer: what would a new flow cost there?
+    ASK_LOAD = 4  # balancer: what would a flow with this objective cost?
     LOAD = 5  # side process: expected completion, milliseconds
     ACCEPTED = 6  # side process: its target has answered an opening packet
     REFUSED = 7  # side process: the target can't take the flow
@@ -59,8 +59,8 @@
     Attributes:
         kind: What it asks or says.
         service: Number of the service, see ``service_number``.
-        value: Load in milliseconds, or the sequence number that a target
-            chose, depending on ``kind``.
+        value: Load or latency objective, milliseconds, or the sequence number
+            that a target chose, depending on ``kind``.
         key: Flow key.
         payload: Packet, or several keys.
     """
--- a/clementinelead/relays/holding.py
+++ b/clementinelead/relays/holding.py
@@ -251,7 +251,7 @@
             load = 0
         elif self.accepting:
             load = self.work.load_ms(now)
-            if self.work.busy:
+            if self.work.busy(frame.value, now):
                 kind = _Kind.BUSY
         return [self._answer(kind, frame, source, value=load)]
 
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from clementinelead.relays import frames
+from clementinelead.relays import routes
 
 __all__ = ["Placement", "best"]
 
@@ -21,17 +22,21 @@
 ACCEPT_S = 0.08
 """Time that a chosen target has to answer the opening packet, seconds."""
 
-HOLD_S = 0.4
-"""Time that a flow waits for a target whose queue is not full, seconds.
+FIRST_HOLD_S = 0.03
+"""Time after which the targets are asked again, seconds."""
+
+HOLD_GROWTH = 1.5
+"""Factor between one such time and the next.
 
-Longer and the answer would hardly come in time.
+Flows that have just come ask more often, so they go first when a slot gets
+free: theirs are the answers that can still be in time.
 """
 
-HOLD_STEP_S = 0.03
-"""Time after which the targets are asked again, seconds."""
+MAX_AGE_S = 1.2
+"""Time that a flow waits for a target at most, seconds.
 
-MAX_AGE_S = 1.4
-"""Time after which the caller has given the attempt up, seconds."""
+Callers give an attempt up after 1.4 s, and can try again if told before.
+"""
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +44,7 @@
     """A new flow that no target has accepted yet.
 
     Attributes:
+        route: Route of the flow.
         service: Name of the service.
         number: Number of the service.
         packet: The opening packet.
@@ -50,8 +56,10 @@
         tried: Targets that the packet has been sent to.
         busy: Targets that have answered that a new flow had better wait.
         chosen: The target that has it now.
+        hold_s: Time until the targets are asked again, seconds.
     """
 
+    route: routes.Route
     service: str
     number: int
     packet: bytes
@@ -62,14 +70,19 @@
     tried: list[tuple[str, int]]
     busy: set[tuple[str, int]]
     chosen: tuple[str, int] | None = None
+    hold_s: float = FIRST_HOLD_S
+
+    def overdue(self, now: float) -> bool:
+        """Tells whether the caller no longer waits, or soon won't."""
+        waited_s = now - self.begun
+        return waited_s >= min(MAX_AGE_S, self.route.timeout_ms / 1000)
 
 
-def best(placement: Placement, among_busy: bool) -> tuple[str, int] | None:
+def best(placement: Placement) -> tuple[str, int] | None:
     """Returns the target soonest done of those that have answered.
 
     Args:
         placement: A placement.
-        among_busy: Whether targets with full queues count too.
 
     Returns:
         Its address, or None if no untried one accepts.
@@ -77,8 +90,8 @@
     found = None
     least = frames.NOT_ACCEPTING
     for address, load in placement.load_by_address.items():
-        if not among_busy and address in placement.busy:
+        if address in placement.busy or address in placement.tried:
             continue
-        if load < least and address not in placement.tried:
+        if load < least:
             found, least = address, load
     return found
--- a/clementinelead/relays/routes.py
+++ b/clementinelead/relays/routes.py
@@ -8,6 +8,12 @@
 
 __all__ = ["EMPTY", "Route", "RoutingTable", "Share"]
 
+DEFAULT_OBJECTIVE_MS = 200
+"""Latency objective of a route that names none, milliseconds."""
+
+DEFAULT_TIMEOUT_MS = 1_000
+"""Time budget of a route that names none, milliseconds."""
+
 _SPLIT_SEED = 0x53
 
 
@@ -32,11 +38,15 @@
         name: Name of the route, for logs.
         address: The address as the packet format's keys spell it.
         shares: Services that take the new flows, at least one.
+        objective_ms: Latency objective of its requests, milliseconds.
+        timeout_ms: Time after which a caller gives up, milliseconds.
     """
 
     name: str
     address: bytes
     shares: tuple[Share, ...]
+    objective_ms: int = DEFAULT_OBJECTIVE_MS
+    timeout_ms: int = DEFAULT_TIMEOUT_MS
 
     def service(self, key: bytes) -> str:
         """Returns the service of a new flow, the same at all balancers.
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -157,7 +157,7 @@
         """Begins to place a new flow."""
         key = segment.key
         pending = self._placement_by_key.get(key)
-        if pending is not None and now - pending.begun < placing.MAX_AGE_S:
+        if pending is not None:
             self.counts.add("opening_repeated")
             return []
         route = self._by_address.get(self._format.service_address(key))
@@ -168,6 +168,7 @@
             return [self._refuse(segment, "no route", {})]
         service = route.service(key)
         placement = placing.Placement(
+            route=route,
             service=service,
             number=frames.service_number(service),
             packet=data,
@@ -203,7 +204,12 @@
             if not chosen or self._responsive.retry_due(target.address, now)
         ]
         asked: list[outcomes.Outcome] = []
-        message = frames.encode(_Kind.ASK_LOAD, placement.number, key)
+        message = frames.encode(
+            _Kind.ASK_LOAD,
+            placement.number,
+            key,
+            value=placement.route.objective_ms,
+        )
         for target in chosen + due[:1]:
             placement.waiting.add(target.address)
             self._responsive.asked(target.address, now)
@@ -230,8 +236,7 @@
         self, key: bytes, placement: placing.Placement, now: float
     ) -> list[outcomes.Outcome]:
         """Sends the opening packet to the best target that has answered."""
-        held = now - placement.begun >= placing.HOLD_S
-        address = placing.best(placement, among_busy=held)
+        address = placing.best(placement)
         if address is None:
             return self._decide_later(key, placement, now)
         placement.chosen = address
@@ -261,7 +266,8 @@
         placement.load_by_address.clear()
         placement.tried.clear()
         placement.busy.clear()
-        placement.deadline = now + placing.HOLD_STEP_S
+        placement.deadline = now + placement.hold_s
+        placement.hold_s *= placing.HOLD_GROWTH
         return []
 
     def _may_come(self, placement: placing.Placement) -> bool:
@@ -282,7 +288,7 @@
             self.counts.add("placed")
         flow = self._cache.by_key.get(frame.key)
         if flow is None or flow.closing:
-            owners = [(source, frame.value)]
+            owners: list[tuple[_Address, int | None]] = [(source, frame.value)]
             cached = flow_cache.CachedFlow(frame.service, owners, now, now)
             self._cache.put(frame.key, cached)
         elif not flow.settled:
@@ -566,7 +572,7 @@
     def _overdue_placement(
         self, key: bytes, placement: placing.Placement, now: float
     ) -> list[outcomes.Outcome]:
-        if now - placement.begun >= placing.MAX_AGE_S:
+        if placement.overdue(now):
             return self._give_up(key, placement, now)
         if placement.chosen is not None:
             self.counts.add("accept_overdue")
--- a/clementinelead/relays/workload.py
+++ b/clementinelead/relays/workload.py
@@ -10,12 +10,15 @@
 SMOOTHING_S = 2.0
 """Time constant of the utilisation; feeds ask about once a second."""
 
-MAX_QUEUE = 3
-"""Requests that may wait at a target before new flows had better wait.
+BUSY_SHARE = 0.75
+"""Share of a route's latency objective that a target may need itself.
 
-Targets queue only a few requests and turn others away unserved.
+The rest goes to the network, the handshake and the spread of service times.
 """
 
+COLD_FACTOR = 1.6
+"""How much longer work takes at a target that has just started."""
+
 MAX_UTILISATION = 0.9
 """Above it the expected time would grow without bound."""
 
@@ -37,6 +40,7 @@
             started: Present time, seconds.
         """
         self.estimate = loads.LoadEstimate(loads.Limits(), started)
+        self._cold_until = started
         self._utilisation = 0.0
         self._updated = started
 
@@ -48,22 +52,36 @@
             warmup_s: Time that it stays slow, seconds.
             now: Present time, seconds.
         """
-        self.estimate.limits = loads.Limits(
-            slots=max(1, slots), cold_start_s=warmup_s
-        )
-        self.estimate.started = now
+        # A cold target has all its slots, and is only slower.
+        limits = loads.Limits(slots=max(1, slots), cold_start_s=0.0)
+        self.estimate.limits = limits
+        self._cold_until = now + warmup_s
 
     def load_ms(self, now: float) -> int:
         """Returns when a flow that comes now would be done, milliseconds."""
         self._update(now)
         rest = 1.0 - min(MAX_UTILISATION, self._utilisation)
-        return min(_MAX_LOAD_MS, int(self.estimate.completion_ms(now) / rest))
+        return min(_MAX_LOAD_MS, int(self.completion_ms(now) / rest))
+
+    def completion_ms(self, now: float) -> float:
+        """Returns when work that comes now would be done, milliseconds."""
+        completion = float(self.estimate.completion_ms(now))
+        return (
+            completion * COLD_FACTOR if now < self._cold_until else completion
+        )
+
+    def busy(self, objective_ms: int, now: float) -> bool:
+        """Tells whether a new flow had better wait, or go elsewhere.
 
-    @property
-    def busy(self) -> bool:
-        """Whether a new flow had better wait elsewhere."""
-        estimate = self.estimate
-        return estimate.working >= estimate.limits.slots + MAX_QUEUE
+        A target with a free slot is never busy, however slow it is.
+
+        Args:
+            objective_ms: Latency objective of the flow's route, milliseconds.
+            now: Present time, seconds.
+        """
+        if self.estimate.wait_s(now) <= 0:
+            return False
+        return self.completion_ms(now) > BUSY_SHARE * objective_ms
 
     def opened(self, now: float) -> int:
         """Counts a new flow with work; returns what was under way before."""
