--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy clementinelead standins bench specs
+	$(BIN)/lint-imports
 
 demo: setup
 	$(BIN)/python -m bench.demo
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -34,8 +34,17 @@
 STOP_MARGIN_S = 1.0
 """Time left for the end of a process, seconds."""
 
-_LEAVING_KEPT_S = 8.0
-"""Time that a side process which stops is still asked for flows, seconds."""
+VIEW_S = 1.5
+"""Time after joining in which all side processes make themselves known.
+
+Processes that start together join within about a second.
+"""
+
+DEATH_S = 20.0
+"""Time in which a process that was declared dead may come back, seconds.
+
+Cuts and freezes last a few seconds; until then its flows are not given up.
+"""
 
 
 class RelayBalancer:
@@ -74,7 +83,7 @@
         self._stopping = False
         self._last_packet = 0.0
         self._tick_scheduled = False
-        self._left_at_by_id: dict[str, float] = {}
+        self._settling = False
         self._loop: asyncio.AbstractEventLoop
         self._callers: datagrams.DatagramSocket
         self._peers: datagrams.DatagramSocket
@@ -168,12 +177,9 @@
     def on_tick(self, now: float) -> None:
         """Lets time pass for the decisions."""
         self._send(self.steering.on_tick(now))
-        for identifier, left_at in list(self._left_at_by_id.items()):
-            if now - left_at > _LEAVING_KEPT_S:
-                del self._left_at_by_id[identifier]
-                record = self.node.gossiper.table.by_id.get(identifier)
-                if record is not None:
-                    self._update_targets(record.services)
+        if self.node.joined and not self._settling:
+            self._settling = True
+            self.steering.view_changed(now + VIEW_S)
 
     def on_routes(self, table: routes.RoutingTable, now: float) -> None:
         """Puts new routes in force."""
@@ -189,10 +195,8 @@
             services.update(record.services)
             if change.old is not None:
                 services.update(change.old.services)
-            if record.state is records.State.LEAVING:
-                self._left_at_by_id[record.id] = now
-            else:
-                self._left_at_by_id.pop(record.id, None)
+            if record.health is records.Health.DEAD:
+                self.steering.view_changed(now + DEATH_S)
             loguru.logger.bind(
                 member=record.id,
                 state=record.state.name.lower(),
@@ -210,20 +214,13 @@
         for record in self.node.gossiper.table.by_id.values():
             if record.role is not records.Role.SIDE:
                 continue
-            if not self._may_hold_flows(record):
+            if members.ended(record):
                 continue
             for service in by_service.keys() & set(record.services):
                 by_service[service].append(_target(record))
         for service, targets in by_service.items():
             self.steering.set_targets(service, tuple(targets))
 
-    def _may_hold_flows(self, record: records.Record) -> bool:
-        if record.health is records.Health.DEAD:
-            return False
-        if record.state is records.State.LEAVING:
-            return record.id in self._left_at_by_id
-        return True
-
 
 def _target(record: records.Record) -> candidates.Target:
     return candidates.Target(
--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -26,6 +26,12 @@
 Open feeds go on when the process is back; requests mostly end sooner.
 """
 
+UNHEARD_S = 4.0
+"""Time after a start without a heartbeat after which there is no target.
+
+Targets announce themselves about once a second.
+"""
+
 LINGER_STEP_S = 0.05
 RETURN_TICK_S = 0.01
 
@@ -71,8 +77,13 @@
         )
         log = decision_log.DecisionLog(packet_format)
         self.holding = holding.Holding(
-            packet_format, service, log.report, time.monotonic()
+            packet_format,
+            service,
+            log.report,
+            time.monotonic(),
+            time.time_ns() // 1_000_000,
         )
+        self._started = time.monotonic()
         self._announced = records.State.COLD
         self._tick_scheduled = False
         self._loop: asyncio.AbstractEventLoop
@@ -120,7 +131,7 @@
     async def _linger(self) -> None:
         """Takes no new flow, and waits for the work under way."""
         self.holding.leaving = True
-        gone = self.holding.lifecycle.state in ("leaving", "dead")
+        gone = self._target_gone()
         loguru.logger.bind(
             flows=self.holding.flows, working=self.holding.working, gone=gone
         ).info("draining")
@@ -131,6 +142,16 @@
             if self.holding.working == 0:
                 return
 
+    def _target_gone(self) -> bool:
+        """Tells whether the target has ended, as far as one can know.
+
+        A target that has never announced itself does not live.
+        """
+        lifecycle = self.holding.lifecycle
+        if lifecycle.current is None:
+            return time.monotonic() - self._started > UNHEARD_S
+        return lifecycle.state in ("leaving", "dead")
+
     # What the target says of itself.
 
     def heartbeat(
@@ -165,8 +186,11 @@
     def _announce(self) -> None:
         """Tells the others of a changed state."""
         state = _STATE_BY_NAME[self.holding.lifecycle.state]
+        # LEAVING says that the target has no flows any more; a process that
+        # is to be replaced beside a living target must not say so.
         if self.holding.leaving:
-            state = records.State.LEAVING
+            gone = self._target_gone()
+            state = records.State.LEAVING if gone else records.State.DRAINING
         if state is self._announced or not self.node.gossiper.announced:
             return
         self._announced = state
--- a/clementinelead/relays/announcements.py
+++ b/clementinelead/relays/announcements.py
@@ -72,7 +72,7 @@
         """
         self.service = service
         self.current: Announcement | None = None
-        charts.machine("target", self)
+        self._machine = charts.machine("target", self)
 
     @property
     def accepting(self) -> bool:
@@ -112,7 +112,7 @@
         return Verdict.CHANGED
 
     def _restart(self, draining: bool) -> None:
-        charts.machine("target", self)
+        self._machine.set_state(str(self._machine.initial))
         self._move(draining)
 
     def _move(self, draining: bool) -> Verdict:
--- a/clementinelead/relays/holding.py
+++ b/clementinelead/relays/holding.py
@@ -25,6 +25,12 @@
 Flows older than this, or idle for as long, may be discarded.
 """
 
+BORN_MARGIN_MS = 1_000
+"""How much older than this process a target may be and still have no flows.
+
+Machine and target get power at the same time; this process starts later.
+"""
+
 RESERVED_S = 0.25
 """Time that work is expected for after a flow has opened, seconds."""
 
@@ -105,6 +111,7 @@
         service: str,
         report: collections.abc.Callable[[outcomes.Decision], None],
         now: float,
+        started_ms: int,
     ):
         """Starts without a target.
 
@@ -113,6 +120,7 @@
             service: Name of the service that the target is to serve.
             report: Gets each decision for the log.
             now: Present time, seconds.
+            started_ms: Start of this process, milliseconds since 1970.
         """
         self.lifecycle = announcements.TargetLifecycle(service)
         self.work = workload.Workload(now)
@@ -126,6 +134,7 @@
         self._opener_by_key: dict[bytes, tuple[_Address, float]] = {}
         self._reserved_until: dict[bytes, float] = {}
         self._probe_by_key: dict[bytes, tuple[_Address, float]] = {}
+        self._started_ms = started_ms
         self._learned_at = now + LEARNING_S
         self._next_expiry = now
 
@@ -161,7 +170,8 @@
             self.work.configure(announcement.slots, announcement.warmup_s, now)
             if known is not None:
                 self._forget_flows(now)
-            if known is not None or announcement.sequence <= 1:
+            fresh = announcement.born >= self._started_ms - BORN_MARGIN_MS
+            if known is not None or announcement.sequence <= 1 or fresh:
                 self._learned_at = now
         return verdict
 
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -16,6 +16,18 @@
 UNKNOWN_S = 0.25
 """Time that a flow counts as unknown after a search in vain, seconds."""
 
+MAX_PROBES = 8
+"""Targets that a packet is handed to at most, first in rendezvous order.
+
+A flow is nearly always placed on one of the first.
+"""
+
+MAX_ASKED = 200
+"""Side processes up to which all are asked, whatever service they are for.
+
+Only then can a flow be said to be nowhere.
+"""
+
 MAX_PACKETS = 8
 """Packets of a flow kept while it is searched for."""
 
@@ -36,6 +48,8 @@
             the flow.
         probed: The address whose target has been handed the first packet.
         absent: How many have said that they do not hold it.
+        probes: Targets that have been handed the first packet.
+        complete: Whether all side processes were asked and have answered.
     """
 
     packets: list[bytes]
@@ -45,3 +59,5 @@
     unsure: list[tuple[tuple[str, int], int]]
     probed: tuple[str, int] | None = None
     absent: int = 0
+    probes: int = 0
+    complete: bool = True
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -66,6 +66,7 @@
         self._unknown_until: dict[bytes, float] = {}
         self._queries: dict[tuple[_Address, int], list[bytes]] = {}
         self._queries_due = float("inf")
+        self._resets_from = float("inf")
         self._next_expiry = 0.0
 
     # What the process learns.
@@ -102,6 +103,16 @@
                 self._responsive.forget(target.address)
         self._targets_by_service[service] = targets
 
+    def view_changed(self, settled_at: float) -> None:
+        """Notes that some side process may not be known until a time.
+
+        Args:
+            settled_at: When all will be known again, seconds.
+        """
+        if self._resets_from == float("inf"):
+            self._resets_from = settled_at
+        self._resets_from = max(self._resets_from, settled_at)
+
     @property
     def flows(self) -> int:
         """Flows in the cache."""
@@ -369,40 +380,54 @@
         if len(self._search_by_key) >= searching.MAX_SEARCHES:
             self.counts.add("searches_full")
             return []
-        targets = self._possible_owners(key, now)
-        if not targets:
+        owners, complete = self._possible_owners(key)
+        if not owners:
             self.counts.add("unknown_service")
             return []
         search = searching.Search(
             packets=[data],
             begun=now,
             deadline=now + searching.QUERY_DELAY_S + searching.ANSWER_S,
-            waiting={address for address, _ in targets},
+            waiting={address for address, _ in owners},
             unsure=[],
+            complete=complete,
         )
         self._search_by_key[key] = search
-        for target in targets:
-            self._queries.setdefault(target, []).append(key)
+        for owner in owners:
+            self._queries.setdefault(owner, []).append(key)
         due = now + searching.QUERY_DELAY_S
         self._queries_due = min(self._queries_due, due)
         self.counts.add("searches")
         return []
 
     def _possible_owners(
-        self, key: bytes, now: float
-    ) -> list[tuple[_Address, int]]:
-        """Returns addresses of side processes and their services' numbers."""
-        address = self._format.service_address(key)
-        route = self._by_address.get(address)
-        if route is None and address in self._retired:
-            route = self._retired[address][0]
-        if route is None:
-            return []
-        return [
-            (target.address, frames.service_number(share.service))
-            for share in route.shares
-            for target in self._targets_by_service.get(share.service, ())
+        self, key: bytes
+    ) -> tuple[list[tuple[_Address, int]], bool]:
+        """Returns who may hold a flow, and whether that is everybody.
+
+        A flow may be older than its route is as it is now, so all side
+        processes are asked unless they are too many.
+
+        Returns:
+            Addresses of side processes with their services' numbers, and
+            whether they are all that are known.
+        """
+        services = set(self._targets_by_service)
+        count = sum(map(len, self._targets_by_service.values()))
+        complete = count <= searching.MAX_ASKED
+        if not complete:
+            address = self._format.service_address(key)
+            route = self._by_address.get(address)
+            if route is None and address in self._retired:
+                route = self._retired[address][0]
+            shares = route.shares if route is not None else ()
+            services = {share.service for share in shares}
+        owners = [
+            (target.address, frames.service_number(service))
+            for service in services
+            for target in self._targets_by_service.get(service, ())
         ]
+        return owners, complete
 
     def _flush_queries(self, now: float) -> list[outcomes.Outcome]:
         sends: list[outcomes.Outcome] = []
@@ -449,9 +474,10 @@
             if search is None or source not in search.waiting:
                 continue
             search.waiting.discard(source)
-            search.absent += 1
             if frame.kind is _Kind.UNSURE:
                 search.unsure.append((source, frame.service))
+            else:
+                search.absent += 1
             if not search.waiting:
                 sends.extend(self._probe_next(key, search, now))
         return sends
@@ -460,18 +486,51 @@
         self, key: bytes, search: searching.Search, now: float
     ) -> list[outcomes.Outcome]:
         """Hands the first packet to the next target that may hold the flow."""
+        if search.probes >= searching.MAX_PROBES and search.unsure:
+            search.complete = False
+            search.unsure.clear()
         if not search.unsure:
-            del self._search_by_key[key]
-            self._unknown_until[key] = now + searching.UNKNOWN_S
-            self._report_search(key, search, "not found", None, now)
-            return []
+            return self._end_search(key, search, now)
+        if search.probed is None:
+            self._rank(key, search)
         address, number = search.unsure.pop(0)
         search.probed = address
+        search.probes += 1
         search.deadline = now + searching.PROBE_S
         self._responsive.asked(address, now)
         message = frames.encode(_Kind.PROBE, number, key, search.packets[0])
         return [outcomes.ToPeer(address, message)]
 
+    def _rank(self, key: bytes, search: searching.Search) -> None:
+        """Puts the likely owners of a flow first."""
+        place_by_address = {
+            target.address: place
+            for targets in self._targets_by_service.values()
+            for place, target in enumerate(candidates.ranked(key, targets))
+        }
+        last = len(place_by_address)
+        search.unsure.sort(key=lambda one: place_by_address.get(one[0], last))
+
+    def _end_search(
+        self, key: bytes, search: searching.Search, now: float
+    ) -> list[outcomes.Outcome]:
+        """Gives up a search; resets a flow that surely nobody holds.
+
+        Its target has died, and the caller can try again at once. If anybody
+        has not answered, or somebody may not be known, there is silence.
+        """
+        del self._search_by_key[key]
+        segment = self._format.from_caller(search.packets[0])
+        assert segment is not None, "a search's packet was parsed before"
+        nowhere = search.complete and now >= self._resets_from
+        if nowhere and not segment.resets:
+            self._report_search(key, search, "reset", None, now)
+            reset = self._format.reset(segment)
+            return [outcomes.ToCaller(self._format.caller(key), reset)]
+        self._unknown_until[key] = now + searching.UNKNOWN_S
+        self._report_search(key, search, "not found", None, now)
+        return []
+
     def _on_not_held(
         self, frame: frames.Frame, source: _Address, now: float
     ) -> list[outcomes.Outcome]:
@@ -480,6 +539,7 @@
         if search is not None:
             if search.probed != source:
                 return []
+            search.absent += 1
             return self._probe_next(frame.key, search, now)
         flow = self._cache.by_key.get(frame.key)
         if flow is not None:
@@ -583,6 +643,7 @@
     def _overdue_search(
         self, key: bytes, search: searching.Search, now: float
     ) -> list[outcomes.Outcome]:
+        search.complete = False
         search.waiting.clear()
         return self._probe_next(key, search, now)
 
