Outrank a predecessor whose clock was ahead; settle the view before resets

Cause: clocks went back 8 s while all balancers were restarted. Their records had lower incarnations than their predecessors', so the side processes ignored them, and the seeds, all balancers, knew nobody: they served nothing for 6 s. When the first side processes got through, a balancer took them for all there are and reset a flow of another one. Ruled out: the side process denying a flow that it held. Change: who gets a message with a lower incarnation than it knows sends the known record back, and the process raises its own above it; after each side process that was not known before, no flow is reset for 5 s.

--- a/clementinelead/memberships/gossip.py
+++ b/clementinelead/memberships/gossip.py
@@ -181,6 +181,7 @@
             sends.extend(answer)
             if change is not None:
                 changes.append(change)
+        sends.extend(self.correction(control, source))
         self._heard(control, now)
         match control.body:
             case controls.Ping(probe):
@@ -191,6 +192,23 @@
                 sends.extend(self._help(probe, subject, source, now))
         return sends, changes
 
+    def correction(
+        self, control: controls.Control, source: tuple[str, int]
+    ) -> list[Send]:
+        """Tells a sender of a predecessor's record that outranks its own.
+
+        Its clock has been set back; unless it raises its incarnation, nobody
+        listens to it.
+
+        Args:
+            control: An authentic message.
+            source: Address that it came from.
+        """
+        known = self.table.by_id.get(control.sender)
+        if known is None or known.incarnation <= control.incarnation:
+            return []
+        return [Send(source, (known,), controls.Nothing())]
+
     def merge(
         self, several: tuple[records.Record, ...], now: float
     ) -> list[members.Change]:
@@ -325,8 +343,14 @@
         if not self.announced or record.version <= self.own.version:
             return [], None
         if record.incarnation > self.own.incarnation:
-            self.duplicate_identifier = True
-            return [], None
+            if record.address != self.own.address:
+                self.duplicate_identifier = True
+                return [], None
+            # The record of a predecessor: the clock has been set back since.
+            self.own = dataclasses.replace(
+                self.own, incarnation=record.incarnation + 1
+            )
+            return self.announce(now)
         self.own = dataclasses.replace(self.own, sequence=record.sequence)
         return self.announce(now)
 
--- a/clementinelead/processes/control_channel.py
+++ b/clementinelead/processes/control_channel.py
@@ -122,6 +122,8 @@
             control.sender, control.incarnation, control.counter
         ):
             self.counters.add(authentication.Rejection.REPLAYED.value)
+            for message in self._gossiper.correction(control, source):
+                self.send(message)
             return
         self.counters.add("received")
         self.counters.add("received_bytes", len(data))
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -34,10 +34,11 @@
 STOP_MARGIN_S = 1.0
 """Time left for the end of a process, seconds."""
 
-VIEW_S = 1.5
-"""Time after joining in which all side processes make themselves known.
+VIEW_S = 5.0
+"""Time in which all side processes are known, counted from the join.
 
-Processes that start together join within about a second.
+It begins anew when one appears that was not known: then more may follow.
+Processes that start together know each other within one or two seconds.
 """
 
 DEATH_S = 20.0
@@ -195,8 +196,8 @@
             services.update(record.services)
             if change.old is not None:
                 services.update(change.old.services)
-            if record.health is records.Health.DEAD:
-                self.steering.view_changed(now + DEATH_S)
+            if self._settling:
+                self._unsettle(change, now)
             loguru.logger.bind(
                 member=record.id,
                 state=record.state.name.lower(),
@@ -207,6 +208,13 @@
             ).info("member changed")
         self._update_targets(tuple(services))
 
+    def _unsettle(self, change: members.Change, now: float) -> None:
+        """Puts off resets while flows may be where nobody can be asked."""
+        if change.new.health is records.Health.DEAD:
+            self.steering.view_changed(now + DEATH_S)
+        elif change.old is None:
+            self.steering.view_changed(now + VIEW_S)
+
     def _update_targets(self, services: tuple[str, ...]) -> None:
         by_service: dict[str, list[candidates.Target]] = {
             service: [] for service in services
--- /dev/null
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -0,0 +1,117 @@
+import dataclasses
+
+import pytest
+
+from clementinelead.memberships import records
+from clementinelead.processes import relay_balancer
+from clementinelead.processes import relay_settings
+from clementinelead.processes import route_watch
+from clementinelead.relays import frames
+from clementinelead.relays import outcomes
+from clementinelead.relays import routes
+from clementinelead.relays.tests import network
+
+ROUTE = routes.Route(
+    "r", network.ROUTE_ADDRESS, (routes.Share(network.SERVICE, 1),)
+)
+SIDE = records.Record(
+    id="side0",
+    incarnation=1,
+    sequence=1,
+    role=records.Role.SIDE,
+    state=records.State.READY,
+    region="r",
+    zone="z",
+    address="10.0.0.2",
+    data_port=1,
+    control_port=2,
+    http_port=3,
+    services=(network.SERVICE,),
+)
+
+
+class NoSource:
+    async def next(self):
+        return route_watch.Unchanged()
+
+
+@pytest.fixture(name="balancer")
+def _balancer():
+    settings = relay_settings.RelaySettings(
+        id="b",
+        cluster="test",
+        region="r",
+        zone="z",
+        address="127.0.0.1",
+        data_port=1,
+        control_port=2,
+        http_port=3,
+        metrics_port=0,
+        seeds=(),
+        stop_s=1.0,
+    )
+    balancer = relay_balancer.RelayBalancer(
+        settings, ("127.0.0.1", 4), network.Format(), NoSource()
+    )
+    balancer.node.adopt(routes.RoutingTable(1, (ROUTE,), 60.0), "test")
+    return balancer
+
+
+def _learn(balancer, record, now):
+    change = balancer.node.gossiper.table.merge(record, now)
+    balancer.on_members([change], now)
+
+
+def _resets_after_denial(balancer, now):
+    """Lets the only side process deny a flow; counts the resets."""
+    key = network.flow_key(int(now * 1000))
+    balancer.steering.on_packet(network.packet(key, length=10), now)
+    balancer.steering.on_tick(now + 0.01)
+    denial = frames.encode(
+        frames.Kind.ABSENT, frames.service_number(network.SERVICE), key, key
+    )
+    sends = balancer.steering.on_frame(denial, SIDE.data_address, now + 0.02)
+    return sum(isinstance(send, outcomes.ToCaller) for send in sends)
+
+
+def _joined_with(balancer, now):
+    _learn(balancer, SIDE, now)
+    balancer.node.joined = True
+    balancer.on_tick(now)
+
+
+def test_denied_flow_is_reset_when_the_view_is_old_enough(balancer):
+    _joined_with(balancer, 100.0)
+    late = 100.0 + relay_balancer.VIEW_S + 0.1
+    assert _resets_after_denial(balancer, late) == 1
+
+
+def test_no_reset_soon_after_joining(balancer):
+    _joined_with(balancer, 100.0)
+    assert _resets_after_denial(balancer, 103.0) == 0
+
+
+def test_no_reset_while_more_side_processes_may_appear(balancer):
+    _joined_with(balancer, 100.0)
+    other = dataclasses.replace(SIDE, id="side1", address="10.0.0.3")
+    _learn(balancer, other, 110.0)
+    gone = dataclasses.replace(other, sequence=2, state=records.State.LEAVING)
+    _learn(balancer, gone, 110.1)
+    assert _resets_after_denial(balancer, 111.0) == 0
+
+
+def test_no_reset_soon_after_a_death(balancer):
+    _joined_with(balancer, 100.0)
+    other = dataclasses.replace(SIDE, id="side1", address="10.0.0.3")
+    _learn(balancer, other, 101.0)
+    dead = dataclasses.replace(other, health=records.Health.DEAD)
+    _learn(balancer, dead, 110.0)
+    assert _resets_after_denial(balancer, 120.0) == 0
+
+
+def test_process_without_routes_is_not_ready(balancer):
+    assert not balancer.ready
+    balancer.node.joined = True
+    assert balancer.ready
+    balancer.node.table = routes.EMPTY
+    assert not balancer.ready
--- a/clementinelead/processes/tests/test_relay_node.py
+++ b/clementinelead/processes/tests/test_relay_node.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import socket
 import time
 
@@ -139,21 +140,21 @@
         assert listener.versions == sorted(listener.versions)
 
 
+def _ahead(record, milliseconds):
+    """Returns the record of a predecessor whose clock was ahead."""
+    return dataclasses.replace(
+        record,
+        incarnation=record.incarnation + milliseconds,
+        sequence=40,
+        state=records.State.READY,
+    )
+
+
 def test_process_whose_clock_went_back_outranks_its_predecessor():
     ports = _free_ports()
     first, _ = _node(2, ports, ())
     second, _ = _node(3, ports, ("127.0.0.2",), name="again")
-    predecessor = second.gossiper.own
-    ahead = type(predecessor)(
-        **{
-            **{
-                name: getattr(predecessor, name)
-                for name in predecessor.__dataclass_fields__
-            },
-            "incarnation": predecessor.incarnation + 5_000,
-            "sequence": 40,
-        }
-    )
+    ahead = _ahead(second.gossiper.own, 5_000)
     first.gossiper.merge((ahead,), time.monotonic())
 
     async def check():
@@ -163,3 +164,22 @@
         )
 
     asyncio.run(_run([first, second], check))
+
+
+def test_members_find_a_process_whose_clock_went_back_and_knows_nobody():
+    ports = _free_ports()
+    first, _ = _node(2, ports, ())
+    second, _ = _node(3, ports, ("127.0.0.9",), name="again")
+    ahead = _ahead(second.gossiper.own, 8_000)
+    first.gossiper.merge((ahead,), time.monotonic())
+
+    async def check():
+        await _eventually(
+            lambda: (
+                first.gossiper.table.by_id["again"].version > ahead.version
+                and not second.alone
+            ),
+            3 * JOIN_BOUND_S,
+        )
+
+    asyncio.run(_run([first, second], check))
