--- /dev/null
+++ b/bench/soak/world.py
@@ -0,0 +1,180 @@
+"""All parts of a soak on one machine."""
+
+import asyncio
+import dataclasses
+import pathlib
+import random
+import typing
+
+from bench import ports as ports_module
+from bench.soak import audit as audit_module
+from bench.soak import callers
+from bench.soak import programs
+from bench.soak import router as router_module
+from bench.soak import store as store_module
+from bench.soak import targets as targets_module
+
+__all__ = ["Sizes", "World"]
+
+SERVICES = ("lookups", "exports")
+ROUTES = (("198.18.0.1", 443), ("198.18.0.2", 80))
+_MODULE = "clementinelead.platform"
+_PORT_NAMES = ("datagrams", "ready", "control", "outbound", "app", "store")
+
+
+@dataclasses.dataclass(frozen=True)
+class Sizes:
+    """How many of each part there are."""
+
+    balancers: int = 3
+    targets: int = 6
+    callers: int = 24
+
+
+class World:
+    """Starts and stops all parts."""
+
+    def __init__(self, folder: pathlib.Path, sizes: Sizes, seed: int):
+        self.random = random.Random(seed)
+        self.audit = audit_module.Audit()
+        self.sizes = sizes
+        self._folder = folder
+        self._network = ports_module.loopback().rsplit(".", 1)[0]
+        picked = ports_module.Ports()
+        first = self._address(1)
+        self.ports = {name: picked.pick(first) for name in _PORT_NAMES}
+        self._inner = picked.pick(first)
+        self.store = store_module.Store()
+        self.balancers = [
+            self._program("balancer", number, self._address(1 + number))
+            for number in range(sizes.balancers)
+        ]
+        self.sides = [
+            self._program("side", number, self._address(50 + number))
+            for number in range(sizes.targets)
+        ]
+        self.targets = [
+            targets_module.Target(
+                f"t{number}",
+                SERVICES[number % 3 // 2],
+                self._address(50 + number),
+                self.ports,
+                self.audit,
+                self.random,
+            )
+            for number in range(sizes.targets)
+        ]
+        self.router = router_module.Router(
+            [self._address(1 + number) for number in range(sizes.balancers)],
+            self.ports,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._idle_routes = 0
+
+    def _address(self, number: int) -> str:
+        return f"{self._network}.{number}"
+
+    def _program(
+        self, role: str, number: int, address: str
+    ) -> programs.Program:
+        name = f"{role}{number}"
+        path = self._folder / f"{name}.toml"
+        seeds = [
+            f'"{self._address(1 + seed)}:{self.ports["control"]}"'
+            for seed in range(min(3, self.sizes.balancers))
+        ]
+        ports = {key: f'"{address}:{port}"' for key, port in self.ports.items()}
+        store = f'"{self._address(240)}:{self.ports["store"]}"'
+        service = SERVICES[number % 3 // 2]
+        lines = [
+            f'node_name = "{name}"',
+            f'ip = "{address}"',
+            f'zone = "z{number % 2}"',
+            'region = "r"',
+            f"internal_ports = [{self._inner}, {self._inner + 5}]",
+            f"seeds = [{', '.join(seeds)}]",
+        ]
+        if role == "side":
+            lines += [f"app = {ports['app']}", f'service = "{service}"']
+        lines += ["[listen]", f"datagram_addr = {ports['datagrams']}"]
+        lines += [f"ready = {ports['ready']}", f"control = {ports['control']}"]
+        if role == "side":
+            lines.append(f"outbound = {ports['outbound']}")
+        lines += ["[bounds]", "grace_s = 6", "[platform]", f"address = {store}"]
+        path.write_text("\n".join(lines) + "\n")
+        return programs.Program(f"{_MODULE}.{role}", name, path)
+
+    def change_config(self) -> None:
+        """Puts a new version with one more idle route, or without them."""
+        self._idle_routes = (self._idle_routes + 1) % 4
+        routes = [
+            {
+                "name": f"r{number}",
+                "host": host,
+                "prefix": f"/{port}/",
+                "service": SERVICES[number],
+                "target_latency_ms": 100,
+                "timeout_ms": 1000,
+            }
+            for number, (host, port) in enumerate(ROUTES)
+        ]
+        routes += [
+            {
+                **routes[0],
+                "name": f"idle{number}",
+                "prefix": f"/{9000 + number}/",
+            }
+            for number in range(self._idle_routes)
+        ]
+        version = self.store.version + self.random.randint(1, 4)
+        self.store.put(version, {"routes": routes, "services": []})
+
+    async def start(self) -> None:
+        """Starts everything, in no particular order."""
+        self.change_config()
+        self._runner = await self.store.start(
+            self._address(240), self.ports["store"]
+        )
+        for program in self.balancers + self.sides:
+            self.spawn(program.run())
+        for target in self.targets:
+            target.start()
+        self.spawn(self.router.run())
+
+    def start_callers(self) -> None:
+        """Lets the callers call."""
+        for number in range(self.sizes.callers):
+            service = 1 if number % 4 == 3 else 0
+            caller = callers.Caller(
+                f"c{number}",
+                self._address(100 + number),
+                self.ports["datagrams"],
+                (*ROUTES[service], SERVICES[service]),
+                self.router,
+                self.holds,
+                self.audit,
+                self.random,
+            )
+            self.spawn(caller.run(feeds=number % 2 == 0))
+
+    def holds(self, flow: tuple[int, int, int, int]) -> bool:
+        """Tells whether a living target holds a flow."""
+        return any(
+            target.serving and flow in target.flows for target in self.targets
+        )
+
+    def spawn(self, coroutine: typing.Coroutine[None, None, None]) -> None:
+        """Runs something until the end of the soak."""
+        self._tasks.append(asyncio.create_task(coroutine))
+
+    async def stop(self) -> None:
+        """Ends everything that this soak has started."""
+        for task in self._tasks:
+            task.cancel()
+        results = await asyncio.gather(*self._tasks, return_exceptions=True)
+        for result in results:
+            if isinstance(result, Exception):
+                self.audit.violate(f"the soak itself failed: {result!r}", 0.0)
+        for target in self.targets:
+            target.crash()
+        await self._runner.cleanup()
--- a/clementinelead/relays/holding.py
+++ b/clementinelead/relays/holding.py
@@ -52,6 +52,9 @@
 TURNED_AWAY_S = 0.002
 """An answer that comes sooner took no work: the target turned it away."""
 
+SLOW_ANSWER_S = 0.1
+"""An answer that takes longer gets a log line, seconds."""
+
 STUCK_WORK_S = 5.0
 """Time after which work without an answer no longer counts, seconds."""
 
@@ -483,6 +486,15 @@
         duration = now - flow.asked
         flow.asked = None
         self.latencies.observe(duration)
+        if duration >= SLOW_ANSWER_S:
+            self._log(
+                "answer",
+                "slow",
+                key,
+                now,
+                duration_ms=round(duration * 1000),
+                ahead=flow.ahead,
+            )
         if duration < TURNED_AWAY_S:
             self.work.released(now)
         else:
@@ -534,7 +546,14 @@
             if until <= now:
                 del self._opener_by_key[key]
 
-    def _log(self, event: str, outcome: str, key: bytes, now: float) -> None:
+    def _log(
+        self,
+        event: str,
+        outcome: str,
+        key: bytes,
+        now: float,
+        **more: object,
+    ) -> None:
         current = self.lifecycle.current
         inputs: dict[str, object] = {
             "state": self.lifecycle.state,
@@ -543,6 +562,8 @@
             "working": self.working,
             "flows": self.flows,
             "service_ms": round(self.work.estimate.service_s * 1000, 1),
+            "load_ms": self.work.load_ms(now),
+            **more,
         }
         self._report(outcomes.Decision(event, outcome, key, inputs))
 
--- a/clementinelead/telemetry/structured.py
+++ b/clementinelead/telemetry/structured.py
@@ -4,6 +4,7 @@
 import datetime
 import json
 import os
+import time
 import typing
 
 import loguru
@@ -13,6 +14,8 @@
 
 __all__ = ["LineWriter", "configure"]
 
+_STARTED = time.monotonic()
+
 MAX_WAITING_BYTES = 1 << 20
 """Lines kept while the reader of the output is slow; then lines are lost."""
 
@@ -93,6 +96,8 @@
     moment = record["time"].astimezone(datetime.UTC)
     content = {
         "time": moment.isoformat(timespec="milliseconds"),
+        # The time of day may jump; this goes on.
+        "uptime_s": round(time.monotonic() - _STARTED, 3),
         "level": record["level"].name,
         "event": record["message"],
         **record["extra"],
