Find peers by contact keys when the seeds are gone; alone is not ready

Up to two balancers a zone hold a key under a lease of 60 s; a process that knows nobody for 1.5 s reads them.

--- a/clementinelead/platform/balancer.py
+++ b/clementinelead/platform/balancer.py
@@ -24,11 +24,13 @@
     except exceptions.SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
+    kept = store.Store(loaded.store)
     balancer = relay_balancer.RelayBalancer(
         loaded.relay,
         loaded.packets,
         packets.PlatformFormat(loaded.caller_port),
-        store.ConfigSource(store.Store(loaded.store)),
+        store.ConfigSource(kept),
+        store.ContactStore(kept),
     )
     sites = []
     if loaded.ready is not None:
--- a/clementinelead/platform/side.py
+++ b/clementinelead/platform/side.py
@@ -8,6 +8,7 @@
 from clementinelead.platform import heartbeats
 from clementinelead.platform import packets
 from clementinelead.platform import settings
+from clementinelead.platform import store
 from clementinelead.processes import http_site
 from clementinelead.processes import lifetime
 from clementinelead.processes import relay_side
@@ -35,6 +36,7 @@
         loaded.target,
         loaded.answers,
         packets.PlatformFormat(loaded.caller_port),
+        store.ContactStore(store.Store(loaded.store)),
     )
     sites = []
     if loaded.control is not None:
--- a/clementinelead/platform/store.py
+++ b/clementinelead/platform/store.py
@@ -2,16 +2,18 @@
 
 import base64
 import binascii
+import ipaddress
 import urllib.parse
 
 import loguru
 import msgspec
 
 from clementinelead.platform import configs
+from clementinelead.processes import contact_keys
 from clementinelead.processes import http_client
 from clementinelead.processes import route_watch
 
-__all__ = ["ConfigSource", "Store"]
+__all__ = ["ConfigSource", "ContactStore", "Store"]
 
 CALL_TIMEOUT_S = 1.5
 """Deadline of a call; the store answers in milliseconds unless it is ill."""
@@ -23,6 +25,8 @@
 time to put a configuration in force.
 """
 
+CONTACT_PREFIX = "clementinelead/contacts/"
+
 _CONFIG_KEY = "op/config"
 _MS_PER_S = 1000
 _OK = 200
@@ -46,6 +50,14 @@
     current_rev: int
 
 
+class _Lease(msgspec.Struct):
+    lease: int
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+
+
 class Store:
     """Calls of the store that this system makes."""
 
@@ -61,6 +73,15 @@
             self._address, "GET", target, b"", timeout_s
         )
 
+    async def post(
+        self, path: str, content: dict[str, object] | None = None
+    ) -> http_client.Answer | http_client.NoAnswer:
+        """Returns the answer to a writing call."""
+        body = msgspec.json.encode(content) if content is not None else b""
+        return await http_client.call(
+            self._address, "POST", path, body, CALL_TIMEOUT_S
+        )
+
 
 class ConfigSource:
     """Follows the operator's configuration with watches."""
@@ -122,6 +143,85 @@
         return _found(values[-1]) if values else route_watch.Unchanged()
 
 
+class ContactStore:
+    """Contact keys of this system in the store."""
+
+    def __init__(self, store: Store):
+        self._store = store
+        self._lease: int | None = None
+
+    async def hold(
+        self, identifier: str, address: str, lease_s: float
+    ) -> contact_keys.Failed | None:
+        """Renews the lease of a holder's key, or takes both anew.
+
+        A call without an answer may have been executed; the key is then there
+        with a lease that nobody renews, and the next call writes it again.
+        """
+        if self._lease is not None:
+            renewed = await self._store.post(f"/kv-keep/{self._lease}")
+            if _succeeded(renewed):
+                return None
+            if isinstance(renewed, http_client.NoAnswer):
+                return contact_keys.Failed(renewed.reason)
+            self._lease = None
+        return await self._take(identifier, address, lease_s)
+
+    async def _take(
+        self, identifier: str, address: str, lease_s: float
+    ) -> contact_keys.Failed | None:
+        ttl_ms = int(lease_s * _MS_PER_S)
+        leased = await self._store.post("/kv-lease", {"ttl_ms": ttl_ms})
+        if isinstance(leased, http_client.NoAnswer) or leased.status != _OK:
+            return contact_keys.Failed(str(leased))
+        try:
+            lease = msgspec.json.decode(leased.body, type=_Lease).lease
+        except msgspec.DecodeError as error:
+            return contact_keys.Failed(f"malformed answer: {error}")
+        value = base64.b64encode(address.encode()).decode()
+        entry = {
+            "key": f"{CONTACT_PREFIX}{identifier}",
+            "value": value,
+            "lease": lease,
+        }
+        content: dict[str, object] = {
+            "expected": [],
+            "writes": [entry],
+            "deletes": [],
+        }
+        written = await self._store.post("/kv-txn", content)
+        if not _succeeded(written):
+            return contact_keys.Failed(str(written))
+        self._lease = lease
+        return None
+
+    async def find(self) -> tuple[str, ...] | contact_keys.Failed:
+        """Returns the addresses that the keys hold, without garbage."""
+        answer = await self._store.get(
+            "/kv-range", CALL_TIMEOUT_S, prefix=CONTACT_PREFIX, allow_stale=1
+        )
+        if isinstance(answer, http_client.NoAnswer) or answer.status != _OK:
+            return contact_keys.Failed(str(answer))
+        try:
+            items = msgspec.json.decode(answer.body, type=_Range).items
+        except msgspec.DecodeError as error:
+            return contact_keys.Failed(f"malformed answer: {error}")
+        found = []
+        for item in items:
+            try:
+                text = base64.b64decode(item.value, validate=True).decode()
+                found.append(str(ipaddress.IPv4Address(text)))
+            except ValueError:
+                loguru.logger.bind(key=item.key).warning(
+                    "contact key holds no address"
+                )
+        return tuple(found)
+
+
+def _succeeded(answer: http_client.Answer | http_client.NoAnswer) -> bool:
+    return isinstance(answer, http_client.Answer) and answer.status == _OK
+
+
 def _found(value: str) -> route_watch.Found | route_watch.Unchanged:
     """Returns the routes of an item's value, if it can be read."""
     try:
--- a/clementinelead/platform/tests/test_heartbeats.py
+++ b/clementinelead/platform/tests/test_heartbeats.py
@@ -4,6 +4,7 @@
 
 from clementinelead.platform import heartbeats
 from clementinelead.platform import packets
+from clementinelead.platform import store
 from clementinelead.platform.tests import settings_files
 from clementinelead.processes import http_site
 from clementinelead.processes import relay_side
@@ -30,6 +31,7 @@
         loaded.target,
         loaded.answers,
         packets.PlatformFormat(loaded.caller_port),
+        store.ContactStore(store.Store(loaded.store)),
     )
     handlers = heartbeats.HeartbeatHandlers(side)
     site = http_site.HttpSite()
--- /dev/null
+++ b/clementinelead/platform/tests/test_store.py
@@ -0,0 +1,201 @@
+import asyncio
+import base64
+import json
+
+import pytest
+
+from clementinelead.platform import store
+from clementinelead.processes import contact_keys
+from clementinelead.processes import http_site
+from clementinelead.processes import route_watch
+
+HOST = "127.0.0.1"
+
+
+class StandIn:
+    """Answers the store's calls from what a test sets."""
+
+    def __init__(self):
+        self.items = {}
+        self.leases = {}
+        self.response = None
+        self.calls = []
+
+    def respond(self, request):
+        self.calls.append((request.method, request.path))
+        if self.response is not None:
+            return self.response
+        content = json.loads(request.body) if request.body else {}
+        handler = getattr(self, request.path.split("/")[1].replace("-", "_"))
+        status, answer = handler(request, content)
+        return http_site.Response(status, json.dumps(answer).encode())
+
+    def put(self, key, value):
+        encoded = base64.b64encode(value).decode()
+        self.items[key] = {"key": key, "value": encoded, "revision": 7}
+
+    def kv_key(self, request, _):
+        item = self.items.get(request.query["key"])
+        return (200, {**item, "current_rev": 9}) if item else (404, {})
+
+    def kv_watch(self, request, _):
+        items = [
+            item
+            for key, item in self.items.items()
+            if key.startswith(request.query["prefix"])
+        ]
+        return 200, {"events": items, "current_rev": 12}
+
+    def kv_range(self, request, _):
+        items = [
+            item
+            for key, item in self.items.items()
+            if key.startswith(request.query["prefix"])
+        ]
+        return 200, {"items": items, "has_more": False, "current_rev": 12}
+
+    def kv_lease(self, _, content):
+        number = len(self.leases) + 1
+        self.leases[number] = content["ttl_ms"]
+        return 200, {"lease": number, "ttl_ms": content["ttl_ms"]}
+
+    def kv_keep(self, request, _):
+        known = int(request.path.rsplit("/", 1)[1]) in self.leases
+        return (200, {"ttl_ms": 1}) if known else (404, {})
+
+    def kv_txn(self, _, content):
+        for entry in content["writes"]:
+            self.items[entry["key"]] = {**entry, "revision": 8}
+        return 200, {"revision": 8}
+
+
+def _run(exchange):
+    async def served():
+        stand_in = StandIn()
+        site = http_site.HttpSite()
+        for method in ("GET", "POST"):
+            site.add(method, "/", stand_in.respond)
+        await site.start(HOST, 0)
+        try:
+            client = store.Store((HOST, site.port))
+            return await exchange(stand_in, client)
+        finally:
+            await site.stop()
+
+    return asyncio.run(served())
+
+
+def _config(version):
+    return json.dumps({"version": version, "routes": []}).encode()
+
+
+def test_configuration_is_read_then_watched():
+    async def exchange(stand_in, client):
+        source = store.ConfigSource(client)
+        stand_in.put("op/config", _config(3))
+        first = await source.next()
+        stand_in.put("op/config", _config(5))
+        return first, await source.next(), stand_in.calls
+
+    first, second, calls = _run(exchange)
+    assert first.table.version == 3
+    assert second.table.version == 5
+    assert [path for _, path in calls] == ["/kv-key", "/kv-watch"]
+
+
+def test_lost_history_leads_to_a_new_read():
+    async def exchange(stand_in, client):
+        source = store.ConfigSource(client)
+        stand_in.put("op/config", _config(3))
+        await source.next()
+        stand_in.response = http_site.Response(410)
+        await source.next()
+        stand_in.response = None
+        stand_in.put("op/config", _config(4))
+        return await source.next()
+
+    assert _run(exchange).table.version == 4
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        http_site.Response(503),
+        http_site.Response(429),
+        http_site.Response(404),
+        http_site.Response(200, b"<html>"),
+        http_site.Response(200, b'{"value": 3, "current_rev": "x"}'),
+    ],
+)
+def test_answers_of_an_ill_store_are_failures(response):
+    async def exchange(stand_in, client):
+        stand_in.response = response
+        return await store.ConfigSource(client).next()
+
+    assert isinstance(_run(exchange), route_watch.Failed)
+
+
+@pytest.mark.parametrize("value", [b"garbage", b'{"version": "x"}', b""])
+def test_value_that_cannot_be_read_changes_nothing(value):
+    async def exchange(stand_in, client):
+        stand_in.put("op/config", value)
+        return await store.ConfigSource(client).next()
+
+    assert isinstance(_run(exchange), route_watch.Unchanged)
+
+
+def test_key_of_somebody_else_is_no_configuration():
+    async def exchange(stand_in, client):
+        source = store.ConfigSource(client)
+        stand_in.put("op/config", _config(3))
+        await source.next()
+        del stand_in.items["op/config"]
+        stand_in.put("op/config-old", _config(9))
+        return await source.next()
+
+    assert isinstance(_run(exchange), route_watch.Unchanged)
+
+
+def test_contact_key_is_taken_then_renewed_then_taken_anew():
+    async def exchange(stand_in, client):
+        keys = store.ContactStore(client)
+        for _ in range(2):
+            assert await keys.hold("b1", "10.0.0.1", 60.0) is None
+        stand_in.leases.clear()
+        assert await keys.hold("b1", "10.0.0.1", 60.0) is None
+        return await keys.find(), stand_in.calls
+
+    found, calls = _run(exchange)
+    assert found == ("10.0.0.1",)
+    assert [path for _, path in calls] == [
+        "/kv-lease",
+        "/kv-txn",
+        "/kv-keep/1",
+        "/kv-keep/1",
+        "/kv-lease",
+        "/kv-txn",
+        "/kv-range",
+    ]
+
+
+def test_contact_keys_with_garbage_name_nobody():
+    async def exchange(stand_in, client):
+        stand_in.put(store.CONTACT_PREFIX + "x", b"\xff\xfe")
+        stand_in.put(store.CONTACT_PREFIX + "y", b"not an address")
+        stand_in.put(store.CONTACT_PREFIX + "z", b"10.0.0.9")
+        return await store.ContactStore(client).find()
+
+    assert _run(exchange) == ("10.0.0.9",)
+
+
+@pytest.mark.parametrize(
+    "response", [http_site.Response(503), http_site.Response(200, b"<html>")]
+)
+def test_contact_keys_of_an_ill_store_are_failures(response):
+    async def exchange(stand_in, client):
+        stand_in.response = response
+        keys = store.ContactStore(client)
+        return await keys.find(), await keys.hold("b1", "10.0.0.1", 60.0)
+
+    for outcome in _run(exchange):
+        assert isinstance(outcome, contact_keys.Failed)
--- a/clementinelead/processes/config_watch.py
+++ b/clementinelead/processes/config_watch.py
@@ -3,43 +3,21 @@
 import asyncio
 
 import loguru
-import xxhash
 
 from clementinelead import exceptions
 from clementinelead.configurations import adoption
 from clementinelead.configurations import models
 from clementinelead.configurations import repositories
-from clementinelead.memberships import records
+from clementinelead.memberships import watchers
 from clementinelead.processes import node as node_module
 
-__all__ = ["ConfigurationWatch", "is_watcher"]
+__all__ = ["ConfigurationWatch"]
 
-WATCHERS_PER_ZONE = 2
 WATCH_WAIT_S = 60.0
 CHECK_INTERVAL_S = 1.0
 MAX_BACKOFF_S = 5.0
 
 
-def is_watcher(own: records.Record, balancers: list[records.Record]) -> bool:
-    """Tells whether a balancer should watch the store.
-
-    The choice needs no agreement: two processes that both think so cost one
-    more call, and if none does, the next view mends it.
-
-    Args:
-        own: Record of this process.
-        balancers: Records of the other living balancers.
-    """
-    score = xxhash.xxh3_64_intdigest(own.id.encode())
-    ahead = [
-        other
-        for other in balancers
-        if other.zone == own.zone
-        and xxhash.xxh3_64_intdigest(other.id.encode()) < score
-    ]
-    return len(ahead) < WATCHERS_PER_ZONE
-
-
 class ConfigurationWatch:
     """Follows the head in the store while this process is a watcher."""
 
@@ -56,7 +34,9 @@
         index = 0
         failures = 0
         while True:
-            if not is_watcher(self._node.gossiper.own, self._node.balancers()):
+            if not watchers.is_watcher(
+                self._node.gossiper.own, self._node.balancers()
+            ):
                 await asyncio.sleep(CHECK_INTERVAL_S)
                 continue
             try:
--- a/clementinelead/processes/contacts.py
+++ b/clementinelead/processes/contacts.py
@@ -10,7 +10,7 @@
 import loguru
 
 from clementinelead import exceptions
-from clementinelead.processes import config_watch
+from clementinelead.memberships import watchers
 from clementinelead.processes import node as node_module
 from clementinelead.settings import models as settings_models
 from clementinelead.stores import protocols
@@ -56,7 +56,7 @@
             exceptions.StoreUnavailableError: The store did not answer.
         """
         own = self._node.gossiper.own
-        if not config_watch.is_watcher(own, self._node.balancers()):
+        if not watchers.is_watcher(own, self._node.balancers()):
             await self.release()
             return
         if self._lease is not None and await self._store.renew(self._lease):
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -7,6 +7,7 @@
 
 from clementinelead.memberships import members
 from clementinelead.memberships import records
+from clementinelead.processes import contact_keys
 from clementinelead.processes import datagrams
 from clementinelead.processes import decision_log
 from clementinelead.processes import http_site
@@ -62,6 +63,7 @@
         callers_address: tuple[str, int],
         packet_format: formats.PacketFormat,
         source: route_watch.RouteSource,
+        keys: contact_keys.ContactKeys,
     ):
         """Prepares the process.
 
@@ -70,6 +72,7 @@
             callers_address: Where the fabric hands over callers' packets.
             packet_format: Format of the packets.
             source: Where new routes come from.
+            keys: Contact keys in the store.
         """
         self._settings = settings
         self._callers_address = callers_address
@@ -81,6 +84,9 @@
             packet_format, log.report, settings.zone
         )
         self._watch = route_watch.RouteWatch(self.node, source)
+        generator = self.node.random
+        self._holder = contact_keys.ContactHolder(self.node, keys, generator)
+        self._finder = contact_keys.ContactFinder(self.node, keys, generator)
         self._stopping = False
         self._last_packet = 0.0
         self._tick_scheduled = False
@@ -102,7 +108,7 @@
     @property
     def ready(self) -> bool:
         """Whether the fabric should hand packets to this process."""
-        if self._stopping or not self.node.joined:
+        if self._stopping or not self.node.joined or self.node.alone:
             return False
         return self.node.table.version > 0
 
@@ -127,6 +133,8 @@
             self._callers.start(self._loop)
             self._peers.start(self._loop)
             self.node.spawn(self._watch.run())
+            self.node.spawn(self._holder.run())
+            self.node.spawn(self._finder.run())
             await stopping.wait()
             await self._drain()
         finally:
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -15,6 +15,7 @@
 from clementinelead.memberships import members
 from clementinelead.memberships import records
 from clementinelead.memberships import repairs
+from clementinelead.memberships import watchers
 from clementinelead.messages import controls
 from clementinelead.processes import control_channel
 from clementinelead.processes import http_client
@@ -137,6 +138,8 @@
         self._stopping = asyncio.Event()
         self._failure: BaseException | None = None
         self._following = False
+        self._started = False
+        self._met = asyncio.Event()
 
     async def start(self, stopping: asyncio.Event) -> None:
         """Opens the sockets and begins to join.
@@ -148,6 +151,7 @@
             OSError: A port is taken.
         """
         self._stopping = stopping
+        self._started = True
         address = self._settings.address
         await self._channel.open((address, self._settings.control_port))
         await self._site.start(address, self._settings.http_port)
@@ -234,11 +238,26 @@
     def add_seeds(self, addresses: tuple[str, ...]) -> None:
         """Adds IP addresses of processes to join through."""
         for address in addresses:
-            if address not in (*self._seeds, self._settings.address):
-                self._seeds.append(address)
+            if address in (*self._seeds, self._settings.address):
+                continue
+            self._seeds.append(address)
+            if self._started and self.alone:
+                self.spawn(self._join_through(address))
         port = self._settings.control_port
         self.gossiper.add_seeds(tuple((seed, port) for seed in self._seeds))
 
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this balancer holds and watches keys for its zone."""
+        return watchers.is_watcher(
+            self.gossiper.own,
+            [
+                peer
+                for peer in self.gossiper.peers()
+                if peer.role is records.Role.BALANCER
+            ],
+        )
+
     @property
     def alone(self) -> bool:
         """Whether no other process is known to live."""
@@ -283,11 +302,10 @@
         incarnation, if the clock has been set back since; so the peer's view
         comes first.
         """
-        joined = asyncio.Event()
         for seed in self._seeds:
-            self.spawn(self._join_through(seed, joined))
+            self.spawn(self._join_through(seed))
         try:
-            await asyncio.wait_for(joined.wait(), ALONE_S)
+            await asyncio.wait_for(self._met.wait(), ALONE_S)
             self._enter("joined")
         except TimeoutError:
             self._enter("no peer answers; starting alone")
@@ -297,13 +315,13 @@
             if peers:
                 await self._repair(self.random.choice(peers).address)
 
-    async def _join_through(self, seed: str, joined: asyncio.Event) -> None:
+    async def _join_through(self, seed: str) -> None:
         """Exchanges views with a seed, again and again until one has."""
         while not await self._sync((seed, self._settings.http_port)):
-            if joined.is_set() or not self.alone:
+            if self._met.is_set() and not self.alone:
                 break
             await asyncio.sleep(JOIN_RETRY_S * (0.5 + self.random.random()))
-        joined.set()
+        self._met.set()
 
     def _enter(self, event: str) -> None:
         """Announces this process, if it has not been yet."""
--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -7,6 +7,7 @@
 
 from clementinelead.memberships import members
 from clementinelead.memberships import records
+from clementinelead.processes import contact_keys
 from clementinelead.processes import datagrams
 from clementinelead.processes import decision_log
 from clementinelead.processes import metrics_page
@@ -59,6 +60,7 @@
         target: tuple[str, int],
         answers_address: tuple[str, int],
         packet_format: formats.PacketFormat,
+        keys: contact_keys.ContactKeys,
     ):
         """Prepares the process.
 
@@ -68,6 +70,7 @@
             target: Where the target takes packets.
             answers_address: Where the target sends its packets.
             packet_format: Format of the packets.
+            keys: Contact keys in the store.
         """
         self._settings = settings
         self._target = target
@@ -75,6 +78,9 @@
         self.node = relay_node.RelayNode(
             settings, records.Role.SIDE, (service,), self
         )
+        self._finder = contact_keys.ContactFinder(
+            self.node, keys, self.node.random
+        )
         log = decision_log.DecisionLog(packet_format)
         self.holding = holding.Holding(
             packet_format,
@@ -121,6 +127,7 @@
         try:
             self._answers.start(self._loop)
             self._peers.start(self._loop)
+            self.node.spawn(self._finder.run())
             await stopping.wait()
             await self._linger()
         finally:
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -35,6 +35,14 @@
         return route_watch.Unchanged()
 
 
+class NoKeys:
+    async def hold(self, identifier, address, lease_s):
+        return None
+
+    async def find(self):
+        return ()
+
+
 @pytest.fixture(name="balancer")
 def _balancer():
     settings = relay_settings.RelaySettings(
@@ -51,7 +59,7 @@
         stop_s=1.0,
     )
     balancer = relay_balancer.RelayBalancer(
-        settings, ("127.0.0.1", 4), network.Format(), NoSource()
+        settings, ("127.0.0.1", 4), network.Format(), NoSource(), NoKeys()
     )
     balancer.node.adopt(routes.RoutingTable(1, (ROUTE,), 60.0), "test")
     return balancer
@@ -110,8 +118,12 @@
 
 
 def test_process_without_routes_is_not_ready(balancer):
-    assert not balancer.ready
-    balancer.node.joined = True
+    _joined_with(balancer, 100.0)
     assert balancer.ready
     balancer.node.table = routes.EMPTY
     assert not balancer.ready
+
+
+def test_process_that_knows_nobody_is_not_ready(balancer):
+    balancer.node.joined = True
+    assert not balancer.ready
--- a/clementinelead/processes/tests/test_relay_node.py
+++ b/clementinelead/processes/tests/test_relay_node.py
@@ -4,6 +4,7 @@
 import time
 
 from clementinelead.memberships import records
+from clementinelead.processes import contact_keys
 from clementinelead.processes import relay_node
 from clementinelead.processes import relay_settings
 from clementinelead.relays import routes
@@ -183,3 +184,36 @@
         )
 
     asyncio.run(_run([first, second], check))
+
+
+class Keys:
+    """Contact keys in memory."""
+
+    def __init__(self):
+        self.address_by_id = {}
+
+    async def hold(self, identifier, address, lease_s):
+        self.address_by_id[identifier] = address
+
+    async def find(self):
+        return tuple(self.address_by_id.values())
+
+
+def test_process_whose_seeds_are_gone_finds_peers_by_contact_keys():
+    ports = _free_ports()
+    keys = Keys()
+    first, _ = _node(2, ports, ())
+    second, _ = _node(3, ports, ("127.0.0.9",))
+
+    async def check():
+        first.spawn(contact_keys.ContactHolder(first, keys, first.random).run())
+        second.spawn(
+            contact_keys.ContactFinder(second, keys, second.random).run()
+        )
+        bound_s = 2 * contact_keys.ALONE_S + contact_keys.RETRY_S
+        await _eventually(
+            lambda: not first.alone and not second.alone,
+            relay_node.ALONE_S + bound_s,
+        )
+
+    asyncio.run(_run([first, second], check))
