--- a/bench/run.py
+++ b/bench/run.py
@@ -13,6 +13,7 @@
 from bench.scenarios import hints
 from bench.scenarios import loads
 from bench.scenarios import memberships
+from bench.scenarios import relays
 from bench.scenarios import slopes
 
 __all__ = ["SCENARIOS", "main"]
@@ -39,6 +40,7 @@
     "partition": memberships.partition,
     "pause": changes.pause,
     "race": configs.race,
+    "relays": relays.relays,
     "rolling": changes.rolling,
     "slopes": slopes.slopes,
     "steady": loads.steady,
--- /dev/null
+++ b/bench/scenarios/relays.py
@@ -0,0 +1,123 @@
+"""What a relayed packet, a placement and a remembered flow cost."""
+
+import time
+import tracemalloc
+import typing
+
+from bench import results
+from clementinelead.platform import packets
+from clementinelead.relays import announcements
+from clementinelead.relays import candidates
+from clementinelead.relays import frames
+from clementinelead.relays import holding
+from clementinelead.relays import outcomes
+from clementinelead.relays import routes
+from clementinelead.relays import steering
+
+__all__ = ["relays"]
+
+FLOWS = 5_000
+PACKETS = 100_000
+SERVICE = "lookups"
+ADDRESS = packets.address_bytes("198.18.0.1", 443)
+SIDE = ("10.0.0.2", 7000)
+BALANCER = ("10.0.0.1", 7000)
+
+
+def _packet(flow: int, flags: int, data: bytes = b"") -> bytes:
+    head = bytearray(packets.HEADER_BYTES)
+    head[0] = flags
+    head[6:8] = len(data).to_bytes(2, "little")
+    head[16:20] = (501).to_bytes(4, "little")
+    head[24:26] = ADDRESS[:2]
+    head[26:30] = (0x64400000 + flow // 50_000).to_bytes(4, "little")
+    head[30:32] = (flow % 50_000 + 1024).to_bytes(2, "little")
+    head[32:36] = ADDRESS[2:]
+    return bytes(head) + data
+
+
+def _accepted(opening: bytes) -> bytes:
+    answer = bytearray(opening)
+    answer[0] = 33
+    answer[12:16] = (500).to_bytes(4, "little")
+    answer[24:26], answer[30:32] = opening[30:32], opening[24:26]
+    answer[26:30], answer[32:36] = opening[32:36], opening[26:30]
+    return bytes(answer)
+
+
+def _ignore(_: outcomes.Decision) -> None:
+    pass
+
+
+def _balancer(packet_format: packets.PlatformFormat) -> steering.Steering:
+    balancer = steering.Steering(packet_format, _ignore, "z")
+    route = routes.Route("r", ADDRESS, (routes.Share(SERVICE, 1),))
+    balancer.set_routes(routes.RoutingTable(1, (route,), 60.0), 0.0)
+    target = candidates.Target("side", SIDE, "z", True, False)
+    balancer.set_targets(SERVICE, (target,))
+    return balancer
+
+
+def _side(packet_format: packets.PlatformFormat) -> holding.Holding:
+    side = holding.Holding(packet_format, SERVICE, _ignore, 0.0, 0)
+    announcement = announcements.Announcement(
+        "t", 1, 1, SERVICE, 1_000_000, False, 0.0
+    )
+    side.heartbeat(announcement, 0.0)
+    return side
+
+
+def _place(
+    balancer: steering.Steering, side: holding.Holding, flow: int
+) -> None:
+    """Places a flow: question, answer, opening packet, acceptance."""
+    opening = _packet(flow, 32)
+    [question] = balancer.on_packet(opening, 1.0)
+    [answer] = side.on_frame(question.data, BALANCER, 1.0)
+    [placed] = balancer.on_frame(answer.data, SIDE, 1.0)
+    side.on_frame(placed.data, BALANCER, 1.0)
+    accepted, _ = side.on_target_packet(_accepted(opening), 1.0)
+    balancer.on_frame(accepted.data, SIDE, 1.0)
+
+
+def _microseconds(repeat: int, action: typing.Callable[[int], None]) -> float:
+    begun = time.process_time()
+    for number in range(repeat):
+        action(number)
+    return round((time.process_time() - begun) / repeat * 1e6, 2)
+
+
+def relays(seed: int) -> results.Result:
+    """Costs of the relays' decisions, without sockets; no bound."""
+    packet_format = packets.PlatformFormat(8172)
+    balancer, side = _balancer(packet_format), _side(packet_format)
+    tracemalloc.start()
+    for flow in range(FLOWS):
+        _place(balancer, side, flow)
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    balancer, side = _balancer(packet_format), _side(packet_format)
+    placement_us = _microseconds(
+        FLOWS, lambda flow: _place(balancer, side, flow)
+    )
+    number = frames.service_number(SERVICE)
+    packet = _packet(seed % FLOWS, 1, b"x" * 900)
+    key = packet_format.from_caller(packet).key  # type: ignore[union-attr]
+    frame = frames.encode(frames.Kind.PACKET, number, key, packet)
+    figures: dict[str, object] = {
+        "balancer_packet_us": _microseconds(
+            PACKETS, lambda _: _none(balancer.on_packet(packet, 2.0))
+        ),
+        "side_packet_us": _microseconds(
+            PACKETS, lambda _: _none(side.on_frame(frame, BALANCER, 2.0))
+        ),
+        "placement_us": placement_us,
+        "flow_bytes_both_sides": round(held / FLOWS),
+        "question_bytes": len(frames.encode(frames.Kind.ASK_LOAD, 0, key)),
+        "frame_head_bytes": len(frame) - len(packet),
+    }
+    return results.Result(figures, ())
+
+
+def _none(_: object) -> None:
+    """Drops what a decision returns."""
--- a/clementinelead/flows/loads.py
+++ b/clementinelead/flows/loads.py
@@ -198,6 +198,20 @@
         weight = max(_SMOOTHING, 1 / self._samples)
         self.service_s += weight * (sample - self.service_s)
 
+    @property
+    def proven(self) -> bool:
+        """Whether work has been seen to end."""
+        return self._samples > 0
+
+    def forget_service_time(self, service_s: float) -> None:
+        """Starts to learn anew, for a target that has been replaced.
+
+        Args:
+            service_s: Estimate until the first flow has ended, seconds.
+        """
+        self.service_s = service_s
+        self._samples = 0
+
     def released(self) -> None:
         """Counts a flow that no longer works, without learning from it."""
         assert self.working > 0, "released more slots than were taken"
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -25,6 +25,19 @@
 FIRST_HOLD_S = 0.03
 """Time after which the targets are asked again, seconds."""
 
+OTHER_ZONE_MS = 3
+"""What a target in another availability zone must be quicker, milliseconds.
+
+A round trip between zones.
+"""
+
+EQUAL_SHARE = 0.25
+"""Targets that need this much more than the best count as its equals.
+
+Loads are estimates; the flow's hash spreads flows among equals, so that none
+of them takes all while others idle.
+"""
+
 HOLD_GROWTH = 1.5
 """Factor between one such time and the next.
 
@@ -51,6 +64,7 @@
         acknowledgement: Of the opening packet, for a reset.
         begun: When it arrived, seconds.
         deadline: When to go on without what is missing, seconds.
+        asked: Targets that have been asked, in the flow's rendezvous order.
         waiting: Targets that have been asked and not answered.
         load_by_address: What the others have answered, milliseconds.
         tried: Targets that the packet has been sent to.
@@ -65,6 +79,7 @@
     packet: bytes
     begun: float
     deadline: float
+    asked: list[tuple[str, int]]
     waiting: set[tuple[str, int]]
     load_by_address: dict[tuple[str, int], int]
     tried: list[tuple[str, int]]
@@ -78,20 +93,29 @@
         return waited_s >= min(MAX_AGE_S, self.route.timeout_ms / 1000)
 
 
-def best(placement: Placement) -> tuple[str, int] | None:
-    """Returns the target soonest done of those that have answered.
+def best(
+    placement: Placement, near: frozenset[tuple[str, int]]
+) -> tuple[str, int] | None:
+    """Returns one of the targets soonest done of those that have answered.
 
     Args:
         placement: A placement.
+        near: Targets in the balancer's availability zone.
 
     Returns:
         Its address, or None if no untried one accepts.
     """
-    found = None
-    least = frames.NOT_ACCEPTING
-    for address, load in placement.load_by_address.items():
-        if address in placement.busy or address in placement.tried:
-            continue
-        if load < least:
-            found, least = address, load
-    return found
+    cost_by_address = {
+        address: load + (0 if address in near else OTHER_ZONE_MS)
+        for address, load in placement.load_by_address.items()
+        if load != frames.NOT_ACCEPTING
+        and address not in placement.busy
+        and address not in placement.tried
+    }
+    if not cost_by_address:
+        return None
+    limit = min(cost_by_address.values()) * (1 + EQUAL_SHARE)
+    for address in placement.asked:
+        if cost_by_address.get(address, limit + 1) <= limit:
+            return address
+    raise AssertionError("only targets that were asked have answered")
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -59,6 +59,7 @@
         self._by_address: dict[bytes, routes.Route] = {}
         self._retired: dict[bytes, tuple[routes.Route, float]] = {}
         self._targets_by_service: dict[str, tuple[candidates.Target, ...]] = {}
+        self._near: frozenset[_Address] = frozenset()
         self._cache = flow_cache.FlowCache()
         self._responsive = responsiveness.Responsiveness()
         self._placement_by_key: dict[bytes, placing.Placement] = {}
@@ -102,6 +103,12 @@
             if target.address not in kept:
                 self._responsive.forget(target.address)
         self._targets_by_service[service] = targets
+        self._near = frozenset(
+            target.address
+            for known in self._targets_by_service.values()
+            for target in known
+            if target.zone == self._zone
+        )
 
     def view_changed(self, settled_at: float) -> None:
         """Notes that some side process may not be known until a time.
@@ -185,6 +192,7 @@
             packet=data,
             begun=now,
             deadline=now + placing.ANSWER_S,
+            asked=[],
             waiting=set(),
             load_by_address={},
             tried=[],
@@ -222,6 +230,8 @@
             value=placement.route.objective_ms,
         )
         for target in chosen + due[:1]:
+            if target.address not in placement.asked:
+                placement.asked.append(target.address)
             placement.waiting.add(target.address)
             self._responsive.asked(target.address, now)
             asked.append(outcomes.ToPeer(target.address, message))
@@ -234,6 +244,8 @@
         placement = self._placement_by_key.get(frame.key)
         if placement is None or placement.chosen is not None:
             return []
+        if source not in placement.asked:
+            return []
         placement.waiting.discard(source)
         placement.load_by_address[source] = frame.value
         if frame.kind is _Kind.BUSY:
@@ -247,7 +259,7 @@
         self, key: bytes, placement: placing.Placement, now: float
     ) -> list[outcomes.Outcome]:
         """Sends the opening packet to the best target that has answered."""
-        address = placing.best(placement)
+        address = placing.best(placement, self._near)
         if address is None:
             return self._decide_later(key, placement, now)
         placement.chosen = address
--- a/clementinelead/relays/tests/test_holding.py
+++ b/clementinelead/relays/tests/test_holding.py
@@ -141,3 +141,14 @@
         assert side.on_frame(data, BALANCER, net.now) == []
     assert side.counts.by_cause["malformed_frame"] == 4
     assert side.on_target_packet(b"short", net.now) == []
+
+
+def test_target_without_work_is_not_dearer_than_one_that_is_quick():
+    net = network.Network(targets=2)
+    key = network.flow_key(1)
+    quick = _opened(net, key)
+    _request(quick, key, net.now)
+    _answer(quick, key, net.now + 0.006)
+    idle = net.side_by_address[("side1", 1)]
+    later = net.now + 10.0
+    assert idle.work.load_ms(later) <= quick.work.load_ms(later)
--- /dev/null
+++ b/clementinelead/relays/tests/test_placing.py
@@ -0,0 +1,73 @@
+from clementinelead.relays import frames
+from clementinelead.relays import placing
+from clementinelead.relays import routes
+from clementinelead.relays.tests import network
+
+NEAR = ("near", 1)
+FAR = ("far", 1)
+
+
+def _placement(load_by_address, **fields):
+    route = routes.Route("r", b"a", (routes.Share("s", 1),))
+    return placing.Placement(
+        route=route,
+        service="s",
+        number=1,
+        packet=b"",
+        begun=100.0,
+        deadline=101.0,
+        asked=list(load_by_address),
+        waiting=set(),
+        load_by_address=load_by_address,
+        tried=fields.get("tried", []),
+        busy=fields.get("busy", set()),
+    )
+
+
+def _best(load_by_address, **fields):
+    placement = _placement(load_by_address, **fields)
+    return placing.best(placement, frozenset({NEAR}))
+
+
+def test_soonest_done_is_chosen():
+    assert _best({NEAR: 90, FAR: 20}) == FAR
+
+
+def test_first_in_the_flows_order_wins_among_about_equals():
+    assert _best({FAR: 20, NEAR: 22}) == FAR
+    assert _best({NEAR: 22, FAR: 20}) == NEAR
+
+
+def test_far_target_must_be_quicker_by_a_round_trip():
+    assert _best({FAR: 22, NEAR: 16}) == NEAR
+
+
+def test_flows_are_spread_over_equal_targets():
+    net = network.Network(targets=4)
+    for number in range(200):
+        key = network.flow_key(number)
+        net.send(network.packet(key, network.OPENS))
+        net.run(0.02)
+        net.send(network.packet(key, network.RESETS, acknowledgement=1))
+        net.run(0.3)
+    counts = [
+        len(target.sequence_by_key) for target in net.target_by_address.values()
+    ]
+    # Half more than the mean is beyond five standard deviations.
+    assert max(counts) <= 1.5 * sum(counts) / len(counts)
+
+
+def test_targets_that_take_nothing_are_left_out():
+    assert _best({NEAR: frames.NOT_ACCEPTING, FAR: 500}) == FAR
+    assert _best({NEAR: frames.NOT_ACCEPTING}) is None
+
+
+def test_busy_and_tried_targets_are_left_out():
+    assert _best({NEAR: 5, FAR: 50}, busy={NEAR}) == FAR
+    assert _best({NEAR: 5, FAR: 50}, tried=[NEAR]) == FAR
+
+
+def test_flow_is_overdue_before_its_caller_gives_up():
+    placement = _placement({})
+    assert not placement.overdue(100.9)
+    assert placement.overdue(101.0)  # the route's time budget is 1 s
--- a/clementinelead/relays/workload.py
+++ b/clementinelead/relays/workload.py
@@ -16,6 +16,18 @@
 The rest goes to the network, the handshake and the spread of service times.
 """
 
+UNPROVEN_S = 0.005
+"""Time that work is expected to take before any has been seen, seconds.
+
+Short, so that a target without work is tried and not left idle for good.
+"""
+
+DOUBTED_S = 0.05
+"""Time that such work is taken to need where targets must not be swamped.
+
+After a loss of all, every target is unproven and a backlog waits.
+"""
+
 COLD_FACTOR = 1.6
 """How much longer work takes at a target that has just started."""
 
@@ -55,6 +67,7 @@
         # A cold target has all its slots, and is only slower.
         limits = loads.Limits(slots=max(1, slots), cold_start_s=0.0)
         self.estimate.limits = limits
+        self.estimate.forget_service_time(UNPROVEN_S)
         self._cold_until = now + warmup_s
 
     def load_ms(self, now: float) -> int:
@@ -79,9 +92,16 @@
             objective_ms: Latency objective of the flow's route, milliseconds.
             now: Present time, seconds.
         """
-        if self.estimate.wait_s(now) <= 0:
+        wait_s = self.estimate.wait_s(now)
+        if wait_s <= 0:
             return False
-        return self.completion_ms(now) > BUSY_SHARE * objective_ms
+        service_s = self.estimate.service_s
+        rounds = 1.0 + wait_s / service_s
+        if not self.estimate.proven:
+            service_s = DOUBTED_S
+        if now < self._cold_until:
+            service_s *= COLD_FACTOR
+        return rounds * service_s * 1000 > BUSY_SHARE * objective_ms
 
     def opened(self, now: float) -> int:
         """Counts a new flow with work; returns what was under way before."""
