--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 SEED ?= 1
+SEEDS ?= 1-50
 
 .PHONY: setup format check demo test bench soak clean
 
@@ -35,6 +36,7 @@
 
 soak: setup
 	CLEMENTINELEAD_SOAK=1 $(BIN)/python -m pytest -k stateful
+	$(BIN)/python -m bench.soak.run --seeds $(SEEDS)
 
 clean:
 	rm -rf $(VENV) build *.egg-info
