Split placement and search from steering, the held flows from holding

Found while splitting: a target that did not answer kept a flow from being offered again to the others, which had been busy, until it was refused (the test waits 0.2 s for a target that gets free). Who has been silent is now asked again only after the flow has been held.

--- /dev/null
+++ b/clementinelead/relays/held_flows.py
@@ -0,0 +1,193 @@
+"""The flows that a target holds, and the work under way in them."""
+
+import dataclasses
+
+from clementinelead.relays import formats
+from clementinelead.relays import workload
+
+__all__ = ["HeldFlow", "HeldFlows"]
+
+RESERVED_S = 0.25
+"""Time that work is expected for after a flow has opened, seconds."""
+
+CLOSED_S = 10.0
+"""Time that a closed flow is kept for packets that are sent again."""
+
+IDLE_S = 75.0
+"""Time without a packet after which a flow is forgotten, seconds."""
+
+TURNED_AWAY_S = 0.002
+"""An answer that comes sooner took no work: the target turned it away."""
+
+STUCK_WORK_S = 5.0
+"""Time after which work without an answer no longer counts, seconds."""
+
+_SEQUENCE_WINDOW = 1 << 24
+_SEQUENCE_HALF = 1 << 31
+_MASK = (1 << 32) - 1
+
+
+@dataclasses.dataclass(slots=True)
+class HeldFlow:
+    """A flow that the target holds.
+
+    Attributes:
+        sequence: First sequence number of the target, None if not seen.
+        last: Time of the last packet, seconds.
+        sender: Balancer that sent the last packet, None if not known.
+        settled: Whether the caller is known to have chosen this target.
+        confirmed: Whether the target has sent something for it.
+        working: Whether work is under way or expected.
+        asked: Time of the last data of the request, None before it.
+        asked_end: Sequence number after the last data of the caller.
+        ahead: Work that was under way before.
+        closing: Whether an end of it has been seen.
+    """
+
+    sequence: int | None
+    last: float
+    sender: tuple[str, int] | None
+    settled: bool = False
+    confirmed: bool = False
+    working: bool = False
+    asked: float | None = None
+    asked_end: int | None = None
+    ahead: int = 0
+    closing: bool = False
+
+    def follows(self, segment: formats.Segment) -> bool:
+        """Tells whether a caller's packet acknowledges this target's answer.
+
+        Args:
+            segment: Header of a packet that does not open the flow.
+        """
+        if self.sequence is None:
+            return True
+        distance = (segment.acknowledgement - self.sequence) & _MASK
+        return distance < _SEQUENCE_WINDOW
+
+    def is_new(self, segment: formats.Segment) -> bool:
+        """Tells whether a caller's data has not been seen, and notes it.
+
+        Data that is sent again, after an answer that it crossed, is no new
+        work.
+
+        Args:
+            segment: Header of a packet with data.
+        """
+        end = (segment.sequence + segment.length) & _MASK
+        known = self.asked_end
+        if known is not None and (end - known - 1) & _MASK >= _SEQUENCE_HALF:
+            return False
+        self.asked_end = end
+        return True
+
+
+class HeldFlows:
+    """Flows by key, with the target's work counted from them.
+
+    Attributes:
+        by_key: The flows.
+        work: Load of the target.
+    """
+
+    def __init__(self, work: workload.Workload):
+        self.by_key: dict[bytes, HeldFlow] = {}
+        self.work = work
+        self._reserved_until: dict[bytes, float] = {}
+
+    def open(
+        self,
+        key: bytes,
+        sequence: int,
+        sender: tuple[str, int] | None,
+        now: float,
+    ) -> HeldFlow:
+        """Takes up a flow that the target has accepted; work is expected."""
+        flow = HeldFlow(sequence, now, sender)
+        flow.ahead = self.work.opened(now)
+        flow.working = True
+        self.by_key[key] = flow
+        self._reserved_until[key] = now + RESERVED_S
+        return flow
+
+    def restore(
+        self, key: bytes, sender: tuple[str, int] | None, now: float
+    ) -> HeldFlow:
+        """Takes up a flow that the target has, or may have, from before."""
+        flow = HeldFlow(None, now, sender, settled=True)
+        self.by_key[key] = flow
+        self.work.estimate.held += 1
+        return flow
+
+    def forget(self, key: bytes, now: float) -> None:
+        """Forgets a flow; its work no longer counts."""
+        flow = self.by_key.pop(key)
+        self._reserved_until.pop(key, None)
+        if flow.working:
+            self.work.released(now)
+        self.work.estimate.closed()
+
+    def clear(self, now: float) -> None:
+        """Forgets all flows, of a target that has been replaced."""
+        for key in list(self.by_key):
+            self.forget(key, now)
+
+    def note_request(self, key: bytes, flow: HeldFlow, now: float) -> None:
+        """Counts the work that a caller's data asks for."""
+        if not flow.working:
+            flow.ahead = self.work.resumed(now)
+            flow.working = True
+        self._reserved_until.pop(key, None)
+        flow.asked = now
+
+    def note_answer(
+        self, key: bytes, flow: HeldFlow, now: float
+    ) -> float | None:
+        """Ends the work that the target has answered.
+
+        Returns:
+            Time from the request to the answer in seconds, None if no request
+            was seen.
+        """
+        self._reserved_until.pop(key, None)
+        flow.working = False
+        if flow.asked is None:
+            self.work.released(now)
+            return None
+        duration = now - flow.asked
+        flow.asked = None
+        if duration < TURNED_AWAY_S:
+            self.work.released(now)
+        else:
+            self.work.finished(duration, flow.ahead, now)
+        return duration
+
+    def end(self, key: bytes, flow: HeldFlow, now: float) -> None:
+        """Notes that the target ends a flow; no more work is expected."""
+        flow.closing = True
+        self._reserved_until.pop(key, None)
+        self._release(flow, now)
+
+    def on_tick(self, now: float) -> None:
+        """Stops expecting work that has not come."""
+        for key, until in list(self._reserved_until.items()):
+            if until > now:
+                return
+            del self._reserved_until[key]
+            self._release(self.by_key[key], now)
+
+    def expire(self, now: float) -> None:
+        """Forgets flows that have ended or been idle, and stuck work."""
+        for key, flow in list(self.by_key.items()):
+            idle = now - flow.last
+            if idle > (CLOSED_S if flow.closing else IDLE_S):
+                self.forget(key, now)
+            elif flow.asked is not None and now - flow.asked > STUCK_WORK_S:
+                self._release(flow, now)
+
+    def _release(self, flow: HeldFlow, now: float) -> None:
+        if flow.working:
+            flow.working = False
+            flow.asked = None
+            self.work.released(now)
--- a/clementinelead/relays/holding.py
+++ b/clementinelead/relays/holding.py
@@ -8,11 +8,11 @@
 """
 
 import collections.abc
-import dataclasses
 
 from clementinelead.relays import announcements
 from clementinelead.relays import formats
 from clementinelead.relays import frames
+from clementinelead.relays import held_flows
 from clementinelead.relays import outcomes
 from clementinelead.relays import workload
 from clementinelead.telemetry import counters
@@ -31,9 +31,6 @@
 Machine and target get power at the same time; this process starts later.
 """
 
-RESERVED_S = 0.25
-"""Time that work is expected for after a flow has opened, seconds."""
-
 RETURN_S = 0.02
 """Time in which a target returns a packet that is not its own, seconds."""
 
@@ -43,60 +40,17 @@
 Callers give an attempt up after 1.4 s.
 """
 
-CLOSED_S = 10.0
-"""Time that a closed flow is kept for packets that are sent again."""
-
-IDLE_S = 75.0
-"""Time without a packet after which a flow is forgotten, seconds."""
-
-TURNED_AWAY_S = 0.002
-"""An answer that comes sooner took no work: the target turned it away."""
-
 SLOW_ANSWER_S = 0.1
 """An answer that takes longer gets a log line, seconds."""
 
-STUCK_WORK_S = 5.0
-"""Time after which work without an answer no longer counts, seconds."""
-
 EXPIRY_INTERVAL_S = 1.0
 
-_SEQUENCE_WINDOW = 1 << 24
-_SEQUENCE_HALF = 1 << 31
-_MASK = (1 << 32) - 1
+LATENCY_BOUNDS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
 
 _Kind = frames.Kind
 _Address = tuple[str, int]
 
 
-@dataclasses.dataclass(slots=True)
-class _Flow:
-    """A flow that the target holds.
-
-    Attributes:
-        sequence: First sequence number of the target, None if not seen.
-        last: Time of the last packet, seconds.
-        sender: Balancer that sent the last packet, None if not known.
-        settled: Whether the caller is known to have chosen this target.
-        confirmed: Whether the target has sent something for it.
-        working: Whether work is under way or expected.
-        asked: Time of the last data of the request, None before it.
-        asked_end: Sequence number after the last data of the caller.
-        ahead: Work that was under way before.
-        closing: Whether an end of it has been seen.
-    """
-
-    sequence: int | None
-    last: float
-    sender: _Address | None
-    settled: bool = False
-    confirmed: bool = False
-    working: bool = False
-    asked: float | None = None
-    asked_end: int | None = None
-    ahead: int = 0
-    closing: bool = False
-
-
 class Holding:
     """Decides about the packets of one target's flows.
 
@@ -133,9 +87,8 @@
         self._format = packet_format
         self._number = frames.service_number(service)
         self._report = report
-        self._flow_by_key: dict[bytes, _Flow] = {}
+        self._flows = held_flows.HeldFlows(self.work)
         self._opener_by_key: dict[bytes, tuple[_Address, float]] = {}
-        self._reserved_until: dict[bytes, float] = {}
         self._probe_by_key: dict[bytes, tuple[_Address, float]] = {}
         self._started_ms = started_ms
         self._learned_at = now + LEARNING_S
@@ -144,7 +97,7 @@
     @property
     def flows(self) -> int:
         """Flows that the target holds."""
-        return len(self._flow_by_key)
+        return len(self._flows.by_key)
 
     @property
     def working(self) -> int:
@@ -172,26 +125,14 @@
         if verdict is announcements.Verdict.STARTED:
             self.work.configure(announcement.slots, announcement.warmup_s, now)
             if known is not None:
-                self._forget_flows(now)
+                self._flows.clear(now)
+                self._opener_by_key.clear()
+                self._probe_by_key.clear()
             fresh = announcement.born >= self._started_ms - BORN_MARGIN_MS
             if known is not None or announcement.sequence <= 1 or fresh:
                 self._learned_at = now
         return verdict
 
-    def _forget_flows(self, now: float) -> None:
-        """Forgets the flows of a target that has been replaced."""
-        for key in list(self._flow_by_key):
-            self._forget(key, now)
-        self._opener_by_key.clear()
-        self._probe_by_key.clear()
-
-    def _forget(self, key: bytes, now: float) -> None:
-        flow = self._flow_by_key.pop(key)
-        self._reserved_until.pop(key, None)
-        if flow.working:
-            self.work.released(now)
-        self.work.estimate.closed()
-
     # Datagrams of balancers.
 
     def on_frame(
@@ -260,7 +201,7 @@
     ) -> list[outcomes.Outcome]:
         kind = _Kind.LOAD
         load = frames.NOT_ACCEPTING
-        if frame.key in self._flow_by_key:
+        if frame.key in self._flows.by_key:
             load = 0
         elif self.accepting:
             load = self.work.load_ms(now)
@@ -273,7 +214,7 @@
     ) -> list[outcomes.Outcome]:
         """Hands an opening packet to the target if it takes new flows."""
         key = frame.key
-        flow = self._flow_by_key.get(key)
+        flow = self._flows.by_key.get(key)
         if flow is None and not self.accepting:
             self.counts.add("refused")
             self._log("acceptance", "refused", key, now)
@@ -292,12 +233,12 @@
         if segment is None or segment.key != key:
             self.counts.add("malformed_packet")
             return []
-        flow = self._flow_by_key.get(key)
+        flow = self._flows.by_key.get(key)
         if flow is None:
             return self._on_unknown(frame, segment, source, now)
         if not flow.settled and not segment.opens:
-            if not _follows(flow, segment):
-                self._forget(key, now)
+            if not flow.follows(segment):
+                self._flows.forget(key, now)
                 self.counts.add("opened_elsewhere")
                 self._log("flow", "opened elsewhere", key, now)
                 return [
@@ -306,8 +247,8 @@
             flow.settled = True
         flow.sender = source
         flow.last = now
-        if segment.length and _is_new(flow, segment):
-            self._note_request(key, flow, now)
+        if segment.length and flow.is_new(segment):
+            self._flows.note_request(key, flow, now)
         if segment.closes or segment.resets:
             flow.closing = True
         return [outcomes.ToTarget(frame.payload)]
@@ -325,24 +266,11 @@
         if now >= self._learned_at:
             self.counts.add("not_held")
             return [self._answer(_Kind.NOT_HELD, frame, source, frame.payload)]
-        self._restore(frame.key, None, source, now)
+        self._flows.restore(frame.key, source, now)
         self._probe_by_key[frame.key] = (source, now + RETURN_S)
         self.counts.add("probed")
         return [outcomes.ToTarget(frame.payload)]
 
-    def _restore(
-        self,
-        key: bytes,
-        sequence: int | None,
-        sender: _Address | None,
-        now: float,
-    ) -> _Flow:
-        """Takes up a flow that the target has, or may have."""
-        flow = _Flow(sequence, now, sender, settled=sequence is None)
-        self._flow_by_key[key] = flow
-        self.work.estimate.held += 1
-        return flow
-
     def _on_ask_held(
         self, frame: frames.Frame, source: _Address, now: float
     ) -> list[outcomes.Outcome]:
@@ -354,7 +282,7 @@
         held: list[bytes] = []
         others: list[bytes] = []
         for key in keys:
-            flow = self._flow_by_key.get(key)
+            flow = self._flows.by_key.get(key)
             certain = flow is not None and (flow.settled or flow.confirmed)
             (held if certain else others).append(key)
         doubt = _Kind.ABSENT if now >= self._learned_at else _Kind.UNSURE
@@ -398,10 +326,10 @@
             self._log("acceptance", "refused by the target", key, now)
             message = frames.encode(_Kind.REFUSED, self._number, key)
             return [outcomes.ToPeer(opener[0], message)]
-        flow = self._flow_by_key.get(key)
+        flow = self._flows.by_key.get(key)
         if flow is None:
             return []
-        self._forget(key, now)
+        self._flows.forget(key, now)
         self.counts.add("returned")
         self._log("flow", "returned by the target", key, now)
         if flow.sender is None:
@@ -416,11 +344,11 @@
         """Sends a packet to its caller and learns from it."""
         key = segment.key
         sends: list[outcomes.Outcome] = []
-        flow = self._flow_by_key.get(key)
+        flow = self._flows.by_key.get(key)
         if segment.accepts:
             flow = self._on_accepted(segment, flow, now, sends)
         elif flow is None:
-            flow = self._restore(key, None, None, now)
+            flow = self._flows.restore(key, None, now)
             flow.closing = segment.closes or segment.resets
         flow.last = now
         flow.confirmed = True
@@ -430,31 +358,26 @@
         if segment.length and flow.working:
             self._note_answer(key, flow, now)
         if segment.closes or segment.resets:
-            flow.closing = True
-            self._reserved_until.pop(key, None)
-            self._release(flow, now)
+            self._flows.end(key, flow, now)
         sends.append(outcomes.ToCaller(self._format.caller(key), data))
         return sends
 
     def _on_accepted(
         self,
         segment: formats.Segment,
-        flow: _Flow | None,
+        flow: held_flows.HeldFlow | None,
         now: float,
         sends: list[outcomes.Outcome],
-    ) -> _Flow:
+    ) -> held_flows.HeldFlow:
         """Notes that the target has answered an opening packet."""
         key = segment.key
         opener = self._opener_by_key.get(key)
         if flow is not None and flow.closing:
-            self._forget(key, now)
+            self._flows.forget(key, now)
             flow = None
         if flow is None:
-            flow = _Flow(segment.sequence, now, opener[0] if opener else None)
-            flow.ahead = self.work.opened(now)
-            flow.working = True
-            self._flow_by_key[key] = flow
-            self._reserved_until[key] = now + RESERVED_S
+            sender = opener[0] if opener else None
+            flow = self._flows.open(key, segment.sequence, sender, now)
             self.counts.add("accepted")
             self._log("acceptance", "accepted", key, now)
         if opener is not None:
@@ -468,23 +391,14 @@
         message = frames.encode(_Kind.HELD, self._number, key)
         return outcomes.ToPeer(address, message)
 
-    # Work.
-
-    def _note_request(self, key: bytes, flow: _Flow, now: float) -> None:
-        if not flow.working:
-            flow.ahead = self.work.resumed(now)
-            flow.working = True
-        self._reserved_until.pop(key, None)
-        flow.asked = now
-
-    def _note_answer(self, key: bytes, flow: _Flow, now: float) -> None:
-        self._reserved_until.pop(key, None)
-        flow.working = False
-        if flow.asked is None:
-            self.work.released(now)
+    def _note_answer(
+        self, key: bytes, flow: held_flows.HeldFlow, now: float
+    ) -> None:
+        """Counts an answer; logs one that took long."""
+        ahead = flow.ahead
+        duration = self._flows.note_answer(key, flow, now)
+        if duration is None:
             return
-        duration = now - flow.asked
-        flow.asked = None
         self.latencies.observe(duration)
         if duration >= SLOW_ANSWER_S:
             self._log(
@@ -493,12 +407,8 @@
                 key,
                 now,
                 duration_ms=round(duration * 1000),
-                ahead=flow.ahead,
+                ahead=ahead,
             )
-        if duration < TURNED_AWAY_S:
-            self.work.released(now)
-        else:
-            self.work.finished(duration, flow.ahead, now)
 
     # The passing of time.
 
@@ -517,31 +427,16 @@
         for key, (address, deadline) in list(self._probe_by_key.items()):
             if now >= deadline:
                 del self._probe_by_key[key]
-                if key in self._flow_by_key:
+                if key in self._flows.by_key:
                     sends.append(self._held(key, address))
-        for key, until in list(self._reserved_until.items()):
-            if until > now:
-                break
-            del self._reserved_until[key]
-            self._release(self._flow_by_key[key], now)
+        self._flows.on_tick(now)
         if now >= self._next_expiry:
             self._next_expiry = now + EXPIRY_INTERVAL_S
             self._expire(now)
         return sends
 
-    def _release(self, flow: _Flow, now: float) -> None:
-        if flow.working:
-            flow.working = False
-            flow.asked = None
-            self.work.released(now)
-
     def _expire(self, now: float) -> None:
-        for key, flow in list(self._flow_by_key.items()):
-            idle = now - flow.last
-            if idle > (CLOSED_S if flow.closing else IDLE_S):
-                self._forget(key, now)
-            elif flow.asked is not None and now - flow.asked > STUCK_WORK_S:
-                self._release(flow, now)
+        self._flows.expire(now)
         for key, (_, until) in list(self._opener_by_key.items()):
             if until <= now:
                 del self._opener_by_key[key]
@@ -566,27 +461,3 @@
             **more,
         }
         self._report(outcomes.Decision(event, outcome, key, inputs))
-
-
-LATENCY_BOUNDS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
-
-
-def _is_new(flow: _Flow, segment: formats.Segment) -> bool:
-    """Tells whether a caller's data has not been seen, and notes it.
-
-    Data that is sent again, after an answer that it crossed, is no new work.
-    """
-    end = (segment.sequence + segment.length) & _MASK
-    known = flow.asked_end
-    if known is not None and (end - known - 1) & _MASK >= _SEQUENCE_HALF:
-        return False
-    flow.asked_end = end
-    return True
-
-
-def _follows(flow: _Flow, segment: formats.Segment) -> bool:
-    """Tells whether a caller's packet acknowledges this target's answer."""
-    if flow.sequence is None:
-        return True
-    distance = (segment.acknowledgement - flow.sequence) & _MASK
-    return distance < _SEQUENCE_WINDOW
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -1,11 +1,17 @@
 """Placement of new flows: targets are asked, the one soonest done gets it."""
 
+import collections.abc
 import dataclasses
 
+from clementinelead.relays import candidates
+from clementinelead.relays import directory
+from clementinelead.relays import formats
 from clementinelead.relays import frames
+from clementinelead.relays import outcomes
 from clementinelead.relays import routes
+from clementinelead.telemetry import counters
 
-__all__ = ["Placement", "best"]
+__all__ = ["Placement", "Placer", "best"]
 
 ASKED = 4
 """Targets asked at once for a flow."""
@@ -65,7 +71,8 @@
         begun: When it arrived, seconds.
         deadline: When to go on without what is missing, seconds.
         asked: Targets that have been asked, in the flow's rendezvous order.
-        waiting: Targets that have been asked and not answered.
+        waiting: Targets that have been asked and may still answer in time.
+        silent: Targets that have not.
         load_by_address: What the others have answered, milliseconds.
         tried: Targets that the packet has been sent to.
         busy: Targets that have answered that a new flow had better wait.
@@ -86,6 +93,7 @@
     busy: set[tuple[str, int]]
     chosen: tuple[str, int] | None = None
     hold_s: float = FIRST_HOLD_S
+    silent: set[tuple[str, int]] = dataclasses.field(default_factory=set)
 
     def overdue(self, now: float) -> bool:
         """Tells whether the caller no longer waits, or soon won't."""
@@ -119,3 +127,276 @@
         if cost_by_address.get(address, limit + 1) <= limit:
             return address
     raise AssertionError("only targets that were asked have answered")
+
+
+_Kind = frames.Kind
+_Address = tuple[str, int]
+
+
+class Placer:
+    """Places new flows, and holds those that no target takes yet."""
+
+    def __init__(
+        self,
+        packet_format: formats.PacketFormat,
+        known: directory.Directory,
+        counts: counters.CounterSet,
+        report: collections.abc.Callable[[outcomes.Decision], None],
+    ):
+        """Starts with nothing to place.
+
+        Args:
+            packet_format: Format of the callers' packets.
+            known: The targets.
+            counts: Counts decisions by outcome.
+            report: Gets each decision for the log.
+        """
+        self.version = 0
+        self._format = packet_format
+        self._directory = known
+        self._counts = counts
+        self._report = report
+        self._placement_by_key: dict[bytes, Placement] = {}
+
+    @property
+    def busy(self) -> bool:
+        """Whether flows wait to be placed."""
+        return bool(self._placement_by_key)
+
+    def open(
+        self,
+        segment: formats.Segment,
+        route: routes.Route,
+        data: bytes,
+        now: float,
+    ) -> list[outcomes.Outcome]:
+        """Begins to place a new flow.
+
+        Args:
+            segment: Header of the opening packet.
+            route: Route of the flow.
+            data: The opening packet.
+            now: Present time, seconds.
+        """
+        key = segment.key
+        pending = self._placement_by_key.get(key)
+        if pending is not None:
+            self._counts.add("opening_repeated")
+            return []
+        service = route.service(key)
+        placement = Placement(
+            route=route,
+            service=service,
+            number=frames.service_number(service),
+            packet=data,
+            begun=now,
+            deadline=now + ANSWER_S,
+            asked=[],
+            waiting=set(),
+            load_by_address={},
+            tried=[],
+            busy=set(),
+        )
+        self._placement_by_key[key] = placement
+        asked = self._ask_more(key, placement, now)
+        return asked or self._decide_later(key, placement, now)
+
+    def _ask_more(
+        self, key: bytes, placement: Placement, now: float
+    ) -> list[outcomes.Outcome]:
+        """Asks targets that have not been asked yet for this flow."""
+        known = placement.waiting | placement.silent
+        known |= set(placement.load_by_address)
+        chosen: list[candidates.Target] = []
+        suspects: list[candidates.Target] = []
+        targets = self._directory.targets(placement.service)
+        for target in candidates.ranked(key, targets):
+            if not target.accepting or target.address in known:
+                continue
+            if self._directory.responsive.suspect(target.address, now):
+                suspects.append(target)
+            elif len(chosen) < ASKED:
+                chosen.append(target)
+        due = [
+            target
+            for target in suspects
+            if not chosen
+            or self._directory.responsive.retry_due(target.address, now)
+        ]
+        asked: list[outcomes.Outcome] = []
+        message = frames.encode(
+            _Kind.ASK_LOAD,
+            placement.number,
+            key,
+            value=placement.route.objective_ms,
+        )
+        for target in chosen + due[:1]:
+            if target.address not in placement.asked:
+                placement.asked.append(target.address)
+            placement.waiting.add(target.address)
+            self._directory.responsive.asked(target.address, now)
+            asked.append(outcomes.ToPeer(target.address, message))
+        placement.deadline = now + ANSWER_S
+        return asked
+
+    def on_load(
+        self, frame: frames.Frame, source: _Address, now: float
+    ) -> list[outcomes.Outcome]:
+        """Takes a target's answer to the question for its load."""
+        placement = self._placement_by_key.get(frame.key)
+        if placement is None or placement.chosen is not None:
+            return []
+        if source not in placement.asked:
+            return []
+        placement.waiting.discard(source)
+        placement.load_by_address[source] = frame.value
+        if frame.kind is _Kind.BUSY:
+            placement.busy.add(source)
+        if not placement.waiting:
+            return self._decide(frame.key, placement, now)
+        placement.deadline = min(placement.deadline, now + GATHER_S)
+        return []
+
+    def _decide(
+        self, key: bytes, placement: Placement, now: float
+    ) -> list[outcomes.Outcome]:
+        """Sends the opening packet to the best target that has answered."""
+        address = best(placement, self._directory.near)
+        if address is None:
+            return self._decide_later(key, placement, now)
+        placement.chosen = address
+        placement.tried.append(address)
+        placement.deadline = now + ACCEPT_S
+        self._directory.responsive.asked(address, now)
+        self._report_decision(key, placement, "sent", now)
+        message = frames.encode(
+            _Kind.PLACE, placement.number, key, placement.packet
+        )
+        return [outcomes.ToPeer(address, message)]
+
+    def _decide_later(
+        self, key: bytes, placement: Placement, now: float
+    ) -> list[outcomes.Outcome]:
+        """Goes on where no target that has answered takes the flow now."""
+        placement.chosen = None
+        asked = self._ask_more(key, placement, now)
+        if asked:
+            return asked
+        if placement.waiting:
+            placement.deadline = now + ANSWER_S
+            return []
+        waits = placement.busy or placement.silent
+        if not waits and not self._may_come(placement):
+            return self._give_up(key, placement, now)
+        self._counts.add("held_back")
+        placement.load_by_address.clear()
+        placement.tried.clear()
+        placement.busy.clear()
+        placement.silent.clear()
+        placement.deadline = now + placement.hold_s
+        placement.hold_s *= HOLD_GROWTH
+        return []
+
+    def _may_come(self, placement: Placement) -> bool:
+        """Tells whether a target may soon take the flow.
+
+        One that starts or has left a packet unanswered may, and so may those
+        of a service of which none is known: all may be starting.
+        """
+        targets = self._directory.targets(placement.service)
+        starting = any(target.starting for target in targets)
+        return not targets or starting or bool(placement.tried)
+
+    def on_accepted(self, key: bytes) -> None:
+        """Ends a placement: a target has answered the opening packet."""
+        if self._placement_by_key.pop(key, None) is not None:
+            self._counts.add("placed")
+
+    def on_refused(
+        self, frame: frames.Frame, source: _Address, now: float
+    ) -> list[outcomes.Outcome]:
+        """Goes on after a target has not taken the opening packet."""
+        placement = self._placement_by_key.get(frame.key)
+        if placement is None or placement.chosen != source:
+            return []
+        placement.chosen = None
+        placement.load_by_address[source] = frames.NOT_ACCEPTING
+        return self._decide(frame.key, placement, now)
+
+    def on_tick(self, now: float) -> list[outcomes.Outcome]:
+        """Goes on with the flows that have waited long enough."""
+        sends: list[outcomes.Outcome] = []
+        for key, placement in list(self._placement_by_key.items()):
+            if now >= placement.deadline:
+                sends.extend(self._overdue(key, placement, now))
+        return sends
+
+    def _overdue(
+        self, key: bytes, placement: Placement, now: float
+    ) -> list[outcomes.Outcome]:
+        if placement.overdue(now):
+            return self._give_up(key, placement, now)
+        if placement.chosen is not None:
+            self._counts.add("accept_overdue")
+            self._report_decision(key, placement, "not answered", now)
+            placement.chosen = None
+        # Who has not answered may yet, but the others do not wait for it.
+        placement.silent |= placement.waiting
+        placement.waiting.clear()
+        return self._decide(key, placement, now)
+
+    def _give_up(
+        self, key: bytes, placement: Placement, now: float
+    ) -> list[outcomes.Outcome]:
+        """Refuses a flow that no target takes; the caller hears at once."""
+        del self._placement_by_key[key]
+        segment = self._format.from_caller(placement.packet)
+        assert segment is not None, "a placement's packet was parsed before"
+        inputs: dict[str, object] = {
+            "service": placement.service,
+            "age_ms": round((now - placement.begun) * 1000, 1),
+        }
+        return [self.refuse(segment, "no target accepts", inputs)]
+
+    def refuse(
+        self, segment: formats.Segment, cause: str, inputs: dict[str, object]
+    ) -> outcomes.Outcome:
+        """Returns the reset that tells a caller that its flow is not opened.
+
+        Args:
+            segment: Header of the opening packet.
+            cause: Why, for the log.
+            inputs: What it was decided from.
+        """
+        self._counts.add("refused")
+        inputs = {**inputs, "cause": cause, "version": self.version}
+        self._report(
+            outcomes.Decision("placement", "refused", segment.key, inputs)
+        )
+        return outcomes.ToCaller(
+            self._format.caller(segment.key), self._format.reset(segment)
+        )
+
+    def _report_decision(
+        self,
+        key: bytes,
+        placement: Placement,
+        outcome: str,
+        now: float,
+    ) -> None:
+        loads = {
+            address[0]: load
+            for address, load in placement.load_by_address.items()
+        }
+        inputs: dict[str, object] = {
+            "service": placement.service,
+            "version": self.version,
+            "target": placement.chosen[0] if placement.chosen else None,
+            "loads_ms": loads,
+            "unanswered": [
+                address[0] for address in placement.waiting | placement.silent
+            ],
+            "tried": len(placement.tried),
+            "age_ms": round((now - placement.begun) * 1000, 1),
+        }
+        self._report(outcomes.Decision("placement", outcome, key, inputs))
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -1,8 +1,16 @@
 """Searches for the side process that holds a flow."""
 
+import collections.abc
 import dataclasses
 
-__all__ = ["Search"]
+from clementinelead.relays import candidates
+from clementinelead.relays import directory
+from clementinelead.relays import formats
+from clementinelead.relays import frames
+from clementinelead.relays import outcomes
+from clementinelead.telemetry import counters
+
+__all__ = ["Found", "Search", "Searcher"]
 
 QUERY_DELAY_S = 0.002
 """Time that questions wait, so that many flows share a datagram, seconds."""
@@ -61,3 +69,303 @@
     absent: int = 0
     probes: int = 0
     complete: bool = True
+
+
+_Kind = frames.Kind
+_Address = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """A flow that a search has found.
+
+    Attributes:
+        key: Flow key.
+        owner: Address of its side process.
+        service: Number of its service.
+        sends: Its packets that have waited, for the owner.
+    """
+
+    key: bytes
+    owner: tuple[str, int]
+    service: int
+    sends: tuple[outcomes.Outcome, ...]
+
+
+class Searcher:
+    """Asks the side processes for flows that the cache does not know."""
+
+    def __init__(
+        self,
+        packet_format: formats.PacketFormat,
+        known: directory.Directory,
+        counts: counters.CounterSet,
+        report: collections.abc.Callable[[outcomes.Decision], None],
+    ):
+        """Starts with nothing to search.
+
+        Args:
+            packet_format: Format of the callers' packets.
+            known: The targets.
+            counts: Counts decisions by outcome.
+            report: Gets each decision for the log.
+        """
+        self._format = packet_format
+        self._directory = known
+        self._counts = counts
+        self._report = report
+        self._search_by_key: dict[bytes, Search] = {}
+        self._unknown_until: dict[bytes, float] = {}
+        self._queries: dict[tuple[_Address, int], list[bytes]] = {}
+        self._queries_due = float("inf")
+        self._resets_from = float("inf")
+
+    @property
+    def busy(self) -> bool:
+        """Whether searches are under way."""
+        return bool(self._search_by_key or self._queries)
+
+    def view_changed(self, settled_at: float) -> None:
+        """Notes that some side process may not be known until a time.
+
+        Args:
+            settled_at: When all will be known again, seconds.
+        """
+        if self._resets_from == float("inf"):
+            self._resets_from = settled_at
+        self._resets_from = max(self._resets_from, settled_at)
+
+    def find(
+        self,
+        key: bytes,
+        services: frozenset[str],
+        data: bytes,
+        now: float,
+    ) -> list[outcomes.Outcome]:
+        """Begins or joins a search for the owner of a flow.
+
+        Args:
+            key: Flow key.
+            services: Services of the flow's route.
+            data: A packet of the flow.
+            now: Present time, seconds.
+        """
+        search = self._search_by_key.get(key)
+        if search is not None:
+            if len(search.packets) < MAX_PACKETS:
+                search.packets.append(data)
+            return []
+        if self._unknown_until.get(key, 0.0) > now:
+            self._counts.add("unknown_flow")
+            return []
+        if len(self._search_by_key) >= MAX_SEARCHES:
+            self._counts.add("searches_full")
+            return []
+        owners, complete = self._possible_owners(services)
+        if not owners:
+            self._counts.add("unknown_service")
+            return []
+        search = Search(
+            packets=[data],
+            begun=now,
+            deadline=now + QUERY_DELAY_S + ANSWER_S,
+            waiting={address for address, _ in owners},
+            unsure=[],
+            complete=complete,
+        )
+        self._search_by_key[key] = search
+        for owner in owners:
+            self._queries.setdefault(owner, []).append(key)
+        due = now + QUERY_DELAY_S
+        self._queries_due = min(self._queries_due, due)
+        self._counts.add("searches")
+        return []
+
+    def _possible_owners(
+        self, services: frozenset[str]
+    ) -> tuple[list[tuple[_Address, int]], bool]:
+        """Returns who may hold a flow, and whether that is everybody.
+
+        A flow may be older than its route is as it is now, so all side
+        processes are asked unless they are too many.
+
+        Args:
+            services: Services of the flow's route.
+
+        Returns:
+            Addresses of side processes with their services' numbers, and
+            whether they are all that are known.
+        """
+        complete = self._directory.count <= MAX_ASKED
+        asked = frozenset(self._directory.by_service) if complete else services
+        owners = [
+            (target.address, frames.service_number(service))
+            for service in asked
+            for target in self._directory.targets(service)
+        ]
+        return owners, complete
+
+    def _flush_queries(self, now: float) -> list[outcomes.Outcome]:
+        sends: list[outcomes.Outcome] = []
+        for (address, number), keys in self._queries.items():
+            self._directory.responsive.asked(address, now)
+            for start in range(0, len(keys), frames.MAX_KEYS):
+                part = keys[start : start + frames.MAX_KEYS]
+                message = frames.encode(
+                    _Kind.ASK_HELD, number, part[0], frames.join_keys(part)
+                )
+                sends.append(outcomes.ToPeer(address, message))
+        self._queries.clear()
+        self._queries_due = float("inf")
+        return sends
+
+    def on_held(
+        self, frame: frames.Frame, source: _Address, now: float
+    ) -> list[Found]:
+        """Ends searches: a side process holds these flows."""
+        return [
+            self._found(key, frame.service, source, now)
+            for key in _keys(frame)
+            if key in self._search_by_key
+        ]
+
+    def _found(
+        self, key: bytes, service: int, source: _Address, now: float
+    ) -> Found:
+        search = self._search_by_key.pop(key)
+        self._report_end(key, search, "found", source[0], now)
+        # A probed target has had the first packet already.
+        first = 1 if search.probed == source else 0
+        sends = tuple(
+            outcomes.ToPeer(
+                source, frames.encode(_Kind.PACKET, service, key, packet)
+            )
+            for packet in search.packets[first:]
+        )
+        return Found(key, source, service, sends)
+
+    def on_absent(
+        self, frame: frames.Frame, source: _Address, now: float
+    ) -> list[outcomes.Outcome]:
+        """Takes the answer of a side process that knows of no such flow."""
+        sends: list[outcomes.Outcome] = []
+        for key in _keys(frame):
+            search = self._search_by_key.get(key)
+            if search is None or source not in search.waiting:
+                continue
+            search.waiting.discard(source)
+            if frame.kind is _Kind.UNSURE:
+                search.unsure.append((source, frame.service))
+            else:
+                search.absent += 1
+            if not search.waiting:
+                sends.extend(self._probe_next(key, search, now))
+        return sends
+
+    def _probe_next(
+        self, key: bytes, search: Search, now: float
+    ) -> list[outcomes.Outcome]:
+        """Hands the first packet to the next target that may hold the flow."""
+        if search.probes >= MAX_PROBES and search.unsure:
+            search.complete = False
+            search.unsure.clear()
+        if not search.unsure:
+            return self._end_search(key, search, now)
+        if search.probed is None:
+            self._rank(key, search)
+        address, number = search.unsure.pop(0)
+        search.probed = address
+        search.probes += 1
+        search.deadline = now + PROBE_S
+        self._directory.responsive.asked(address, now)
+        message = frames.encode(_Kind.PROBE, number, key, search.packets[0])
+        return [outcomes.ToPeer(address, message)]
+
+    def _rank(self, key: bytes, search: Search) -> None:
+        """Puts the likely owners of a flow first."""
+        place_by_address = {
+            target.address: place
+            for targets in self._directory.by_service.values()
+            for place, target in enumerate(candidates.ranked(key, targets))
+        }
+        last = len(place_by_address)
+        search.unsure.sort(key=lambda one: place_by_address.get(one[0], last))
+
+    def _end_search(
+        self, key: bytes, search: Search, now: float
+    ) -> list[outcomes.Outcome]:
+        """Gives up a search; resets a flow that surely nobody holds.
+
+        Its target has died, and the caller can try again at once. If anybody
+        has not answered, or somebody may not be known, there is silence.
+        """
+        del self._search_by_key[key]
+        segment = self._format.from_caller(search.packets[0])
+        assert segment is not None, "a search's packet was parsed before"
+        nowhere = search.complete and now >= self._resets_from
+        if nowhere and not segment.resets:
+            self._report_end(key, search, "reset", None, now)
+            reset = self._format.reset(segment)
+            return [outcomes.ToCaller(self._format.caller(key), reset)]
+        self._unknown_until[key] = now + UNKNOWN_S
+        self._report_end(key, search, "not found", None, now)
+        return []
+
+    def on_returned(
+        self, key: bytes, source: _Address, now: float
+    ) -> list[outcomes.Outcome] | None:
+        """Goes on after a target has returned a packet.
+
+        Returns:
+            What to send, or None if there is no search for the flow.
+        """
+        search = self._search_by_key.get(key)
+        if search is None:
+            return None
+        if search.probed != source:
+            return []
+        search.absent += 1
+        return self._probe_next(key, search, now)
+
+    def on_tick(self, now: float) -> list[outcomes.Outcome]:
+        """Sends questions that are due; goes on without missing answers."""
+        sends: list[outcomes.Outcome] = []
+        if now >= self._queries_due:
+            sends.extend(self._flush_queries(now))
+        for key, search in list(self._search_by_key.items()):
+            if now >= search.deadline:
+                search.complete = False
+                search.waiting.clear()
+                sends.extend(self._probe_next(key, search, now))
+        return sends
+
+    def expire(self, now: float) -> None:
+        """Forgets which flows were searched for in vain a while ago."""
+        for key, until in list(self._unknown_until.items()):
+            if until <= now:
+                del self._unknown_until[key]
+
+    def _report_end(
+        self,
+        key: bytes,
+        search: Search,
+        outcome: str,
+        target: str | None,
+        now: float,
+    ) -> None:
+        self._counts.add(f"search_{outcome.replace(' ', '_')}")
+        inputs: dict[str, object] = {
+            "target": target,
+            "absent": search.absent,
+            "unanswered": [address[0] for address in search.waiting],
+            "packets": len(search.packets),
+            "age_ms": round((now - search.begun) * 1000, 1),
+        }
+        self._report(outcomes.Decision("search", outcome, key, inputs))
+
+
+def _keys(frame: frames.Frame) -> list[bytes]:
+    """Returns the keys that an answer to a search names."""
+    if not frame.payload:
+        return [frame.key]
+    return frames.split_keys(frame.payload, len(frame.key)) or []
--- a/clementinelead/relays/tests/test_holding.py
+++ b/clementinelead/relays/tests/test_holding.py
@@ -1,5 +1,5 @@
 from clementinelead.relays import frames
-from clementinelead.relays import holding
+from clementinelead.relays import held_flows
 from clementinelead.relays.tests import network
 
 BALANCER = ("balancer0", 1)
@@ -67,7 +67,7 @@
     net = network.Network(targets=1)
     side = _opened(net, network.flow_key(1))
     assert side.working == 1
-    side.on_tick(net.now + holding.RESERVED_S + 0.01)
+    side.on_tick(net.now + held_flows.RESERVED_S + 0.01)
     assert side.working == 0
 
 
--- a/clementinelead/relays/tests/test_relaying.py
+++ b/clementinelead/relays/tests/test_relaying.py
@@ -102,6 +102,24 @@
     assert net.now - begun < 4 * 0.05
 
 
+def test_silent_target_does_not_keep_a_flow_from_one_that_gets_free():
+    net = network.Network(targets=2)
+    key = network.flow_key(1)
+    net.send(network.packet(key, network.OPENS))
+    net.run(0.05)
+    [busy] = net.owners(key)
+    net.silent.add(({("side0", 1), ("side1", 1)} - {busy}).pop())
+    estimate = net.side_by_address[busy].work.estimate
+    estimate.working += 20
+    waiting = network.flow_key(2)
+    net.send(network.packet(waiting, network.OPENS))
+    net.run(0.2)
+    assert not net.owners(waiting)
+    estimate.working -= 20
+    net.run(0.2)
+    assert net.owners(waiting) == [busy]
+
+
 def test_returned_opening_packet_goes_to_another_target():
     net = network.Network(targets=3)
     net.target_by_address[("side0", 1)].full = True
