--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -46,6 +46,13 @@
 Above it gossip alone carries it, at a cost that does not grow with them.
 """
 
+FIRST_TIMEOUT_S = 0.2
+"""Deadline of the first question to a seed, seconds; it doubles.
+
+A machine without power does not answer, and a connection to it hangs even
+when it has power again.
+"""
+
 PEER_TIMEOUT_S = 1.0
 """Deadline of a question to a peer, seconds."""
 
@@ -221,6 +228,8 @@
         """
         if not changes:
             return
+        if not self.alone:
+            self._met.set()
         self._subscriber.on_members(changes, now)
         few = len(self.gossiper.table.by_id) <= DIRECT_MEMBERS
         if not few or not self.gossiper.announced:
@@ -317,9 +326,12 @@
 
     async def _join_through(self, seed: str) -> None:
         """Exchanges views with a seed, again and again until one has."""
-        while not await self._sync((seed, self._settings.http_port)):
+        address = (seed, self._settings.http_port)
+        timeout_s = FIRST_TIMEOUT_S
+        while not await self._sync(address, timeout_s):
             if self._met.is_set() and not self.alone:
                 break
+            timeout_s = min(PEER_TIMEOUT_S, 2 * timeout_s)
             await asyncio.sleep(JOIN_RETRY_S * (0.5 + self.random.random()))
         self._met.set()
 
@@ -334,9 +346,15 @@
             seeds=len(self._seeds),
         ).info(event)
 
-    async def _sync(self, address: tuple[str, int]) -> bool:
+    async def _sync(
+        self, address: tuple[str, int], timeout_s: float = PEER_TIMEOUT_S
+    ) -> bool:
         """Exchanges members with a peer and takes its routes if newer.
 
+        Args:
+            address: IP address and port of the peer.
+            timeout_s: Deadline of the exchange, seconds.
+
         Returns:
             Whether the peer has answered.
         """
@@ -346,7 +364,7 @@
             "POST",
             _MEMBERS_PATH,
             controls.encode_records(own),
-            PEER_TIMEOUT_S,
+            timeout_s,
         )
         if not isinstance(answer, http_client.Answer) or answer.status != _OK:
             loguru.logger.debug("members of {}: {}", address, answer)
--- a/clementinelead/processes/tests/test_relay_node.py
+++ b/clementinelead/processes/tests/test_relay_node.py
@@ -119,6 +119,28 @@
     asyncio.run(main())
 
 
+def test_process_that_a_peer_has_told_of_itself_has_joined():
+    ports = _free_ports()
+
+    async def silent(reader, writer):
+        await asyncio.sleep(5.0)
+
+    async def main():
+        server = await asyncio.start_server(silent, "127.0.0.9", ports[2])
+        first, _ = _node(2, ports, ("127.0.0.9",))
+        second, _ = _node(3, ports, ("127.0.0.2",))
+
+        async def check():
+            await _eventually(lambda: first.joined, JOIN_BOUND_S)
+
+        try:
+            await _run([first, second], check)
+        finally:
+            server.close()
+
+    asyncio.run(main())
+
+
 def test_routes_reach_all_and_never_go_back():
     ports = _free_ports()
     nodes = []
