--- a/clementinelead/relays/held_flows.py
+++ b/clementinelead/relays/held_flows.py
@@ -132,10 +132,16 @@
             self.work.released(now)
         self.work.estimate.closed()
 
-    def clear(self, now: float) -> None:
-        """Forgets all flows, of a target that has been replaced."""
-        for key in list(self.by_key):
-            self.forget(key, now)
+    def doubt(self, now: float) -> None:
+        """Ends all work, and doubts all flows, as the target is a new one.
+
+        Flows that it has opened before it announced itself are among them;
+        it returns the packets of the others.
+        """
+        for key, flow in self.by_key.items():
+            flow.confirmed = False
+            self._reserved_until.pop(key, None)
+            self._release(flow, now)
 
     def note_request(self, key: bytes, flow: HeldFlow, now: float) -> None:
         """Counts the work that a caller's data asks for."""
--- a/clementinelead/relays/holding.py
+++ b/clementinelead/relays/holding.py
@@ -125,9 +125,7 @@
         if verdict is announcements.Verdict.STARTED:
             self.work.configure(announcement.slots, announcement.warmup_s, now)
             if known is not None:
-                self._flows.clear(now)
-                self._opener_by_key.clear()
-                self._probe_by_key.clear()
+                self._flows.doubt(now)
             fresh = announcement.born >= self._started_ms - BORN_MARGIN_MS
             if known is not None or announcement.sequence <= 1 or fresh:
                 self._learned_at = now
@@ -236,6 +234,8 @@
         flow = self._flows.by_key.get(key)
         if flow is None:
             return self._on_unknown(frame, segment, source, now)
+        if frame.kind is _Kind.PROBE:
+            self._probe_by_key[key] = (source, now + RETURN_S)
         if not flow.settled and not segment.opens:
             if not flow.follows(segment):
                 self._flows.forget(key, now)
@@ -279,20 +279,22 @@
         if keys is None:
             self.counts.add("malformed_frame")
             return []
-        held: list[bytes] = []
-        others: list[bytes] = []
+        keys_by_kind: dict[frames.Kind, list[bytes]] = {}
         for key in keys:
-            flow = self._flows.by_key.get(key)
-            certain = flow is not None and (flow.settled or flow.confirmed)
-            (held if certain else others).append(key)
-        doubt = _Kind.ABSENT if now >= self._learned_at else _Kind.UNSURE
-        answers = ((_Kind.HELD, held), (doubt, others))
+            kind = self._belief(key, now)
+            keys_by_kind.setdefault(kind, []).append(key)
         return [
             self._answer(kind, frame, source, frames.join_keys(part))
-            for kind, part in answers
-            if part
+            for kind, part in keys_by_kind.items()
         ]
 
+    def _belief(self, key: bytes, now: float) -> frames.Kind:
+        """Returns what to say of a flow that a balancer searches."""
+        flow = self._flows.by_key.get(key)
+        if flow is not None:
+            return _Kind.HELD if flow.confirmed else _Kind.UNSURE
+        return _Kind.ABSENT if now >= self._learned_at else _Kind.UNSURE
+
     # Packets of the target.
 
     def on_target_packet(
@@ -427,7 +429,9 @@
         for key, (address, deadline) in list(self._probe_by_key.items()):
             if now >= deadline:
                 del self._probe_by_key[key]
-                if key in self._flows.by_key:
+                flow = self._flows.by_key.get(key)
+                if flow is not None:
+                    flow.confirmed = True
                     sends.append(self._held(key, address))
         self._flows.on_tick(now)
         if now >= self._next_expiry:
