One copy of tasks, peers' questions and the programs' start

Node and RelayNode share processes/tasks; the HTTP questions between relaying processes stand in processes/peer_exchange; both programs of the platform start through platform/programs. No behaviour changes but one: settings of a side process without a target are reported like other wrong settings.

--- /dev/null
+++ b/clementinelead/platform/programs.py
@@ -0,0 +1,72 @@
+"""What the programs of this platform have in common."""
+
+import asyncio
+import collections.abc
+import sys
+import typing
+
+import loguru
+
+from clementinelead import exceptions
+from clementinelead.platform import settings
+from clementinelead.processes import http_site
+from clementinelead.processes import lifetime
+from clementinelead.processes import metrics_page
+from clementinelead.processes import relay_node
+
+__all__ = ["EXIT_SETTINGS", "Program", "run"]
+
+EXIT_SETTINGS = 2
+
+
+class Program(typing.Protocol):
+    """A program of this platform.
+
+    Attributes:
+        node: Gossip and routes.
+        metrics: Its metrics.
+    """
+
+    node: relay_node.RelayNode
+    metrics: metrics_page.MetricsPage
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Runs until asked to stop."""
+
+
+Sites = collections.abc.Sequence[lifetime.Site]
+Build = collections.abc.Callable[[settings.NodeSettings], tuple[Program, Sites]]
+
+
+def run(build: Build) -> int:
+    """Runs a program; returns its exit code.
+
+    Args:
+        build: Returns the program and its sites for the settings.
+    """
+    try:
+        loaded = settings.load()
+        program, sites = build(loaded)
+    except exceptions.SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    metrics = http_site.HttpSite()
+    metrics.add("GET", "/metrics", program.metrics.respond)
+    address = (loaded.relay.address, loaded.relay.metrics_port)
+    return lifetime.run(
+        loaded.relay.id,
+        program.run,
+        [*sites, (metrics, address)],
+        lambda: _reload(program.node),
+    )
+
+
+def _reload(node: relay_node.RelayNode) -> None:
+    """Takes over what may change in the settings of a running process."""
+    try:
+        changed = settings.load()
+    except exceptions.SettingsError as error:
+        loguru.logger.error("settings not reloaded: {}", error)
+        return
+    node.add_seeds(changed.relay.seeds)
+    loguru.logger.bind(seeds=changed.relay.seeds).info("settings reloaded")
--- a/clementinelead/platform/tests/test_heartbeats.py
+++ b/clementinelead/platform/tests/test_heartbeats.py
@@ -3,11 +3,9 @@
 import pytest
 
 from clementinelead.platform import heartbeats
-from clementinelead.platform import packets
-from clementinelead.platform import store
+from clementinelead.platform import side as side_program
 from clementinelead.platform.tests import settings_files
 from clementinelead.processes import http_site
-from clementinelead.processes import relay_side
 
 BEAT = {
     "service": "whois",
@@ -24,15 +22,7 @@
 
 @pytest.fixture(name="respond")
 def _respond():
-    loaded = settings_files.side(service="whois")
-    side = relay_side.RelaySide(
-        loaded.relay,
-        loaded.service,
-        loaded.target,
-        loaded.answers,
-        packets.PlatformFormat(loaded.caller_port),
-        store.ContactStore(store.Store(loaded.store)),
-    )
+    side, _ = side_program.build(settings_files.side(service="whois"))
     handlers = heartbeats.HeartbeatHandlers(side)
     site = http_site.HttpSite()
     handlers.add_to(site)
--- a/clementinelead/platform/tests/test_settings.py
+++ b/clementinelead/platform/tests/test_settings.py
@@ -2,6 +2,7 @@
 
 from clementinelead import exceptions
 from clementinelead.platform import settings
+from clementinelead.platform import side
 from clementinelead.platform.tests import settings_files
 
 
@@ -46,3 +47,8 @@
     monkeypatch.setenv(settings.FILE_VARIABLE, str(broken))
     with pytest.raises(exceptions.SettingsError):
         settings.load()
+
+
+def test_side_process_needs_a_target():
+    with pytest.raises(exceptions.SettingsError):
+        side.build(settings_files.side(app=""))
--- a/clementinelead/processes/node.py
+++ b/clementinelead/processes/node.py
@@ -19,6 +19,7 @@
 from clementinelead.messages import controls
 from clementinelead.processes import control_channel
 from clementinelead.processes import peers
+from clementinelead.processes import tasks
 from clementinelead.settings import models as settings_models
 from clementinelead.telemetry import metrics
 
@@ -125,9 +126,7 @@
         self._keys = keys
         self._services = services
         self._subscriber = subscriber
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._stopping = asyncio.Event()
-        self._failure: BaseException | None = None
+        self._tasks = tasks.Tasks()
         self._runner: web.AppRunner | None = None
         self._following = False
         self._repairs = repairs.RepairSchedule(self.random)
@@ -153,7 +152,7 @@
         Raises:
             OSError: A port is taken.
         """
-        self._stopping = stopping
+        self._tasks.start(stopping)
         self._session = aiohttp.ClientSession()
         address = self._settings.address
         await self.channel.open((address, self._settings.control_port))
@@ -169,38 +168,18 @@
         Raises:
             exceptions.TaskFailedError: A task failed, which no longer ran.
         """
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.stop()
         if self._runner is not None:
             await self._runner.cleanup()
         self.channel.close()
         await self.session.close()
-        if self._failure is not None:
-            raise exceptions.TaskFailedError(str(self._failure))
+        self._tasks.raise_failure()
 
     def spawn(
         self, coroutine: collections.abc.Coroutine[None, None, None]
     ) -> None:
         """Runs a coroutine until the node stops; logs if it fails."""
-        task = asyncio.get_running_loop().create_task(coroutine)
-        task.add_done_callback(self._on_done)
-        self._tasks.add(task)
-
-    def _on_done(self, task: asyncio.Task[None]) -> None:
-        """Stops the process when one of its tasks fails.
-
-        A process that lacks one of its tasks would keep no promise.
-        """
-        self._tasks.discard(task)
-        if task.cancelled():
-            return
-        error = task.exception()
-        if error is not None:
-            loguru.logger.opt(exception=error).error("a task failed")
-            self._failure = error
-            self._stopping.set()
+        self._tasks.spawn(coroutine)
 
     def announce(self, **fields: object) -> None:
         """Raises the own record and pushes it to others."""
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -18,9 +18,10 @@
 from clementinelead.memberships import watchers
 from clementinelead.messages import controls
 from clementinelead.processes import control_channel
-from clementinelead.processes import http_client
 from clementinelead.processes import http_site
+from clementinelead.processes import peer_exchange
 from clementinelead.processes import relay_settings
+from clementinelead.processes import tasks
 from clementinelead.relays import routes
 
 __all__ = ["RelayNode", "Subscriber"]
@@ -65,8 +66,6 @@
 It tells strays of another cluster or version apart; it keeps nobody out.
 """
 
-_MEMBERS_PATH = "/peer/members"
-_ROUTES_PATH = "/peer/routes"
 _OK = 200
 _NOT_MODIFIED = 304
 _BAD_REQUEST = 400
@@ -138,12 +137,10 @@
             lambda: None,
         )
         self._site = http_site.HttpSite()
-        self._site.add("POST", _MEMBERS_PATH, self._serve_members)
-        self._site.add("GET", _ROUTES_PATH, self._serve_routes)
+        self._site.add("POST", peer_exchange.MEMBERS_PATH, self._serve_members)
+        self._site.add("GET", peer_exchange.ROUTES_PATH, self._serve_routes)
         self._repairs = repairs.RepairSchedule(self.random)
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._stopping = asyncio.Event()
-        self._failure: BaseException | None = None
+        self._tasks = tasks.Tasks()
         self._following = False
         self._started = False
         self._met = asyncio.Event()
@@ -157,7 +154,7 @@
         Raises:
             OSError: A port is taken.
         """
-        self._stopping = stopping
+        self._tasks.start(stopping)
         self._started = True
         address = self._settings.address
         await self._channel.open((address, self._settings.control_port))
@@ -171,32 +168,16 @@
         Raises:
             exceptions.TaskFailedError: A task failed.
         """
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.stop()
         await self._site.stop()
         self._channel.close()
-        if self._failure is not None:
-            raise exceptions.TaskFailedError(str(self._failure))
+        self._tasks.raise_failure()
 
     def spawn(
         self, coroutine: collections.abc.Coroutine[None, None, None]
     ) -> None:
         """Runs a coroutine until the node stops; its failure stops it."""
-        task = asyncio.get_running_loop().create_task(coroutine)
-        task.add_done_callback(self._on_done)
-        self._tasks.add(task)
-
-    def _on_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if task.cancelled():
-            return
-        error = task.exception()
-        if error is not None:
-            loguru.logger.opt(exception=error).error("task failed")
-            self._failure = error
-            self._stopping.set()
+        self._tasks.spawn(coroutine)
 
     def announce(self, **fields: object) -> None:
         """Raises the own record and pushes it to others."""
@@ -359,20 +340,8 @@
             Whether the peer has answered.
         """
         own = [self.gossiper.own] if self.gossiper.announced else []
-        answer = await http_client.call(
-            address,
-            "POST",
-            _MEMBERS_PATH,
-            controls.encode_records(own),
-            timeout_s,
-        )
-        if not isinstance(answer, http_client.Answer) or answer.status != _OK:
-            loguru.logger.debug("members of {}: {}", address, answer)
-            return False
-        try:
-            found = controls.decode_records(answer.body)
-        except exceptions.MalformedMessageError as error:
-            loguru.logger.warning("members of {}: {}", address, error)
+        found = await peer_exchange.exchange_members(address, own, timeout_s)
+        if found is None:
             return False
         self._raise_incarnation(found)
         now = time.monotonic()
@@ -389,22 +358,11 @@
 
     async def _fetch_routes(self, address: tuple[str, int]) -> None:
         """Takes over a peer's routes if they are newer."""
-        answer = await http_client.call(
-            address,
-            "GET",
-            f"{_ROUTES_PATH}?since={self.table.version}",
-            b"",
-            PEER_TIMEOUT_S,
+        table = await peer_exchange.fetch_routes(
+            address, self.table.version, PEER_TIMEOUT_S
         )
-        if not isinstance(answer, http_client.Answer) or answer.status != _OK:
-            loguru.logger.debug("routes of {}: {}", address, answer)
-            return
-        try:
-            table = msgspec.json.decode(answer.body, type=routes.RoutingTable)
-        except msgspec.DecodeError as error:
-            loguru.logger.warning("routes of {}: {}", address, error)
-            return
-        self.adopt(table, address[0])
+        if table is not None:
+            self.adopt(table, address[0])
 
     def _serve_members(self, request: http_site.Request) -> http_site.Response:
         try:
