Stop tasks that miss a cancellation

Cause: asyncio.wait_for of Python 3.11 drops a cancellation that comes together with the result. The programs had it too, in each HTTP call, and would then have been killed after their grace time. Change: asyncio.timeout in its place, and tasks that still run are cancelled again; the soak uses the same Tasks.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -175,7 +175,8 @@
             following = moments[0] if moments else begun + timeout_s
             wait = max(0.0, following - time.monotonic())
             try:
-                packet = await asyncio.wait_for(self._queue.get(), wait)
+                async with asyncio.timeout(wait):
+                    packet = await self._queue.get()
             except TimeoutError:
                 continue
             if packet.flags & packets.RST:
--- a/bench/soak/store.py
+++ b/bench/soak/store.py
@@ -78,7 +78,8 @@
         if self._revision <= after:
             wait_s = int(request.query["wait_ms"]) / 1000
             try:
-                await asyncio.wait_for(self._changed.wait(), wait_s)
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
             except TimeoutError:
                 pass
         events = [self._item()] if self._revision > after else []
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -1,6 +1,5 @@
 """All parts of a soak on one machine."""
 
-import asyncio
 import dataclasses
 import pathlib
 import random
@@ -13,6 +12,8 @@
 from bench.soak import router as router_module
 from bench.soak import store as store_module
 from bench.soak import targets as targets_module
+from clementinelead import exceptions
+from clementinelead.processes import tasks
 
 __all__ = ["Sizes", "World"]
 
@@ -68,7 +69,7 @@
             [self._address(1 + number) for number in range(sizes.balancers)],
             self.ports,
         )
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = tasks.Tasks()
         self._idle_routes = 0
 
     def _address(self, number: int) -> str:
@@ -165,16 +166,15 @@
 
     def spawn(self, coroutine: typing.Coroutine[None, None, None]) -> None:
         """Runs something until the end of the soak."""
-        self._tasks.append(asyncio.create_task(coroutine))
+        self._tasks.spawn(coroutine)
 
     async def stop(self) -> None:
         """Ends everything that this soak has started."""
-        for task in self._tasks:
-            task.cancel()
-        results = await asyncio.gather(*self._tasks, return_exceptions=True)
-        for result in results:
-            if isinstance(result, Exception):
-                self.audit.violate(f"the soak itself failed: {result!r}", 0.0)
+        await self._tasks.stop()
+        try:
+            self._tasks.raise_failure()
+        except exceptions.TaskFailedError as error:
+            self.audit.violate(f"the soak itself failed: {error}", 0.0)
         for target in self.targets:
             target.crash()
         await self._runner.cleanup()
--- a/clementinelead/processes/http_client.py
+++ b/clementinelead/processes/http_client.py
@@ -54,7 +54,8 @@
     """
     exchange = _Exchange(address, method, target, body)
     try:
-        return await asyncio.wait_for(exchange.run(), timeout_s)
+        async with asyncio.timeout(timeout_s):
+            return await exchange.run()
     except TimeoutError:
         return NoAnswer("deadline", exchange.sent)
     except (OSError, h11.ProtocolError) as error:
--- a/clementinelead/processes/http_site.py
+++ b/clementinelead/processes/http_site.py
@@ -125,7 +125,8 @@
             data += connection.send(h11.Data(data=response.body)) or b""
         data += connection.send(h11.EndOfMessage()) or b""
         writer.write(data)
-        await asyncio.wait_for(writer.drain(), IDLE_S)
+        async with asyncio.timeout(IDLE_S):
+            await writer.drain()
         return bool(
             connection.our_state is h11.DONE
             and connection.their_state is h11.DONE
@@ -156,7 +157,8 @@
     while True:
         event = connection.next_event()
         if event is h11.NEED_DATA:
-            data = await asyncio.wait_for(reader.read(_READ_BYTES), IDLE_S)
+            async with asyncio.timeout(IDLE_S):
+                data = await reader.read(_READ_BYTES)
             connection.receive_data(data)
         elif isinstance(event, h11.Request):
             head = event
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -295,7 +295,8 @@
         for seed in self._seeds:
             self.spawn(self._join_through(seed))
         try:
-            await asyncio.wait_for(self._met.wait(), ALONE_S)
+            async with asyncio.timeout(ALONE_S):
+                await self._met.wait()
             self._enter("joined")
         except TimeoutError:
             self._enter("no peer answers; starting alone")
--- a/clementinelead/processes/tasks.py
+++ b/clementinelead/processes/tasks.py
@@ -9,6 +9,9 @@
 
 __all__ = ["Tasks"]
 
+CANCEL_AGAIN_S = 0.2
+"""Time after which tasks that still run are cancelled again, seconds."""
+
 
 class Tasks:
     """Runs coroutines until they are stopped together.
@@ -35,11 +38,12 @@
         self._tasks.add(task)
 
     async def stop(self) -> None:
-        """Cancels what still runs."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        """Cancels what still runs, again if a task misses it."""
+        while self._tasks:
+            running = list(self._tasks)
+            for task in running:
+                task.cancel()
+            await asyncio.wait(running, timeout=CANCEL_AGAIN_S)
 
     def raise_failure(self) -> None:
         """Raises if a task has failed.
