--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -171,7 +171,9 @@
         while time.monotonic() < begun + timeout_s:
             if moments and time.monotonic() >= moments[0]:
                 moments.pop(0)
-                self._send(flags, ack, data)
+                copies = len(send_at) - len(moments) - 1
+                opening = flags == packets.SYN
+                self._send(flags, copies if opening else ack, data)
             following = moments[0] if moments else begun + timeout_s
             wait = max(0.0, following - time.monotonic())
             try:
--- a/clementinelead/platform/packets.py
+++ b/clementinelead/platform/packets.py
@@ -119,6 +119,8 @@
     return formats.Segment(
         key=key,
         opens=syn and not ack,
+        # On an opening packet this field counts the copies sent before.
+        repeated=syn and not ack and acknowledgement > 0,
         accepts=syn and ack,
         closes=bool(flags & _FIN),
         resets=bool(flags & _RST),
--- a/clementinelead/relays/formats.py
+++ b/clementinelead/relays/formats.py
@@ -14,6 +14,7 @@
         key: Flow key: the caller's and the service's address and port, in an
             order of the format's own. Both directions have the same key.
         opens: Whether it asks to open a flow.
+        repeated: Whether it is known to be a copy of such a packet.
         accepts: Whether it answers such a packet.
         closes: Whether its sender sends nothing after it.
         resets: Whether it ends the flow at once.
@@ -25,6 +26,7 @@
 
     key: bytes
     opens: bool
+    repeated: bool
     accepts: bool
     closes: bool
     resets: bool
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -76,6 +76,8 @@
         load_by_address: What the others have answered, milliseconds.
         tried: Targets that the packet has been sent to.
         busy: Targets that have answered that a new flow had better wait.
+        may_be_open: Whether the flow may have been opened before.
+        sent: Whether a target has had the packet, and may have answered.
         chosen: The target that has it now.
         hold_s: Time until the targets are asked again, seconds.
     """
@@ -91,6 +93,8 @@
     load_by_address: dict[tuple[str, int], int]
     tried: list[tuple[str, int]]
     busy: set[tuple[str, int]]
+    may_be_open: bool = False
+    sent: bool = False
     chosen: tuple[str, int] | None = None
     hold_s: float = FIRST_HOLD_S
     silent: set[tuple[str, int]] = dataclasses.field(default_factory=set)
@@ -169,6 +173,7 @@
         route: routes.Route,
         data: bytes,
         now: float,
+        known: bool,
     ) -> list[outcomes.Outcome]:
         """Begins to place a new flow.
 
@@ -177,6 +182,8 @@
             route: Route of the flow.
             data: The opening packet.
             now: Present time, seconds.
+            known: Whether the flow was placed before, and its target is
+                silent now.
         """
         key = segment.key
         pending = self._placement_by_key.get(key)
@@ -196,6 +203,7 @@
             load_by_address={},
             tried=[],
             busy=set(),
+            may_be_open=known or segment.repeated,
         )
         self._placement_by_key[key] = placement
         asked = self._ask_more(key, placement, now)
@@ -266,6 +274,7 @@
             return self._decide_later(key, placement, now)
         placement.chosen = address
         placement.tried.append(address)
+        placement.sent = True
         placement.deadline = now + ACCEPT_S
         self._directory.responsive.asked(address, now)
         self._report_decision(key, placement, "sent", now)
@@ -320,6 +329,7 @@
         if placement is None or placement.chosen != source:
             return []
         placement.chosen = None
+        placement.sent = False
         placement.load_by_address[source] = frames.NOT_ACCEPTING
         return self._decide(frame.key, placement, now)
 
@@ -348,8 +358,14 @@
     def _give_up(
         self, key: bytes, placement: Placement, now: float
     ) -> list[outcomes.Outcome]:
-        """Refuses a flow that no target takes; the caller hears at once."""
+        """Refuses a flow that no target takes; the caller hears at once.
+
+        A late copy of an opening packet gets silence: its flow may be open.
+        """
         del self._placement_by_key[key]
+        if placement.may_be_open or placement.sent:
+            self._report_decision(key, placement, "left open", now)
+            return []
         segment = self._format.from_caller(placement.packet)
         assert segment is not None, "a placement's packet was parsed before"
         inputs: dict[str, object] = {
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -126,7 +126,7 @@
         if flow is not None:
             return self._follow(flow, segment, data, now)
         if segment.opens:
-            return self._open(segment, data, now)
+            return self._open(segment, data, now, False)
         return self._find(segment.key, data, now)
 
     def _follow(
@@ -142,7 +142,7 @@
                 flow.owner(), now
             ):
                 self._cache.forget(segment.key)
-                return self._open(segment, data, now)
+                return self._open(segment, data, now, not flow.closing)
         elif not flow.settled:
             flow.settle(segment.acknowledgement)
         flow.last = now
@@ -154,13 +154,13 @@
         return [outcomes.ToPeer(flow.owner(), message)]
 
     def _open(
-        self, segment: formats.Segment, data: bytes, now: float
+        self, segment: formats.Segment, data: bytes, now: float, known: bool
     ) -> list[outcomes.Outcome]:
         """Places a new flow, or refuses one that no route allows."""
         address = self._format.service_address(segment.key)
         route = self._by_address.get(address)
         if route is not None:
-            return self._placer.open(segment, route, data, now)
+            return self._placer.open(segment, route, data, now, known)
         if self.table.version == 0:
             self.counts.add("no_configuration")
             return []
--- a/clementinelead/relays/tests/test_relaying.py
+++ b/clementinelead/relays/tests/test_relaying.py
@@ -151,6 +151,34 @@
     return _resets(net)
 
 
+def test_copy_of_an_opening_packet_never_resets_an_open_flow():
+    # The copy comes late; the owner is silent, and the others drain.
+    net = network.Network(targets=2)
+    key = network.flow_key(1)
+    owner = net.open(key)
+    net.silent.add(owner)
+    net.send(network.packet(network.flow_key(2), network.OPENS))
+    net.run(0.3)
+    for number in range(2):
+        net.beat(number, sequence=2, draining=True)
+    net.tell_targets(net.balancer_by_address[("balancer0", 1)])
+    net.send(network.packet(key, network.OPENS))
+    net.run(2.0)
+    assert not _resets(net)
+
+
+def test_repeated_opening_packet_is_not_reset_by_a_new_balancer():
+    net = network.Network(targets=2)
+    key = network.flow_key(1)
+    net.open(key)
+    for number in range(2):
+        net.beat(number, sequence=2, draining=True)
+    net.restart_balancer(0)
+    net.send(network.packet(key, network.OPENS, acknowledgement=1))
+    net.run(2.0)
+    assert not _resets(net)
+
+
 def test_flow_that_everybody_denies_is_reset():
     net = network.Network()
     assert len(_search_in_vain(net)) == 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,8 @@
         # A target that had crashed took flows before it announced itself anew;
         # its side process then took them for old ones, and denied them.
         (101, 10.0, USUAL),
+        # A late copy of an opening packet was refused, which reset its flow.
+        (139, 10.0, USUAL),
     ],
 )
 def test_short_soak_keeps_all_promises(tmp_path, seed, seconds, sizes):
