Let the soak's targets say only draining once they drain

Ruled out: the side process; it refused new flows as long as the last word was 'draining'. Both new tests fail on the old stand-in.

--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -17,6 +17,8 @@
 HEARTBEAT_S = 0.4
 HANDSHAKE_BITS = 30
 DRAIN_BOUND_S = 3.0
+LONGER_S = (0.0, 3.0)
+"""How much longer than it has to a target serves on, as targets do."""
 
 
 class Target:
@@ -41,6 +43,7 @@
         self._random = generator
         self._answer_by_request: dict[str, packets.Packet | None] = {}
         self._slots = asyncio.Semaphore(2)
+        self._state = "ready"
         self._draining_since: float | None = None
         self._sequence = 0
         self._born = 0
@@ -52,6 +55,7 @@
         self.serving = True
         self.flows.clear()
         self._answer_by_request.clear()
+        self._state = "ready"
         self._draining_since = None
         self._sequence = 0
         self._born = time.time_ns() // 1_000_000
@@ -74,17 +78,25 @@
             self._socket = None
 
     async def drain(self) -> None:
-        """Announces the end, serves on for a while, and ends."""
+        """Announces the end, serves on for a while, and ends.
+
+        Does nothing if this incarnation already drains; an incarnation that
+        crashes meanwhile is not followed by the next one.
+        """
+        if self._state == "draining":
+            return
+        born = self._born
+        self._state = "draining"
         begun = time.monotonic()
-        while self.serving and time.monotonic() - begun < DRAIN_BOUND_S:
-            if await self._call("PUT", "draining"):
-                self._draining_since = time.monotonic()
+        while self._born == born and time.monotonic() - begun < DRAIN_BOUND_S:
+            if await self._announce(born):
                 break
             await asyncio.sleep(0.1)
-        await asyncio.sleep(DRAIN_BOUND_S)
-        if self.serving:
+        await asyncio.sleep(DRAIN_BOUND_S + self._random.uniform(*LONGER_S))
+        if self.serving and self._born == born:
             await self._call("DELETE", "draining")
-            self.crash()
+            if self._born == born:
+                self.crash()
 
     def _spawn(self, coroutine: typing.Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -93,10 +105,18 @@
 
     async def _announce_forever(self) -> None:
         while True:
-            if self._draining_since is None:
-                await self._call("PUT", "ready")
+            await self._announce(self._born)
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def _announce(self, born: int) -> bool:
+        """Sends a heartbeat; tells whether it was acknowledged."""
+        state = self._state
+        acknowledged = await self._call("PUT", state)
+        told = acknowledged and state == "draining" and self._born == born
+        if told and self._draining_since is None:
+            self._draining_since = time.monotonic()
+        return acknowledged
+
     async def _call(self, method: str, state: str) -> bool:
         self._sequence += 1
         content = {
--- /dev/null
+++ b/tests/test_soak_targets.py
@@ -0,0 +1,105 @@
+"""The soak's targets keep to the protocol that they stand in for."""
+
+import asyncio
+import json
+import random
+
+import pytest
+
+from bench import ports as ports_module
+from bench.soak import audit
+from bench.soak import targets
+
+_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+
+class _Control:
+    """Notes heartbeats; holds answers back while ``open`` is not set."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[str, str, int]] = []
+        self.open = asyncio.Event()
+        self.open.set()
+
+    async def serve(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        lines = head.decode().lower().split("\r\n")
+        length = next(
+            int(line.split(":")[1])
+            for line in lines
+            if line.startswith("content-length")
+        )
+        content = json.loads(await reader.readexactly(length))
+        method = lines[0].split()[0].upper()
+        self.calls.append((method, content["state"], content["sequence"]))
+        await self.open.wait()
+        writer.write(_ANSWER)
+        await writer.drain()
+        writer.close()
+
+
+@pytest.fixture
+def ports():
+    address = ports_module.loopback()
+    picked = ports_module.Ports()
+    names = ("control", "app", "outbound")
+    return address, {name: picked.pick(address) for name in names}
+
+
+def run(ports, script):
+    """Runs a script with a target and its control address."""
+
+    async def whole():
+        address, port_by_name = ports
+        control = _Control()
+        server = await asyncio.start_server(
+            control.serve, address, port_by_name["control"]
+        )
+        noted = audit.Audit()
+        target = targets.Target(
+            "t0", "lookups", address, port_by_name, noted, random.Random(1)
+        )
+        target.start()
+        await script(target, control)
+        target.crash()
+        server.close()
+        await server.wait_closed()
+
+    asyncio.run(whole())
+
+
+def test_target_never_says_ready_after_draining(ports):
+    async def script(target, control):
+        await asyncio.sleep(0.1)
+        control.open.clear()  # the side process is paused
+        drain = asyncio.create_task(target.drain())
+        await asyncio.sleep(1.6)
+        control.open.set()
+        await asyncio.sleep(0.8)
+        drain.cancel()
+        in_order = sorted(control.calls, key=lambda call: call[2])
+        states = [state for _, state, _ in in_order]
+        first = states.index("draining")
+        assert set(states[first:]) == {"draining"}
+        assert len(states[first:]) > 2
+
+    run(ports, script)
+
+
+def test_next_incarnation_does_not_drain_for_the_one_before(ports):
+    async def script(target, control):
+        await asyncio.sleep(0.1)
+        control.open.clear()
+        drain = asyncio.create_task(target.drain())
+        await asyncio.sleep(0.2)
+        target.crash()
+        target.start()
+        before = len(control.calls)
+        control.open.set()
+        await asyncio.sleep(1.0)
+        drain.cancel()
+        assert target.serving
+        states = [state for _, state, _ in control.calls[before:]]
+        assert states[-2:] == ["ready", "ready"]
+
+    run(ports, script)
