Reset flows that died with all targets as soon as all side processes are back

Ruled out: members (all 49 known 0.2 s after the first), side processes (all answer), routers. Change: contact keys also say how many side processes there were within 20 s; a balancer that starts reads them once, and counts the view as complete when exactly that many live and none is known to have ended.

--- a/bench/soak/store.py
+++ b/bench/soak/store.py
@@ -1,4 +1,4 @@
-"""The store's reading calls, with outages, delays and silent connections."""
+"""The store's calls, with outages, delays and silent connections."""
 
 import asyncio
 import base64
@@ -12,7 +12,7 @@
 
 
 class Store:
-    """Holds the configuration.
+    """Holds the configuration and leased keys; leases do not lapse.
 
     Attributes:
         fault: ``""``, ``busy``, ``silent``, ``slow`` or ``forgets``.
@@ -25,6 +25,8 @@
         self._value = b""
         self._revision = 10
         self._changed = asyncio.Event()
+        self._leases = 0
+        self._leased_by_key: dict[str, dict[str, object]] = {}
 
     def put(self, version: int, config: dict[str, object]) -> None:
         """Stores a configuration."""
@@ -39,6 +41,10 @@
         application = web.Application()
         application.router.add_get("/kv-key", self._get)
         application.router.add_get("/kv-watch", self._watch)
+        application.router.add_get("/kv-range", self._range)
+        application.router.add_post("/kv-lease", self._lease)
+        application.router.add_post("/kv-keep/{lease}", self._keep)
+        application.router.add_post("/kv-txn", self._write)
         runner = web.AppRunner(
             application, access_log=None, shutdown_timeout=0.1
         )
@@ -86,3 +92,31 @@
         return web.json_response(
             {"events": events, "current_rev": self._revision}
         )
+
+    async def _range(self, request: web.Request) -> web.Response:
+        await self._suffer()
+        prefix = request.query["prefix"]
+        found = [
+            item
+            for key, item in self._leased_by_key.items()
+            if key.startswith(prefix)
+        ]
+        return web.json_response(
+            {"items": found, "current_rev": self._revision}
+        )
+
+    async def _lease(self, request: web.Request) -> web.Response:
+        await self._suffer()
+        self._leases += 1
+        ttl_ms = (await request.json())["ttl_ms"]
+        return web.json_response({"lease": self._leases, "ttl_ms": ttl_ms})
+
+    async def _keep(self, _: web.Request) -> web.Response:
+        await self._suffer()
+        return web.json_response({})
+
+    async def _write(self, request: web.Request) -> web.Response:
+        await self._suffer()
+        for entry in (await request.json())["writes"]:
+            self._leased_by_key[entry["key"]] = {**entry, "revision": 1}
+        return web.json_response({"revision": 1})
--- a/clementinelead/memberships/members.py
+++ b/clementinelead/memberships/members.py
@@ -7,7 +7,15 @@
 
 from clementinelead.memberships import records
 
-__all__ = ["DIGEST_BUCKETS", "MemberTable", "digest_bucket"]
+__all__ = [
+    "DIGEST_BUCKETS",
+    "Census",
+    "Change",
+    "MemberTable",
+    "census",
+    "digest_bucket",
+    "ended",
+]
 
 DIGEST_BUCKETS = 256
 TOMBSTONE_S = 7_200.0
@@ -121,6 +129,33 @@
         ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Census:
+    """How many processes of a role are known.
+
+    Attributes:
+        living: Those that live and stay.
+        missing: Those that have ended or are about to.
+    """
+
+    living: int
+    missing: int
+
+
+def census(
+    known: collections.abc.Iterable[records.Record], role: records.Role
+) -> Census:
+    """Counts the processes of a role.
+
+    Args:
+        known: Records of all roles.
+        role: The role.
+    """
+    stays = [not ended(record) for record in known if record.role is role]
+    living = sum(stays)
+    return Census(living, len(stays) - living)
+
+
 def ended(record: records.Record) -> bool:
     """Tells whether a process is dead or leaving."""
     if record.health is records.Health.DEAD:
--- a/clementinelead/platform/store.py
+++ b/clementinelead/platform/store.py
@@ -149,9 +149,10 @@
     def __init__(self, store: Store):
         self._store = store
         self._lease: int | None = None
+        self._written: contact_keys.Contact | None = None
 
     async def hold(
-        self, identifier: str, address: str, lease_s: float
+        self, identifier: str, contact: contact_keys.Contact, lease_s: float
     ) -> contact_keys.Failed | None:
         """Renews the lease of a holder's key, or takes both anew.
 
@@ -160,29 +161,38 @@
         """
         if self._lease is not None:
             renewed = await self._store.post(f"/kv-keep/{self._lease}")
-            if _succeeded(renewed):
-                return None
             if isinstance(renewed, http_client.NoAnswer):
                 return contact_keys.Failed(renewed.reason)
-            self._lease = None
-        return await self._take(identifier, address, lease_s)
-
-    async def _take(
-        self, identifier: str, address: str, lease_s: float
-    ) -> contact_keys.Failed | None:
+            if not _succeeded(renewed):
+                self._lease = None
+        if self._lease is None:
+            self._written = None
+            failed = await self._take_lease(lease_s)
+            if failed is not None:
+                return failed
+        if contact == self._written:
+            return None
+        return await self._write(identifier, contact)
+
+    async def _take_lease(self, lease_s: float) -> contact_keys.Failed | None:
         ttl_ms = int(lease_s * _MS_PER_S)
         leased = await self._store.post("/kv-lease", {"ttl_ms": ttl_ms})
         if isinstance(leased, http_client.NoAnswer) or leased.status != _OK:
             return contact_keys.Failed(str(leased))
         try:
-            lease = msgspec.json.decode(leased.body, type=_Lease).lease
+            self._lease = msgspec.json.decode(leased.body, type=_Lease).lease
         except msgspec.DecodeError as error:
             return contact_keys.Failed(f"malformed answer: {error}")
-        value = base64.b64encode(address.encode()).decode()
+        return None
+
+    async def _write(
+        self, identifier: str, contact: contact_keys.Contact
+    ) -> contact_keys.Failed | None:
+        text = f"{contact.address} {contact.sides}"
         entry = {
             "key": f"{CONTACT_PREFIX}{identifier}",
-            "value": value,
-            "lease": lease,
+            "value": base64.b64encode(text.encode()).decode(),
+            "lease": self._lease,
         }
         content: dict[str, object] = {
             "expected": [],
@@ -191,12 +201,15 @@
         }
         written = await self._store.post("/kv-txn", content)
         if not _succeeded(written):
+            self._lease = None
             return contact_keys.Failed(str(written))
-        self._lease = lease
+        self._written = contact
         return None
 
-    async def find(self) -> tuple[str, ...] | contact_keys.Failed:
-        """Returns the addresses that the keys hold, without garbage."""
+    async def find(
+        self,
+    ) -> tuple[contact_keys.Contact, ...] | contact_keys.Failed:
+        """Returns what the keys say, without garbage."""
         answer = await self._store.get(
             "/kv-range", CALL_TIMEOUT_S, prefix=CONTACT_PREFIX, allow_stale=1
         )
@@ -209,15 +222,27 @@
         found = []
         for item in items:
             try:
-                text = base64.b64decode(item.value, validate=True).decode()
-                found.append(str(ipaddress.IPv4Address(text)))
+                found.append(_contact(item.value))
             except ValueError:
                 loguru.logger.bind(key=item.key).warning(
-                    "contact key holds no address"
+                    "contact key can't be read"
                 )
         return tuple(found)
 
 
+def _contact(value: str) -> contact_keys.Contact:
+    """Returns what the value of a contact key says.
+
+    Raises:
+        ValueError: It is none.
+    """
+    text = base64.b64decode(value, validate=True).decode()
+    address, _, sides = text.partition(" ")
+    return contact_keys.Contact(
+        str(ipaddress.IPv4Address(address)), max(0, int(sides))
+    )
+
+
 def _succeeded(answer: http_client.Answer | http_client.NoAnswer) -> bool:
     return isinstance(answer, http_client.Answer) and answer.status == _OK
 
--- a/clementinelead/platform/tests/test_store.py
+++ b/clementinelead/platform/tests/test_store.py
@@ -10,6 +10,7 @@
 from clementinelead.processes import route_watch
 
 HOST = "127.0.0.1"
+CONTACT = contact_keys.Contact("10.0.0.1", 5)
 
 
 class StandIn:
@@ -160,13 +161,13 @@
     async def exchange(stand_in, client):
         keys = store.ContactStore(client)
         for _ in range(2):
-            assert await keys.hold("b1", "10.0.0.1", 60.0) is None
+            assert await keys.hold("b1", CONTACT, 60.0) is None
         stand_in.leases.clear()
-        assert await keys.hold("b1", "10.0.0.1", 60.0) is None
+        assert await keys.hold("b1", CONTACT, 60.0) is None
         return await keys.find(), stand_in.calls
 
     found, calls = _run(exchange)
-    assert found == ("10.0.0.1",)
+    assert found == (CONTACT,)
     assert [path for _, path in calls] == [
         "/kv-lease",
         "/kv-txn",
@@ -178,14 +179,28 @@
     ]
 
 
+def test_contact_key_that_changes_is_written_under_its_lease():
+    changed = contact_keys.Contact(CONTACT.address, 6)
+
+    async def exchange(stand_in, client):
+        keys = store.ContactStore(client)
+        assert await keys.hold("b1", CONTACT, 60.0) is None
+        assert await keys.hold("b1", changed, 60.0) is None
+        return await keys.find(), len(stand_in.leases)
+
+    assert _run(exchange) == ((changed,), 1)
+
+
 def test_contact_keys_with_garbage_name_nobody():
     async def exchange(stand_in, client):
         stand_in.put(store.CONTACT_PREFIX + "x", b"\xff\xfe")
         stand_in.put(store.CONTACT_PREFIX + "y", b"not an address")
-        stand_in.put(store.CONTACT_PREFIX + "z", b"10.0.0.9")
+        stand_in.put(store.CONTACT_PREFIX + "z", b"10.0.0.9 3")
+        stand_in.put(store.CONTACT_PREFIX + "w", b"10.0.0.8 many")
+        stand_in.put(store.CONTACT_PREFIX + "v", b"10.0.0.7")
         return await store.ContactStore(client).find()
 
-    assert _run(exchange) == ("10.0.0.9",)
+    assert _run(exchange) == (contact_keys.Contact("10.0.0.9", 3),)
 
 
 @pytest.mark.parametrize(
@@ -195,7 +210,7 @@
     async def exchange(stand_in, client):
         stand_in.response = response
         keys = store.ContactStore(client)
-        return await keys.find(), await keys.hold("b1", "10.0.0.1", 60.0)
+        return await keys.find(), await keys.hold("b1", CONTACT, 60.0)
 
     for outcome in _run(exchange):
         assert isinstance(outcome, contact_keys.Failed)
--- a/clementinelead/processes/contact_keys.py
+++ b/clementinelead/processes/contact_keys.py
@@ -1,24 +1,45 @@
-"""Contact keys: how a process whose seeds are gone finds its peers.
+"""Contact keys: what the fleet keeps in the store about itself.
 
-A few balancers of each availability zone hold a key with their address in the
-store, under a lease. A process that knows nobody reads them.
+A few balancers of each availability zone hold a key with their address under
+a lease. A process that knows nobody finds its peers there. The keys also say
+how many side processes there are: who starts after a loss of all processes
+can tell from it when all of them are back.
 """
 
 import asyncio
 import dataclasses
 import random
+import time
 import typing
 
 import loguru
 
+from clementinelead.memberships import fleet_sizes
 from clementinelead.processes import relay_node
 
-__all__ = ["ContactFinder", "ContactHolder", "ContactKeys", "Failed"]
+__all__ = [
+    "Contact",
+    "ContactFinder",
+    "ContactHolder",
+    "ContactKeys",
+    "Failed",
+    "SideCount",
+]
 
 LEASE_S = 60.0
 """Time after which the key of a dead holder is gone, seconds."""
 
 RENEWALS_PER_LEASE = 3
+
+CHECK_S = 2.0
+"""Pause between looks at whether the key still says what is true, seconds."""
+
+COUNT_WINDOW_S = 20.0
+"""Time in which a side process that is missing may come back, seconds.
+
+Restarts, freezes and cuts last a few seconds.
+"""
+
 RETRY_S = 2.0
 """Longest pause after a call that failed, seconds."""
 
@@ -40,16 +61,76 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Contact:
+    """What a contact key says.
+
+    Attributes:
+        address: IP address of its holder.
+        sides: Side processes that there are, 0 if the holder can't tell.
+    """
+
+    address: str
+    sides: int
+
+
 class ContactKeys(typing.Protocol):
     """The contact keys in the store."""
 
     async def hold(
-        self, identifier: str, address: str, lease_s: float
+        self, identifier: str, contact: Contact, lease_s: float
     ) -> Failed | None:
-        """Takes or renews the key of a holder; returns why it could not."""
+        """Takes, changes or renews the key of a holder.
+
+        Returns:
+            Why it could not, or None.
+        """
+
+    async def find(self) -> tuple[Contact, ...] | Failed:
+        """Returns what the keys say."""
 
-    async def find(self) -> tuple[str, ...] | Failed:
-        """Returns the addresses that the keys hold."""
+
+class SideCount:
+    """How many side processes there are, for the key and from the keys.
+
+    Attributes:
+        before: How many the keys have named since this process began, 0 if
+            that is not known.
+    """
+
+    def __init__(self, now: float):
+        """Starts without knowing.
+
+        Args:
+            now: Present time, seconds.
+        """
+        self.before = 0
+        self._most = fleet_sizes.FleetSize(COUNT_WINDOW_S)
+        self._known_from = now + COUNT_WINDOW_S
+
+    def told(self, contacts: tuple[Contact, ...], now: float) -> None:
+        """Takes over what the keys say.
+
+        Args:
+            contacts: What they say.
+            now: Present time, seconds.
+        """
+        self.before = max((one.sides for one in contacts), default=0)
+        if self.before:
+            self._most.observe(self.before, now)
+            self._known_from = now
+
+    def publishable(self, living: int, now: float) -> int:
+        """Returns what a key is to say, 0 while this process can't tell.
+
+        A process that has just started may know only some of them.
+
+        Args:
+            living: Side processes that are known to live.
+            now: Present time, seconds.
+        """
+        self._most.observe(living, now)
+        return self._most.most(now) if now >= self._known_from else 0
 
 
 class ContactHolder:
@@ -59,31 +140,45 @@
         self,
         node: relay_node.RelayNode,
         keys: ContactKeys,
+        count: SideCount,
         generator: random.Random,
     ):
         self._node = node
         self._keys = keys
+        self._count = count
         self._random = generator
+        self._held: Contact | None = None
+        self._renew_at = 0.0
 
     async def run(self) -> None:
-        """Takes and renews the key until cancelled."""
-        pause = LEASE_S / RENEWALS_PER_LEASE
+        """Takes, changes and renews the key until cancelled."""
         while True:
-            held = True
+            await asyncio.sleep(CHECK_S * (0.5 + 0.5 * self._random.random()))
+            now = time.monotonic()
             if self._node.joined and self._node.is_watcher:
-                own = self._node.gossiper.own
-                outcome = await self._keys.hold(own.id, own.address, LEASE_S)
-                held = outcome is None
-                if outcome is not None:
-                    loguru.logger.bind(reason=outcome.reason).info(
-                        "contact key not renewed"
-                    )
-            wait = pause if held and self._node.joined else RETRY_S
-            await asyncio.sleep(wait * (0.5 + 0.5 * self._random.random()))
+                await self._hold(now)
+
+    async def _hold(self, now: float) -> None:
+        """Calls the store if the key has changed or its lease is old."""
+        sides = self._count.publishable(self._node.sides.living, now)
+        own = self._node.gossiper.own
+        contact = Contact(own.address, sides)
+        if contact == self._held and now < self._renew_at:
+            return
+        failed = await self._keys.hold(own.id, contact, LEASE_S)
+        if failed is not None:
+            self._held = None
+            loguru.logger.bind(reason=failed.reason).info(
+                "contact key not renewed"
+            )
+            return
+        self._held = contact
+        pause = LEASE_S / RENEWALS_PER_LEASE
+        self._renew_at = now + pause * (0.5 + 0.5 * self._random.random())
 
 
 class ContactFinder:
-    """Reads the contact keys while a process knows nobody."""
+    """Reads the contact keys after the start and while nobody is known."""
 
     def __init__(
         self,
@@ -99,13 +194,33 @@
         """Looks for peers whenever there are none, until cancelled."""
         while True:
             await asyncio.sleep(ALONE_S * (0.5 + 0.5 * self._random.random()))
-            if not self._node.alone:
-                continue
-            found = await self._keys.find()
-            if isinstance(found, Failed):
-                loguru.logger.bind(reason=found.reason).info(
-                    "contact keys not read"
-                )
-                continue
-            loguru.logger.bind(found=len(found)).info("contact keys read")
-            self._node.add_seeds(found)
+            if self._node.alone:
+                await self._find()
+
+    async def count(self, count: SideCount, until: float) -> None:
+        """Learns how many side processes there were, if it soon can.
+
+        Args:
+            count: Is told.
+            until: When it is of no use any more, seconds.
+        """
+        while time.monotonic() < until:
+            found = await self._find()
+            if found is not None:
+                count.told(found, time.monotonic())
+                return
+            await asyncio.sleep(RETRY_S * self._random.random())
+
+    async def _find(self) -> tuple[Contact, ...] | None:
+        """Reads the keys and takes their addresses for seeds."""
+        found = await self._keys.find()
+        if isinstance(found, Failed):
+            loguru.logger.bind(reason=found.reason).info(
+                "contact keys not read"
+            )
+            return None
+        loguru.logger.bind(
+            found=len(found), sides=max((one.sides for one in found), default=0)
+        ).info("contact keys read")
+        self._node.add_seeds(tuple(one.address for one in found))
+        return found
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -16,6 +16,7 @@
 from clementinelead.processes import relay_settings
 from clementinelead.processes import route_watch
 from clementinelead.relays import candidates
+from clementinelead.relays import completeness
 from clementinelead.relays import formats
 from clementinelead.relays import outcomes
 from clementinelead.relays import routes
@@ -35,19 +36,6 @@
 STOP_MARGIN_S = 1.0
 """Time left for the end of a process, seconds."""
 
-VIEW_S = 5.0
-"""Time in which all side processes are known, counted from the join.
-
-It begins anew when one appears that was not known: then more may follow.
-Processes that start together know each other within one or two seconds.
-"""
-
-DEATH_S = 20.0
-"""Time in which a process that was declared dead may come back, seconds.
-
-Cuts and freezes last a few seconds; until then its flows are not given up.
-"""
-
 
 class RelayBalancer:
     """Wires the steering decisions to sockets and members.
@@ -85,11 +73,15 @@
         )
         self._watch = route_watch.RouteWatch(self.node, source)
         generator = self.node.random
-        self._holder = contact_keys.ContactHolder(self.node, keys, generator)
+        self._side_count = contact_keys.SideCount(time.monotonic())
+        self._holder = contact_keys.ContactHolder(
+            self.node, keys, self._side_count, generator
+        )
         self._finder = contact_keys.ContactFinder(self.node, keys, generator)
         self._stopping = False
         self._last_packet = 0.0
         self._tick_scheduled = False
+        self._completeness = completeness.Completeness()
         self._settling = False
         self._loop: asyncio.AbstractEventLoop
         self._callers: datagrams.DatagramSocket
@@ -135,6 +127,8 @@
             self.node.spawn(self._watch.run())
             self.node.spawn(self._holder.run())
             self.node.spawn(self._finder.run())
+            useful_until = time.monotonic() + completeness.VIEW_S
+            self.node.spawn(self._finder.count(self._side_count, useful_until))
             await stopping.wait()
             await self._drain()
         finally:
@@ -188,7 +182,13 @@
         self._send(self.steering.on_tick(now))
         if self.node.joined and not self._settling:
             self._settling = True
-            self.steering.view_changed(now + VIEW_S)
+            self._completeness.on_joined(now)
+        if now < self._completeness.since:
+            sides = self.node.sides
+            self._completeness.compare(
+                sides.living, sides.missing, self._side_count.before, now
+            )
+        self.steering.set_complete_from(self._completeness.since)
 
     def on_routes(self, table: routes.RoutingTable, now: float) -> None:
         """Puts new routes in force."""
@@ -219,9 +219,10 @@
     def _unsettle(self, change: members.Change, now: float) -> None:
         """Puts off resets while flows may be where nobody can be asked."""
         if change.new.health is records.Health.DEAD:
-            self.steering.view_changed(now + DEATH_S)
+            self._completeness.on_died(now)
         elif change.old is None:
-            self.steering.view_changed(now + VIEW_S)
+            self._completeness.on_appeared(now)
+        self.steering.set_complete_from(self._completeness.since)
 
     def _update_targets(self, services: tuple[str, ...]) -> None:
         by_service: dict[str, list[candidates.Target]] = {
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -248,6 +248,13 @@
             ],
         )
 
+    @property
+    def sides(self) -> members.Census:
+        """How many side processes are known."""
+        return members.census(
+            self.gossiper.table.by_id.values(), records.Role.SIDE
+        )
+
     @property
     def alone(self) -> bool:
         """Whether no other process is known to live."""
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -3,9 +3,11 @@
 import pytest
 
 from clementinelead.memberships import records
+from clementinelead.processes import contact_keys
 from clementinelead.processes import relay_balancer
 from clementinelead.processes import relay_settings
 from clementinelead.processes import route_watch
+from clementinelead.relays import completeness
 from clementinelead.relays import frames
 from clementinelead.relays import outcomes
 from clementinelead.relays import routes
@@ -36,7 +38,7 @@
 
 
 class NoKeys:
-    async def hold(self, identifier, address, lease_s):
+    async def hold(self, identifier, contact, lease_s):
         return None
 
     async def find(self):
@@ -90,7 +92,7 @@
 
 def test_denied_flow_is_reset_when_the_view_is_old_enough(balancer):
     _joined_with(balancer, 100.0)
-    late = 100.0 + relay_balancer.VIEW_S + 0.1
+    late = 100.0 + completeness.VIEW_S + 0.1
     assert _resets_after_denial(balancer, late) == 1
 
 
@@ -127,3 +129,20 @@
 def test_process_that_knows_nobody_is_not_ready(balancer):
     balancer.node.joined = True
     assert not balancer.ready
+
+
+def _keys_say(balancer, sides, now):
+    told = (contact_keys.Contact("10.0.0.9", sides),)
+    balancer._side_count.told(told, now)
+
+
+def test_reset_soon_after_the_loss_of_all_when_all_are_back(balancer):
+    _keys_say(balancer, 1, 99.0)
+    _joined_with(balancer, 100.0)
+    assert _resets_after_denial(balancer, 100.1) == 1
+
+
+def test_no_reset_after_the_loss_of_all_while_one_is_not_back(balancer):
+    _keys_say(balancer, 2, 99.0)
+    _joined_with(balancer, 100.0)
+    assert _resets_after_denial(balancer, 103.0) == 0
--- a/clementinelead/processes/tests/test_relay_node.py
+++ b/clementinelead/processes/tests/test_relay_node.py
@@ -212,13 +212,13 @@
     """Contact keys in memory."""
 
     def __init__(self):
-        self.address_by_id = {}
+        self.contact_by_id = {}
 
-    async def hold(self, identifier, address, lease_s):
-        self.address_by_id[identifier] = address
+    async def hold(self, identifier, contact, lease_s):
+        self.contact_by_id[identifier] = contact
 
     async def find(self):
-        return tuple(self.address_by_id.values())
+        return tuple(self.contact_by_id.values())
 
 
 def test_process_whose_seeds_are_gone_finds_peers_by_contact_keys():
@@ -226,13 +226,15 @@
     keys = Keys()
     first, _ = _node(2, ports, ())
     second, _ = _node(3, ports, ("127.0.0.9",))
+    count = contact_keys.SideCount(time.monotonic())
+    holder = contact_keys.ContactHolder(first, keys, count, first.random)
 
     async def check():
-        first.spawn(contact_keys.ContactHolder(first, keys, first.random).run())
+        first.spawn(holder.run())
         second.spawn(
             contact_keys.ContactFinder(second, keys, second.random).run()
         )
-        bound_s = 2 * contact_keys.ALONE_S + contact_keys.RETRY_S
+        bound_s = 2 * contact_keys.ALONE_S + contact_keys.CHECK_S
         await _eventually(
             lambda: not first.alone and not second.alone,
             relay_node.ALONE_S + bound_s,
--- a/clementinelead/relays/directory.py
+++ b/clementinelead/relays/directory.py
@@ -14,6 +14,7 @@
         by_service: Targets whose side processes live, by service.
         near: Addresses of the targets in this balancer's zone.
         responsive: Which side processes answer.
+        complete_from: From when on all side processes are known, seconds.
     """
 
     def __init__(self, zone: str):
@@ -21,6 +22,7 @@
         self.by_service: dict[str, tuple[candidates.Target, ...]] = {}
         self.near: frozenset[tuple[str, int]] = frozenset()
         self.responsive = responsiveness.Responsiveness()
+        self.complete_from = float("inf")
 
     def set_targets(
         self, service: str, targets: tuple[candidates.Target, ...]
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -118,23 +118,12 @@
         self._unknown_until: dict[bytes, float] = {}
         self._queries: dict[tuple[_Address, int], list[bytes]] = {}
         self._queries_due = float("inf")
-        self._resets_from = float("inf")
 
     @property
     def busy(self) -> bool:
         """Whether searches are under way."""
         return bool(self._search_by_key or self._queries)
 
-    def view_changed(self, settled_at: float) -> None:
-        """Notes that some side process may not be known until a time.
-
-        Args:
-            settled_at: When all will be known again, seconds.
-        """
-        if self._resets_from == float("inf"):
-            self._resets_from = settled_at
-        self._resets_from = max(self._resets_from, settled_at)
-
     def find(
         self,
         key: bytes,
@@ -302,7 +291,7 @@
         del self._search_by_key[key]
         segment = self._format.from_caller(search.packets[0])
         assert segment is not None, "a search's packet was parsed before"
-        nowhere = search.complete and now >= self._resets_from
+        nowhere = search.complete and now >= self._directory.complete_from
         if nowhere and not segment.resets:
             self._report_end(key, search, "reset", None, now)
             reset = self._format.reset(segment)
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -96,13 +96,13 @@
         """
         self._directory.set_targets(service, targets)
 
-    def view_changed(self, settled_at: float) -> None:
-        """Notes that some side process may not be known until a time.
+    def set_complete_from(self, moment: float) -> None:
+        """Takes over from when on all side processes are known.
 
         Args:
-            settled_at: When all will be known again, seconds.
+            moment: That time, seconds; infinite if it is not known.
         """
-        self._searcher.view_changed(settled_at)
+        self._directory.complete_from = moment
 
     @property
     def flows(self) -> int:
--- a/clementinelead/relays/tests/network.py
+++ b/clementinelead/relays/tests/network.py
@@ -181,7 +181,7 @@
         route = routes.Route("r", ROUTE_ADDRESS, (routes.Share(SERVICE, 1),))
         new.set_routes(routes.RoutingTable(1, (route,), 60.0), self.now)
         self.tell_targets(new)
-        new.view_changed(self.now)
+        new.set_complete_from(self.now)
         return new
 
     def tell_targets(self, balancer: steering.Steering) -> None:
--- /dev/null
+++ b/clementinelead/relays/tests/test_completeness.py
@@ -0,0 +1,56 @@
+import pytest
+
+from clementinelead.relays import completeness
+
+VIEW_S = completeness.VIEW_S
+DEATH_S = completeness.DEATH_S
+
+
+@pytest.fixture(name="joined")
+def _joined():
+    view = completeness.Completeness()
+    view.on_joined(100.0)
+    return view
+
+
+def test_nothing_is_complete_before_the_join():
+    view = completeness.Completeness()
+    view.compare(5, 0, 5, 100.0)
+    assert view.since == float("inf")
+
+
+def test_time_since_the_join_is_enough(joined):
+    assert joined.since == 100.0 + VIEW_S
+
+
+def test_complete_at_once_when_all_are_back(joined):
+    joined.compare(4, 0, 5, 100.2)
+    assert joined.since > 100.2
+    joined.compare(5, 0, 5, 100.4)
+    assert joined.since == 100.4
+
+
+@pytest.mark.parametrize(
+    ("living", "missing", "before"),
+    [
+        (5, 1, 5),  # one that is known is not there
+        (6, 0, 5),  # the count is older than the last of them
+        (5, 0, 0),  # nobody knows how many there were
+    ],
+)
+def test_count_that_proves_nothing_is_not_used(joined, living, missing, before):
+    joined.compare(living, missing, before, 100.4)
+    assert joined.since == 100.0 + VIEW_S
+
+
+def test_one_that_appears_later_means_that_more_may_follow(joined):
+    joined.compare(5, 0, 5, 100.4)
+    joined.on_appeared(103.0)
+    joined.compare(6, 0, 5, 103.0)
+    assert joined.since == 103.0 + VIEW_S
+
+
+def test_the_dead_may_come_back(joined):
+    joined.on_died(102.0)
+    joined.compare(5, 1, 5, 102.0)
+    assert joined.since == 102.0 + DEATH_S
--- a/clementinelead/relays/tests/test_relaying.py
+++ b/clementinelead/relays/tests/test_relaying.py
@@ -193,7 +193,7 @@
 def test_flow_is_not_reset_while_a_side_process_may_be_unknown():
     net = network.Network()
     balancer = net.balancer_by_address[("balancer0", 1)]
-    balancer.view_changed(net.now + 5.0)
+    balancer.set_complete_from(net.now + 5.0)
     assert not _search_in_vain(net)
 
 
