Let the next round of search questions wait for the answers to the last

Cause: after a loss of all, each balancer asked all side processes every 2 ms while packets of dead flows came in. On a balancer with 0.4 cores and a link of 10 Mbit/s the answers (49 datagrams with all keys a round) queued for 140 ms and more; members were taken for dead, and 169 placements of that balancer counted as not answered.

--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -13,7 +13,7 @@
 __all__ = ["Found", "Search", "Searcher"]
 
 QUERY_DELAY_S = 0.002
-"""Time that questions wait, so that many flows share a datagram, seconds."""
+"""Shortest time that questions wait, so that flows share datagrams, seconds."""
 
 ANSWER_S = 0.06
 """Time that the side processes have to answer, seconds."""
@@ -118,6 +118,8 @@
         self._unknown_until: dict[bytes, float] = {}
         self._queries: dict[tuple[_Address, int], list[bytes]] = {}
         self._queries_due = float("inf")
+        self._round: set[_Address] = set()
+        self._round_until = 0.0
 
     @property
     def busy(self) -> bool:
@@ -157,7 +159,7 @@
         search = Search(
             packets=[data],
             begun=now,
-            deadline=now + QUERY_DELAY_S + ANSWER_S,
+            deadline=float("inf"),
             waiting={address for address, _ in owners},
             unsure=[],
             complete=complete,
@@ -165,8 +167,11 @@
         self._search_by_key[key] = search
         for owner in owners:
             self._queries.setdefault(owner, []).append(key)
-        due = now + QUERY_DELAY_S
-        self._queries_due = min(self._queries_due, due)
+        if not self._round or now >= self._round_until:
+            due = now + QUERY_DELAY_S
+            self._queries_due = min(self._queries_due, due)
+        else:
+            self._queries_due = self._round_until
         self._counts.add("searches")
         return []
 
@@ -195,6 +200,12 @@
         return owners, complete
 
     def _flush_queries(self, now: float) -> list[outcomes.Outcome]:
+        """Asks for all flows whose search has begun since the last round.
+
+        The next round waits for the answers to this one: a balancer that
+        many packets of unknown flows reach, as after a loss of all, would
+        else spend its processor and link on questions alone.
+        """
         sends: list[outcomes.Outcome] = []
         for (address, number), keys in self._queries.items():
             self._directory.responsive.asked(address, now)
@@ -204,14 +215,27 @@
                     _Kind.ASK_HELD, number, part[0], frames.join_keys(part)
                 )
                 sends.append(outcomes.ToPeer(address, message))
+            for key in keys:
+                search = self._search_by_key.get(key)
+                if search is not None:
+                    search.deadline = now + ANSWER_S
+        self._round = {address for address, _ in self._queries}
+        self._round_until = now + ANSWER_S
         self._queries.clear()
         self._queries_due = float("inf")
         return sends
 
+    def _end_round(self, source: _Address, now: float) -> None:
+        """Notes an answer; lets the next round begin after the last one."""
+        self._round.discard(source)
+        if not self._round and self._queries:
+            self._queries_due = now
+
     def on_held(
         self, frame: frames.Frame, source: _Address, now: float
     ) -> list[Found]:
         """Ends searches: a side process holds these flows."""
+        self._end_round(source, now)
         return [
             self._found(key, frame.service, source, now)
             for key in _keys(frame)
@@ -237,6 +261,7 @@
         self, frame: frames.Frame, source: _Address, now: float
     ) -> list[outcomes.Outcome]:
         """Takes the answer of a side process that knows of no such flow."""
+        self._end_round(source, now)
         sends: list[outcomes.Outcome] = []
         for key in _keys(frame):
             search = self._search_by_key.get(key)
