Count side processes by what they say of their target

Cause: after a loss of all, machines whose targets had been released came up too. They stayed 'starting', counted among the side processes that serve, and when they were switched off their death put resets off for 20 s.

--- a/clementinelead/memberships/members.py
+++ b/clementinelead/memberships/members.py
@@ -20,6 +20,12 @@
 DIGEST_BUCKETS = 256
 TOMBSTONE_S = 7_200.0
 
+RETURN_S = 20.0
+"""Time in which a process that was declared dead may come back, seconds.
+
+Cuts, freezes and restarts last a few seconds.
+"""
+
 
 def digest_bucket(identifier: str) -> int:
     """Returns the digest bucket of a process."""
@@ -131,29 +137,42 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Census:
-    """How many processes of a role are known.
+    """How many side processes are known.
+
+    One that is leaving has no flows any more and counts nowhere.
 
     Attributes:
-        living: Those that live and stay.
-        missing: Those that have ended or are about to.
+        serving: Those that live, beside a target that has announced itself.
+        missing: Those that died and may come back to flows of their target.
+        expected: Those that would serve if all of them were back.
     """
 
-    living: int
+    serving: int
     missing: int
+    expected: int
 
 
-def census(
-    known: collections.abc.Iterable[records.Record], role: records.Role
-) -> Census:
-    """Counts the processes of a role.
+def census(table: MemberTable, now: float) -> Census:
+    """Counts the side processes.
 
     Args:
-        known: Records of all roles.
-        role: The role.
+        table: Records of all roles.
+        now: Present time, seconds.
     """
-    stays = [not ended(record) for record in known if record.role is role]
-    living = sum(stays)
-    return Census(living, len(stays) - living)
+    recent = table.recently_dead(now, RETURN_S)
+    serving = missing = expected = 0
+    for record in table.by_id.values():
+        if record.role is not records.Role.SIDE:
+            continue
+        if record.state is records.State.LEAVING:
+            continue
+        if record.health is records.Health.DEAD:
+            missing += 1
+            expected += record.id in recent
+        else:
+            serving += record.state is not records.State.COLD
+            expected += 1
+    return Census(serving, missing, expected)
 
 
 def ended(record: records.Record) -> bool:
--- /dev/null
+++ b/clementinelead/memberships/tests/test_members.py
@@ -0,0 +1,52 @@
+import dataclasses
+
+from clementinelead.memberships import members
+from clementinelead.memberships import records
+
+SIDE = records.Record(
+    id="side0",
+    incarnation=1,
+    sequence=1,
+    role=records.Role.SIDE,
+    state=records.State.READY,
+    region="r",
+    zone="z",
+    address="10.0.0.2",
+    data_port=1,
+    control_port=2,
+    http_port=3,
+    services=("s",),
+)
+DEATH = 100.0
+
+
+def _table(*several):
+    table = members.MemberTable()
+    for number, (state, health) in enumerate(several):
+        record = dataclasses.replace(
+            SIDE, id=f"side{number}", state=state, health=health
+        )
+        table.merge(record, DEATH)
+    return table
+
+
+def test_census_tells_who_serves_who_is_missing_and_who_may_come_back():
+    alive, dead = records.Health.ALIVE, records.Health.DEAD
+    table = _table(
+        (records.State.READY, alive),
+        (records.State.DRAINING, alive),
+        (records.State.COLD, alive),
+        (records.State.LEAVING, alive),
+        (records.State.LEAVING, dead),
+        (records.State.READY, dead),
+    )
+    soon = members.census(table, DEATH + 1.0)
+    assert soon == members.Census(serving=2, missing=1, expected=4)
+    late = members.census(table, DEATH + members.RETURN_S + 1.0)
+    assert late == members.Census(serving=2, missing=1, expected=3)
+
+
+def test_census_does_not_count_balancers():
+    table = members.MemberTable()
+    table.merge(dataclasses.replace(SIDE, role=records.Role.BALANCER), DEATH)
+    assert members.census(table, DEATH) == members.Census(0, 0, 0)
--- a/clementinelead/processes/contact_keys.py
+++ b/clementinelead/processes/contact_keys.py
@@ -14,7 +14,7 @@
 
 import loguru
 
-from clementinelead.memberships import fleet_sizes
+from clementinelead.memberships import members
 from clementinelead.processes import relay_node
 
 __all__ = [
@@ -34,12 +34,6 @@
 CHECK_S = 2.0
 """Pause between looks at whether the key still says what is true, seconds."""
 
-COUNT_WINDOW_S = 20.0
-"""Time in which a side process that is missing may come back, seconds.
-
-Restarts, freezes and cuts last a few seconds.
-"""
-
 RETRY_S = 2.0
 """Longest pause after a call that failed, seconds."""
 
@@ -105,32 +99,25 @@
             now: Present time, seconds.
         """
         self.before = 0
-        self._most = fleet_sizes.FleetSize(COUNT_WINDOW_S)
-        self._known_from = now + COUNT_WINDOW_S
-
-    def told(self, contacts: tuple[Contact, ...], now: float) -> None:
-        """Takes over what the keys say.
+        self._certain_from = now + members.RETURN_S
 
-        Args:
-            contacts: What they say.
-            now: Present time, seconds.
-        """
+    def told(self, contacts: tuple[Contact, ...]) -> None:
+        """Takes over what the keys say."""
         self.before = max((one.sides for one in contacts), default=0)
-        if self.before:
-            self._most.observe(self.before, now)
-            self._known_from = now
 
-    def publishable(self, living: int, now: float) -> int:
+    def publishable(self, expected: int, now: float) -> int:
         """Returns what a key is to say, 0 while this process can't tell.
 
-        A process that has just started may know only some of them.
+        A process that has just started may not know all of them yet, but
+        what the keys said before it still holds.
 
         Args:
-            living: Side processes that are known to live.
+            expected: Side processes that are known or may come back.
             now: Present time, seconds.
         """
-        self._most.observe(living, now)
-        return self._most.most(now) if now >= self._known_from else 0
+        if now >= self._certain_from:
+            return expected
+        return max(expected, self.before) if self.before else 0
 
 
 class ContactHolder:
@@ -160,7 +147,8 @@
 
     async def _hold(self, now: float) -> None:
         """Calls the store if the key has changed or its lease is old."""
-        sides = self._count.publishable(self._node.sides.living, now)
+        expected = self._node.count_sides(now).expected
+        sides = self._count.publishable(expected, now)
         own = self._node.gossiper.own
         contact = Contact(own.address, sides)
         if contact == self._held and now < self._renew_at:
@@ -207,7 +195,7 @@
         while time.monotonic() < until:
             found = await self._find()
             if found is not None:
-                count.told(found, time.monotonic())
+                count.told(found)
                 return
             await asyncio.sleep(RETRY_S * self._random.random())
 
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -184,9 +184,9 @@
             self._settling = True
             self._completeness.on_joined(now)
         if now < self._completeness.since:
-            sides = self.node.sides
+            sides = self.node.count_sides(now)
             self._completeness.compare(
-                sides.living, sides.missing, self._side_count.before, now
+                sides.serving, sides.missing, self._side_count.before, now
             )
         self.steering.set_complete_from(self._completeness.since)
 
@@ -218,6 +218,8 @@
 
     def _unsettle(self, change: members.Change, now: float) -> None:
         """Puts off resets while flows may be where nobody can be asked."""
+        if change.new.state is records.State.LEAVING:
+            return  # its target is gone, and the flows with it
         if change.new.health is records.Health.DEAD:
             self._completeness.on_died(now)
         elif change.old is None:
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -248,12 +248,9 @@
             ],
         )
 
-    @property
-    def sides(self) -> members.Census:
-        """How many side processes are known."""
-        return members.census(
-            self.gossiper.table.by_id.values(), records.Role.SIDE
-        )
+    def count_sides(self, now: float) -> members.Census:
+        """Returns how many side processes are known."""
+        return members.census(self.gossiper.table, now)
 
     @property
     def alone(self) -> bool:
--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -138,25 +138,25 @@
     async def _linger(self) -> None:
         """Takes no new flow, and waits for the work under way."""
         self.holding.leaving = True
-        gone = self._target_gone()
+        gone = self._target_gone(time.monotonic())
         loguru.logger.bind(
             flows=self.holding.flows, working=self.holding.working, gone=gone
         ).info("draining")
-        self._announce()
+        self._announce(time.monotonic())
         latest = time.monotonic() + min(MAX_LINGER_S, self._settings.stop_s)
         while not gone and time.monotonic() < latest:
             await asyncio.sleep(LINGER_STEP_S)
             if self.holding.working == 0:
                 return
 
-    def _target_gone(self) -> bool:
+    def _target_gone(self, now: float) -> bool:
         """Tells whether the target has ended, as far as one can know.
 
         A target that has never announced itself does not live.
         """
         lifecycle = self.holding.lifecycle
         if lifecycle.current is None:
-            return time.monotonic() - self._started > UNHEARD_S
+            return now - self._started > UNHEARD_S
         return lifecycle.state in ("leaving", "dead")
 
     # What the target says of itself.
@@ -165,10 +165,11 @@
         self, announcement: announcements.Announcement
     ) -> announcements.Verdict:
         """Takes over a heartbeat of the target."""
-        verdict = self.holding.heartbeat(announcement, time.monotonic())
+        now = time.monotonic()
+        verdict = self.holding.heartbeat(announcement, now)
         if verdict is not announcements.Verdict.SAME:
             self._log_target(announcement.id, announcement.sequence, verdict)
-        self._announce()
+        self._announce(now)
         return verdict
 
     def depart(
@@ -177,7 +178,7 @@
         """Takes over that the target has ended."""
         verdict = self.holding.lifecycle.depart(departure)
         self._log_target(departure.id, 0, verdict)
-        self._announce()
+        self._announce(time.monotonic())
         return verdict
 
     def _log_target(
@@ -190,14 +191,16 @@
             state=self.holding.lifecycle.state,
         ).info("target announced")
 
-    def _announce(self) -> None:
+    def _announce(self, now: float) -> None:
         """Tells the others of a changed state."""
-        state = _STATE_BY_NAME[self.holding.lifecycle.state]
-        # LEAVING says that the target has no flows any more; a process that
-        # is to be replaced beside a living target must not say so.
-        if self.holding.leaving:
-            gone = self._target_gone()
-            state = records.State.LEAVING if gone else records.State.DRAINING
+        # LEAVING says that there are no flows any more; a process that is to
+        # be replaced beside a living target must not say so.
+        if self._target_gone(now):
+            state = records.State.LEAVING
+        elif self.holding.leaving:
+            state = records.State.DRAINING
+        else:
+            state = _STATE_BY_NAME[self.holding.lifecycle.state]
         if state is self._announced or not self.node.gossiper.announced:
             return
         self._announced = state
@@ -235,7 +238,7 @@
     def on_tick(self, now: float) -> None:
         """Lets time pass for the decisions."""
         self._send(self.holding.on_tick(now))
-        self._announce()
+        self._announce(now)
 
     def on_routes(self, table: routes.RoutingTable, now: float) -> None:
         """Keeps the routes for balancers that start while the store is away."""
--- a/clementinelead/processes/tests/test_contact_keys.py
+++ b/clementinelead/processes/tests/test_contact_keys.py
@@ -1,7 +1,6 @@
+from clementinelead.memberships import members
 from clementinelead.processes import contact_keys
 
-WINDOW_S = contact_keys.COUNT_WINDOW_S
-
 
 def _contacts(*sides):
     return tuple(contact_keys.Contact("10.0.0.1", number) for number in sides)
@@ -9,25 +8,26 @@
 
 def test_count_is_the_highest_of_the_keys():
     count = contact_keys.SideCount(0.0)
-    count.told(_contacts(3, 5, 0), 0.1)
+    count.told(_contacts(3, 5, 0))
     assert count.before == 5
 
 
 def test_partial_view_after_a_start_is_not_published():
     count = contact_keys.SideCount(0.0)
     assert count.publishable(3, 1.0) == 0
-    assert count.publishable(3, WINDOW_S + 0.1) == 3
+    assert count.publishable(3, members.RETURN_S + 0.1) == 3
 
 
 def test_keys_carry_the_count_over_a_loss_of_all():
     count = contact_keys.SideCount(0.0)
-    count.told(_contacts(5), 0.1)
+    count.told(_contacts(5))
     assert count.publishable(3, 0.2) == 5
-    assert count.publishable(3, WINDOW_S + 0.3) == 3
+    assert count.publishable(6, 0.3) == 6
+    assert count.publishable(3, members.RETURN_S + 0.1) == 3
 
 
 def test_keys_without_a_count_tell_nothing():
     count = contact_keys.SideCount(0.0)
-    count.told(_contacts(0), 0.1)
+    count.told(_contacts(0))
     assert count.before == 0
     assert count.publishable(3, 1.0) == 0
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -131,18 +131,43 @@
     assert not balancer.ready
 
 
-def _keys_say(balancer, sides, now):
+def _keys_say(balancer, sides):
     told = (contact_keys.Contact("10.0.0.9", sides),)
-    balancer._side_count.told(told, now)
+    balancer._side_count.told(told)
 
 
 def test_reset_soon_after_the_loss_of_all_when_all_are_back(balancer):
-    _keys_say(balancer, 1, 99.0)
+    _keys_say(balancer, 1)
     _joined_with(balancer, 100.0)
     assert _resets_after_denial(balancer, 100.1) == 1
 
 
 def test_no_reset_after_the_loss_of_all_while_one_is_not_back(balancer):
-    _keys_say(balancer, 2, 99.0)
+    _keys_say(balancer, 2)
     _joined_with(balancer, 100.0)
     assert _resets_after_denial(balancer, 103.0) == 0
+
+
+def _other(state, health=records.Health.ALIVE):
+    return dataclasses.replace(
+        SIDE, id="side1", address="10.0.0.3", state=state, health=health
+    )
+
+
+def test_death_of_one_without_a_target_does_not_put_off_resets(balancer):
+    _joined_with(balancer, 100.0)
+    idle = _other(records.State.LEAVING)
+    _learn(balancer, idle, 100.1)
+    dead = dataclasses.replace(idle, health=records.Health.DEAD)
+    _learn(balancer, dead, 106.0)
+    late = 100.0 + completeness.VIEW_S + 1.1
+    assert _resets_after_denial(balancer, late) == 1
+
+
+def test_death_of_one_with_a_target_puts_off_resets(balancer):
+    _joined_with(balancer, 100.0)
+    _learn(balancer, _other(records.State.READY), 100.1)
+    dead = _other(records.State.READY, records.Health.DEAD)
+    _learn(balancer, dead, 106.0)
+    late = 100.0 + completeness.VIEW_S + 1.1
+    assert _resets_after_denial(balancer, late) == 0
--- a/clementinelead/relays/tests/test_completeness.py
+++ b/clementinelead/relays/tests/test_completeness.py
@@ -1,9 +1,9 @@
 import pytest
 
+from clementinelead.memberships import members
 from clementinelead.relays import completeness
 
 VIEW_S = completeness.VIEW_S
-DEATH_S = completeness.DEATH_S
 
 
 @pytest.fixture(name="joined")
@@ -31,15 +31,17 @@
 
 
 @pytest.mark.parametrize(
-    ("living", "missing", "before"),
+    ("serving", "missing", "before"),
     [
         (5, 1, 5),  # one that is known is not there
         (6, 0, 5),  # the count is older than the last of them
         (5, 0, 0),  # nobody knows how many there were
     ],
 )
-def test_count_that_proves_nothing_is_not_used(joined, living, missing, before):
-    joined.compare(living, missing, before, 100.4)
+def test_count_that_proves_nothing_is_not_used(
+    joined, serving, missing, before
+):
+    joined.compare(serving, missing, before, 100.4)
     assert joined.since == 100.0 + VIEW_S
 
 
@@ -53,4 +55,4 @@
 def test_the_dead_may_come_back(joined):
     joined.on_died(102.0)
     joined.compare(5, 1, 5, 102.0)
-    assert joined.since == 102.0 + DEATH_S
+    assert joined.since == 102.0 + members.RETURN_S
