--- a/clementinelead/memberships/members.py
+++ b/clementinelead/memberships/members.py
@@ -143,7 +143,7 @@
 
     Attributes:
         serving: Those that live, beside a target that has announced itself.
-        missing: Those that died and may come back to flows of their target.
+        missing: Those that died beside a target that had announced itself.
         expected: Those that would serve if all of them were back.
     """
 
@@ -167,7 +167,7 @@
         if record.state is records.State.LEAVING:
             continue
         if record.health is records.Health.DEAD:
-            missing += 1
+            missing += record.state is not records.State.COLD
             expected += record.id in recent
         else:
             serving += record.state is not records.State.COLD
--- a/clementinelead/platform/settings.py
+++ b/clementinelead/platform/settings.py
@@ -48,6 +48,7 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     app: str = ""  # UDP and TCP; the target on this machine
     service: str = ""
+    heartbeat_ms: float = 1000.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -120,6 +121,7 @@
         metrics_port=METRICS_PORT,
         seeds=tuple(_endpoint(seed)[0] for seed in file.seeds),
         stop_s=file.bounds.grace_s,
+        heartbeat_s=file.heartbeat_ms / _MS_PER_S,
     )
     return NodeSettings(
         relay=relay,
--- a/clementinelead/platform/store.py
+++ b/clementinelead/platform/store.py
@@ -209,7 +209,7 @@
     async def find(
         self,
     ) -> tuple[contact_keys.Contact, ...] | contact_keys.Failed:
-        """Returns what the keys say, without garbage."""
+        """Returns what the keys say, in the order of writing, no garbage."""
         answer = await self._store.get(
             "/kv-range", CALL_TIMEOUT_S, prefix=CONTACT_PREFIX, allow_stale=1
         )
@@ -220,7 +220,7 @@
         except msgspec.DecodeError as error:
             return contact_keys.Failed(f"malformed answer: {error}")
         found = []
-        for item in items:
+        for item in sorted(items, key=lambda item: item.revision):
             try:
                 found.append(_contact(item.value))
             except ValueError:
--- a/clementinelead/platform/tests/test_store.py
+++ b/clementinelead/platform/tests/test_store.py
@@ -214,3 +214,15 @@
 
     for outcome in _run(exchange):
         assert isinstance(outcome, contact_keys.Failed)
+
+
+def test_contact_keys_come_in_the_order_of_writing():
+    async def exchange(stand_in, client):
+        for name, revision in (("a", 9), ("b", 7), ("c", 8)):
+            key = store.CONTACT_PREFIX + name
+            stand_in.put(key, f"10.0.0.{revision} 3".encode())
+            stand_in.items[key]["revision"] = revision
+        return await store.ContactStore(client).find()
+
+    found = [one.address for one in _run(exchange)]
+    assert found == ["10.0.0.7", "10.0.0.8", "10.0.0.9"]
--- a/clementinelead/processes/contact_keys.py
+++ b/clementinelead/processes/contact_keys.py
@@ -81,7 +81,7 @@
         """
 
     async def find(self) -> tuple[Contact, ...] | Failed:
-        """Returns what the keys say."""
+        """Returns what the keys say, the one written last at the end."""
 
 
 class SideCount:
@@ -102,8 +102,13 @@
         self._certain_from = now + members.RETURN_S
 
     def told(self, contacts: tuple[Contact, ...]) -> None:
-        """Takes over what the keys say."""
-        self.before = max((one.sides for one in contacts), default=0)
+        """Takes over what the keys say.
+
+        Args:
+            contacts: What they say, the one written last at the end.
+        """
+        counts = [one.sides for one in contacts if one.sides]
+        self.before = counts[-1] if counts else 0
 
     def publishable(self, expected: int, now: float) -> int:
         """Returns what a key is to say, 0 while this process can't tell.
@@ -208,7 +213,7 @@
             )
             return None
         loguru.logger.bind(
-            found=len(found), sides=max((one.sides for one in found), default=0)
+            found=len(found), sides=[one.sides for one in found]
         ).info("contact keys read")
         self._node.add_seeds(tuple(one.address for one in found))
         return found
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -218,10 +218,14 @@
 
     def _unsettle(self, change: members.Change, now: float) -> None:
         """Puts off resets while flows may be where nobody can be asked."""
-        if change.new.state is records.State.LEAVING:
+        record = change.new
+        if record.state is records.State.LEAVING:
             return  # its target is gone, and the flows with it
-        if change.new.health is records.Health.DEAD:
-            self._completeness.on_died(now)
+        if record.health is records.Health.DEAD:
+            # One that died while starting was beside no target, or has been
+            # silent for longer than callers wait.
+            if record.state is not records.State.COLD:
+                self._completeness.on_died(now)
         elif change.old is None:
             self._completeness.on_appeared(now)
         self.steering.set_complete_from(self._completeness.since)
--- a/clementinelead/processes/relay_settings.py
+++ b/clementinelead/processes/relay_settings.py
@@ -21,6 +21,7 @@
         metrics_port: TCP port for metrics, 0 for none.
         seeds: IP addresses of processes to join through.
         stop_s: Time that a stop may take, seconds.
+        heartbeat_s: Interval of the target's heartbeats, seconds.
     """
 
     id: str
@@ -34,3 +35,4 @@
     metrics_port: int
     seeds: tuple[str, ...]
     stop_s: float
+    heartbeat_s: float
--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -27,10 +27,10 @@
 Open feeds go on when the process is back; requests mostly end sooner.
 """
 
-UNHEARD_S = 4.0
-"""Time after a start without a heartbeat after which there is no target.
+UNHEARD_HEARTBEATS = 3
+"""Heartbeats missing after a start after which there is no target.
 
-Targets announce themselves about once a second.
+One may be lost while this process starts, and the next be late.
 """
 
 LINGER_STEP_S = 0.05
@@ -90,6 +90,7 @@
             time.time_ns() // 1_000_000,
         )
         self._started = time.monotonic()
+        self._unheard_s = UNHEARD_HEARTBEATS * settings.heartbeat_s
         self._announced = records.State.COLD
         self._tick_scheduled = False
         self._loop: asyncio.AbstractEventLoop
@@ -156,7 +157,7 @@
         """
         lifecycle = self.holding.lifecycle
         if lifecycle.current is None:
-            return now - self._started > UNHEARD_S
+            return now - self._started > self._unheard_s
         return lifecycle.state in ("leaving", "dead")
 
     # What the target says of itself.
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -59,6 +59,7 @@
         metrics_port=0,
         seeds=(),
         stop_s=1.0,
+        heartbeat_s=1.0,
     )
     balancer = relay_balancer.RelayBalancer(
         settings, ("127.0.0.1", 4), network.Format(), NoSource(), NoKeys()
--- a/clementinelead/processes/tests/test_relay_node.py
+++ b/clementinelead/processes/tests/test_relay_node.py
@@ -56,6 +56,7 @@
         metrics_port=0,
         seeds=seeds,
         stop_s=1.0,
+        heartbeat_s=1.0,
     )
     listener = Listener()
     node = relay_node.RelayNode(settings, role, (), listener)
--- a/clementinelead/relays/directory.py
+++ b/clementinelead/relays/directory.py
@@ -5,6 +5,12 @@
 
 __all__ = ["Directory"]
 
+ABANDONED_S = 2.0
+"""Silence after which a starting process is taken for one without a target.
+
+Targets announce themselves about once a second, seconds.
+"""
+
 
 class Directory:
     """Targets by service.
@@ -21,6 +27,7 @@
         self.zone = zone
         self.by_service: dict[str, tuple[candidates.Target, ...]] = {}
         self.near: frozenset[tuple[str, int]] = frozenset()
+        self._starting: frozenset[tuple[str, int]] = frozenset()
         self.responsive = responsiveness.Responsiveness()
         self.complete_from = float("inf")
 
@@ -45,6 +52,22 @@
             if target.zone == self.zone
         )
 
+        self._starting = frozenset(
+            target.address
+            for known in self.by_service.values()
+            for target in known
+            if target.starting
+        )
+
+    def abandoned(self, address: tuple[str, int], now: float) -> bool:
+        """Tells whether a side process fell silent before its target spoke.
+
+        It is on a machine that was switched on without a target, or its flows
+        are out of reach for longer than callers wait.
+        """
+        silent = self.responsive.silent(address, now) >= ABANDONED_S
+        return silent and address in self._starting
+
     def targets(self, service: str) -> tuple[candidates.Target, ...]:
         """Returns the targets of a service."""
         return self.by_service.get(service, ())
--- a/clementinelead/relays/responsiveness.py
+++ b/clementinelead/relays/responsiveness.py
@@ -42,6 +42,10 @@
         since = self._unanswered_since.get(address)
         return since is not None and now - since > SUSPECT_AFTER_S
 
+    def silent(self, address: tuple[str, int], now: float) -> float:
+        """Returns how long a process has left questions unanswered, seconds."""
+        return max(0.0, now - self._unanswered_since.get(address, now))
+
     def retry_due(self, address: tuple[str, int], now: float) -> bool:
         """Tells whether a suspect should be asked once more."""
         return now - self._asked_at.get(address, 0.0) > RETRY_INTERVAL_S
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -56,6 +56,7 @@
             the flow.
         probed: The address whose target has been handed the first packet.
         absent: How many have said that they do not hold it.
+        silent: Addresses that have not answered in time.
         probes: Targets that have been handed the first packet.
         complete: Whether all side processes were asked and have answered.
     """
@@ -67,6 +68,7 @@
     unsure: list[tuple[tuple[str, int], int]]
     probed: tuple[str, int] | None = None
     absent: int = 0
+    silent: frozenset[tuple[str, int]] = frozenset()
     probes: int = 0
     complete: bool = True
 
@@ -153,14 +155,15 @@
             self._counts.add("searches_full")
             return []
         owners, complete = self._possible_owners(services)
-        if not owners:
+        owners, waiting = self._asked(owners, now)
+        if not waiting:
             self._counts.add("unknown_service")
             return []
         search = Search(
             packets=[data],
             begun=now,
             deadline=float("inf"),
-            waiting={address for address, _ in owners},
+            waiting=waiting,
             unsure=[],
             complete=complete,
         )
@@ -199,6 +202,23 @@
         ]
         return owners, complete
 
+    def _asked(
+        self, owners: list[tuple[_Address, int]], now: float
+    ) -> tuple[list[tuple[_Address, int]], set[_Address]]:
+        """Returns whom to ask, and whose answers to wait for.
+
+        An abandoned process is asked now and then, in case it is back.
+        """
+        asked = []
+        waiting = set()
+        for address, number in owners:
+            if not self._directory.abandoned(address, now):
+                waiting.add(address)
+            elif not self._directory.responsive.retry_due(address, now):
+                continue
+            asked.append((address, number))
+        return asked, waiting
+
     def _flush_queries(self, now: float) -> list[outcomes.Outcome]:
         """Asks for all flows whose search has begun since the last round.
 
@@ -219,7 +239,11 @@
                 search = self._search_by_key.get(key)
                 if search is not None:
                     search.deadline = now + ANSWER_S
-        self._round = {address for address, _ in self._queries}
+        self._round = {
+            address
+            for address, _ in self._queries
+            if not self._directory.abandoned(address, now)
+        }
         self._round_until = now + ANSWER_S
         self._queries.clear()
         self._queries_due = float("inf")
@@ -349,6 +373,7 @@
         for key, search in list(self._search_by_key.items()):
             if now >= search.deadline:
                 search.complete = False
+                search.silent = frozenset(search.waiting)
                 search.waiting.clear()
                 sends.extend(self._probe_next(key, search, now))
         return sends
@@ -371,7 +396,8 @@
         inputs: dict[str, object] = {
             "target": target,
             "absent": search.absent,
-            "unanswered": [address[0] for address in search.waiting],
+            "waiting": len(search.waiting),
+            "unanswered": [address[0] for address in search.silent],
             "packets": len(search.packets),
             "age_ms": round((now - search.begun) * 1000, 1),
         }
--- a/clementinelead/relays/tests/test_searching.py
+++ b/clementinelead/relays/tests/test_searching.py
@@ -1,7 +1,10 @@
 """How searches share questions."""
 
+import dataclasses
+
 import pytest
 
+from clementinelead.relays import directory
 from clementinelead.relays import frames
 from clementinelead.relays import outcomes
 from clementinelead.relays import searching
@@ -72,3 +75,41 @@
     denial = frames.encode(frames.Kind.ABSENT, SERVICE, key, key)
     sends = balancer.on_frame(denial, asked[-1], now)
     assert any(isinstance(send, outcomes.ToCaller) for send in sends)
+
+
+def _starting(balancer, address):
+    balancer.set_targets(
+        network.SERVICE,
+        tuple(
+            dataclasses.replace(target, starting=target.address == address)
+            for target in balancer._directory.targets(network.SERVICE)
+        ),
+    )
+
+
+def _resets_in_vain(balancer, silent, begin):
+    """Lets all but one deny a flow; returns whether it is reset."""
+    key = _search(balancer, int(begin * 1000), begin)
+    asked = set(_questions(balancer, begin + 0.004)) - {silent}
+    sends = []
+    for address in asked:
+        denial = frames.encode(frames.Kind.ABSENT, SERVICE, key, key)
+        sends += balancer.on_frame(denial, address, begin + 0.01)
+    sends += balancer.on_tick(begin + 0.1)
+    return any(isinstance(send, outcomes.ToCaller) for send in sends)
+
+
+def test_process_that_fell_silent_while_starting_is_not_waited_for(balancer):
+    silent = ("side1", 1)
+    _starting(balancer, silent)
+    assert not _resets_in_vain(balancer, silent, BEGIN)
+    assert not _resets_in_vain(balancer, silent, BEGIN + 1.0)
+    late = BEGIN + directory.ABANDONED_S + 0.1
+    assert _resets_in_vain(balancer, silent, late)
+
+
+def test_process_that_has_served_is_waited_for(balancer):
+    silent = ("side1", 1)
+    assert not _resets_in_vain(balancer, silent, BEGIN)
+    late = BEGIN + directory.ABANDONED_S + 0.1
+    assert not _resets_in_vain(balancer, silent, late)
