Give up a few of many side processes when no more appear

Cause: the store was away when the last of 16 targets left; its count said 50, 49 served, and the balancers waited the whole 5 s.

--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -183,7 +183,7 @@
         if self.node.joined and not self._settling:
             self._settling = True
             self._completeness.on_joined(now)
-        if now < self._completeness.since:
+        if not self._completeness.reached(now):
             sides = self.node.count_sides(now)
             self._completeness.compare(
                 sides.serving, sides.missing, self._side_count.before, now
--- a/clementinelead/relays/completeness.py
+++ b/clementinelead/relays/completeness.py
@@ -12,8 +12,21 @@
 """
 
 
+CALM_S = 1.0
+"""Time without a new side process after which a few of them are given up.
+
+Processes that start together appear within some hundred milliseconds.
+"""
+
+GIVEN_UP_SHARE = 0.05
+"""Share of the side processes of before that may be missing for good.
+
+Some leave, or are lost with their machine, without a word to the store.
+"""
+
+
 class Completeness:
-    """Tells whether a balancer knows all side processes.
+    """Tells whether a balancer that has started knows all side processes.
 
     Time is one sign of it. The other is a count of the side processes that
     there were before, kept where the loss of all processes does not reach it:
@@ -27,25 +40,35 @@
 
     def __init__(self) -> None:
         self.since = float("inf")
+        self._appeared_at = float("-inf")
+        self._reached = False
 
     def on_joined(self, now: float) -> None:
         """Notes that the members are known as a peer knows them."""
         self.since = now + VIEW_S
+        self._appeared_at = now
 
     def on_appeared(self, now: float) -> None:
         """Notes that a side process has appeared that was not known."""
         self.since = max(self.since, now + VIEW_S)
+        self._appeared_at = now
 
     def on_died(self, now: float) -> None:
         """Notes that a side process was declared dead; it may come back."""
         self.since = max(self.since, now + members.RETURN_S)
 
+    def reached(self, now: float) -> bool:
+        """Tells whether all have been known once since the start."""
+        self._reached = self._reached or now >= self.since
+        return self._reached
+
     def compare(
         self, serving: int, missing: int, before: int, now: float
     ) -> None:
         """Compares the side processes with how many there were before.
 
-        More than before means that the count was too old to tell anything.
+        It tells something only until all are known for the first time, and
+        nothing if there are more than before: then the count is too old.
 
         Args:
             serving: Side processes that are known to serve.
@@ -53,6 +76,11 @@
             before: How many there were, 0 if that is not known.
             now: Present time, seconds.
         """
-        joined = self.since != float("inf")
-        if joined and before and serving == before and not missing:
-            self.since = min(self.since, now)
+        if self.reached(now) or self.since == float("inf"):
+            return
+        if missing or serving > before or not before:
+            return
+        calm = now - self._appeared_at >= CALM_S
+        enough = serving >= before * (1.0 - GIVEN_UP_SHARE)
+        if serving == before or (calm and enough):
+            self.since = now
--- a/clementinelead/relays/tests/test_completeness.py
+++ b/clementinelead/relays/tests/test_completeness.py
@@ -56,3 +56,25 @@
     joined.on_died(102.0)
     joined.compare(5, 1, 5, 102.0)
     assert joined.since == 102.0 + members.RETURN_S
+
+
+def test_count_tells_nothing_after_all_were_known(joined):
+    joined.compare(5, 0, 5, 100.4)
+    joined.on_appeared(103.0)
+    joined.compare(5, 0, 5, 103.5)
+    assert joined.since == 103.0 + VIEW_S
+
+
+def test_few_of_many_are_given_up_when_no_more_appear(joined):
+    joined.on_appeared(100.5)
+    joined.compare(48, 0, 50, 100.6)
+    assert joined.since > 100.6
+    late = 100.5 + completeness.CALM_S
+    joined.compare(48, 0, 50, late)
+    assert joined.since == late
+
+
+@pytest.mark.parametrize(("serving", "before"), [(47, 50), (4, 5)])
+def test_more_of_them_are_waited_for(joined, serving, before):
+    joined.compare(serving, 0, before, 103.0)
+    assert joined.since == 100.0 + VIEW_S
