Wait one second, not two, for a starting process that is silent

Callers of a flow that is out of reach for longer give their requests up. The test of the count after all were known is as strict, and now lets time pass first.

--- a/clementinelead/relays/directory.py
+++ b/clementinelead/relays/directory.py
@@ -5,10 +5,11 @@
 
 __all__ = ["Directory"]
 
-ABANDONED_S = 2.0
-"""Silence after which a starting process is taken for one without a target.
+ABANDONED_S = 1.0
+"""Silence after which a starting process is not waited for, seconds.
 
-Targets announce themselves about once a second, seconds.
+Targets announce themselves about once a second, and callers of a flow that
+is out of reach for longer give their requests up.
 """
 
 
--- a/clementinelead/relays/tests/test_completeness.py
+++ b/clementinelead/relays/tests/test_completeness.py
@@ -60,6 +60,7 @@
 
 def test_count_tells_nothing_after_all_were_known(joined):
     joined.compare(5, 0, 5, 100.4)
+    assert joined.reached(100.5)
     joined.on_appeared(103.0)
     joined.compare(5, 0, 5, 103.5)
     assert joined.since == 103.0 + VIEW_S
