Replay loads against the placement decisions, without processes

clementinelead/replays feeds drawn or recorded loads to Steering and Holding as they are, in a time of its own, and compares them with a hash alone and with the shortest queue under perfect knowledge; clementinelead-replay prints figures and the share in time by half second. The tests' packet format moved there, as there is one of it.

--- a/clementinelead/relays/tests/network.py
+++ b/clementinelead/relays/tests/network.py
@@ -6,80 +6,25 @@
 
 import dataclasses
 import heapq
-import struct
 
 from clementinelead.relays import announcements
 from clementinelead.relays import candidates
-from clementinelead.relays import formats
 from clementinelead.relays import holding
 from clementinelead.relays import outcomes
 from clementinelead.relays import routes
 from clementinelead.relays import steering
+from clementinelead.replays import packets
 
 SERVICE = "lookups"
 ROUTE_ADDRESS = b"S1"
 STEP_S = 0.001
-CALLER = ("caller", 1)
-_HEAD = struct.Struct("<4s2sBIIH")
-OPENS, ACCEPTS, CLOSES, RESETS, RETURNED = 1, 2, 4, 8, 16
-
-
-class Format:
-    """A packet format: caller, service address, flags, numbers, length."""
-
-    def from_caller(self, data: bytes) -> formats.Segment | None:
-        if len(data) < _HEAD.size:
-            return None
-        caller, address, flags, sequence, acknowledgement, length = (
-            _HEAD.unpack_from(data)
-        )
-        return formats.Segment(
-            key=caller + address,
-            opens=bool(flags & OPENS),
-            repeated=bool(flags & OPENS) and acknowledgement > 0,
-            accepts=bool(flags & ACCEPTS),
-            closes=bool(flags & CLOSES),
-            resets=bool(flags & RESETS),
-            returned=bool(flags & RETURNED),
-            sequence=sequence,
-            acknowledgement=acknowledgement,
-            length=length,
-        )
-
-    from_target = from_caller
-
-    def service_address(self, key: bytes) -> bytes:
-        return key[4:]
-
-    def caller(self, key: bytes) -> tuple[str, int]:
-        return CALLER
-
-    def reset(self, segment: formats.Segment) -> bytes:
-        return packet(segment.key, RESETS)
-
-    def restored(self, data: bytes) -> bytes:
-        return data[:6] + bytes((data[6] & ~RETURNED,)) + data[7:]
-
-    def text(self, key: bytes) -> str:
-        return key.hex()
-
-
-def packet(
-    key: bytes,
-    flags: int = 0,
-    sequence: int = 0,
-    acknowledgement: int = 0,
-    length: int = 0,
-) -> bytes:
-    """Returns a packet of a flow."""
-    return _HEAD.pack(
-        key[:4], key[4:], flags, sequence, acknowledgement, length
-    )
+Format = packets.Format
+packet = packets.packet
 
 
 def flow_key(number: int, address: bytes = ROUTE_ADDRESS) -> bytes:
     """Returns the key of a test's flow."""
-    return number.to_bytes(4, "big") + address
+    return packets.flow_key(number, address)
 
 
 class Target:
@@ -98,13 +43,13 @@
         key = segment.key
         if segment.opens and key not in self.sequence_by_key:
             if self.full:
-                return [data[:6] + bytes((data[6] | RETURNED,)) + data[7:]]
+                return [packets.returned(data)]
             self.sequence_by_key[key] = self.seed * 100_000_000
         if key not in self.sequence_by_key:
-            return [data[:6] + bytes((data[6] | RETURNED,)) + data[7:]]
+            return [packets.returned(data)]
         sequence = self.sequence_by_key[key]
         if segment.opens:
-            return [packet(key, ACCEPTS, sequence)]
+            return [packet(key, packets.ACCEPTS, sequence)]
         self.delivered.append(data)
         if segment.length:
             return [packet(key, 0, sequence + 1, length=10)]
@@ -231,7 +176,7 @@
     def open(self, key: bytes, balancer: int = 0) -> tuple[str, int]:
         """Opens a flow as a caller does; returns its owner's address."""
         before = len(self.to_caller)
-        self.send(packet(key, OPENS), balancer)
+        self.send(packet(key, packets.OPENS), balancer)
         self.run(0.1)
         answers = [
             Format().from_target(data) for data in self.to_caller[before:]
--- a/clementinelead/relays/tests/test_holding.py
+++ b/clementinelead/relays/tests/test_holding.py
@@ -3,6 +3,7 @@
 from clementinelead.relays import frames
 from clementinelead.relays import held_flows
 from clementinelead.relays.tests import network
+from clementinelead.replays import packets
 
 BALANCER = ("balancer0", 1)
 NUMBER = frames.service_number(network.SERVICE)
@@ -15,10 +16,10 @@
 def _opened(net, key):
     side = _side(net)
     data = frames.encode(
-        frames.Kind.PLACE, NUMBER, key, network.packet(key, network.OPENS)
+        frames.Kind.PLACE, NUMBER, key, network.packet(key, packets.OPENS)
     )
     side.on_frame(data, BALANCER, net.now)
-    side.on_target_packet(network.packet(key, network.ACCEPTS, 500), net.now)
+    side.on_target_packet(network.packet(key, packets.ACCEPTS, 500), net.now)
     return side
 
 
@@ -92,7 +93,7 @@
     key = network.flow_key(1)
     side = _opened(net, key)
     _request(side, key, net.now)
-    side.on_target_packet(network.packet(key, network.RESETS), net.now)
+    side.on_target_packet(network.packet(key, packets.RESETS), net.now)
     assert side.working == 0
 
 
@@ -154,7 +155,7 @@
     assert side.working == 0
     assert _kind_of_answer(side, key, net.now) is frames.Kind.UNSURE
     _request(side, key, net.now, sequence=11)
-    returned = network.packet(key, network.RETURNED, length=10)
+    returned = network.packet(key, packets.RETURNED, length=10)
     [answer] = side.on_target_packet(returned, net.now)
     assert frames.decode(answer.data).kind is frames.Kind.NOT_HELD
     assert side.working == 0
--- a/clementinelead/relays/tests/test_placing.py
+++ b/clementinelead/relays/tests/test_placing.py
@@ -2,6 +2,7 @@
 from clementinelead.relays import placing
 from clementinelead.relays import routes
 from clementinelead.relays.tests import network
+from clementinelead.replays import packets
 
 NEAR = ("near", 1)
 FAR = ("far", 1)
@@ -46,9 +47,9 @@
     net = network.Network(targets=4)
     for number in range(200):
         key = network.flow_key(number)
-        net.send(network.packet(key, network.OPENS))
+        net.send(network.packet(key, packets.OPENS))
         net.run(0.02)
-        net.send(network.packet(key, network.RESETS, acknowledgement=1))
+        net.send(network.packet(key, packets.RESETS, acknowledgement=1))
         net.run(0.3)
     counts = [
         len(target.sequence_by_key) for target in net.target_by_address.values()
--- a/clementinelead/relays/tests/test_relaying.py
+++ b/clementinelead/relays/tests/test_relaying.py
@@ -10,6 +10,7 @@
 from clementinelead.relays import searching
 from clementinelead.relays import steering
 from clementinelead.relays.tests import network
+from clementinelead.replays import packets
 
 
 def _delivered(net, key):
@@ -42,7 +43,7 @@
     net = network.Network(targets=3)
     for number in range(6):
         key = network.flow_key(number)
-        net.send(network.packet(key, network.OPENS))
+        net.send(network.packet(key, packets.OPENS))
         net.run(0.005)
     counts = [
         len(target.sequence_by_key) for target in net.target_by_address.values()
@@ -96,7 +97,7 @@
     begun = net.now
     for number in range(4):
         key = network.flow_key(number)
-        net.send(network.packet(key, network.OPENS))
+        net.send(network.packet(key, packets.OPENS))
         while not net.owners(key):
             net.run(0.001)
     assert net.now - begun < 4 * 0.05
@@ -105,14 +106,14 @@
 def test_silent_target_does_not_keep_a_flow_from_one_that_gets_free():
     net = network.Network(targets=2)
     key = network.flow_key(1)
-    net.send(network.packet(key, network.OPENS))
+    net.send(network.packet(key, packets.OPENS))
     net.run(0.05)
     [busy] = net.owners(key)
     net.silent.add(({("side0", 1), ("side1", 1)} - {busy}).pop())
     estimate = net.side_by_address[busy].work.estimate
     estimate.working += 20
     waiting = network.flow_key(2)
-    net.send(network.packet(waiting, network.OPENS))
+    net.send(network.packet(waiting, packets.OPENS))
     net.run(0.2)
     assert not net.owners(waiting)
     estimate.working -= 20
@@ -140,7 +141,7 @@
     for number in range(2):
         net.beat(number, sequence=2, draining=True)
     net.tell_targets(net.balancer_by_address[("balancer0", 1)])
-    net.send(network.packet(network.flow_key(1), network.OPENS))
+    net.send(network.packet(network.flow_key(1), packets.OPENS))
     assert len(_resets(net)) == 1
 
 
@@ -157,12 +158,12 @@
     key = network.flow_key(1)
     owner = net.open(key)
     net.silent.add(owner)
-    net.send(network.packet(network.flow_key(2), network.OPENS))
+    net.send(network.packet(network.flow_key(2), packets.OPENS))
     net.run(0.3)
     for number in range(2):
         net.beat(number, sequence=2, draining=True)
     net.tell_targets(net.balancer_by_address[("balancer0", 1)])
-    net.send(network.packet(key, network.OPENS))
+    net.send(network.packet(key, packets.OPENS))
     net.run(2.0)
     assert not _resets(net)
 
@@ -174,7 +175,7 @@
     for number in range(2):
         net.beat(number, sequence=2, draining=True)
     net.restart_balancer(0)
-    net.send(network.packet(key, network.OPENS, acknowledgement=1))
+    net.send(network.packet(key, packets.OPENS, acknowledgement=1))
     net.run(2.0)
     assert not _resets(net)
 
@@ -260,14 +261,14 @@
 def test_caller_chooses_among_two_targets_that_answered():
     net = network.Network(targets=2)
     key = network.flow_key(1)
-    net.send(network.packet(key, network.OPENS))
+    net.send(network.packet(key, packets.OPENS))
     net.run(0.05)
     [first] = net.owners(key)
     second = ({("side0", 1), ("side1", 1)} - {first}).pop()
     number = frames.service_number(network.SERVICE)
     # A copy of the opening packet that another balancer has placed elsewhere.
     copy = frames.encode(
-        frames.Kind.PLACE, number, key, network.packet(key, network.OPENS)
+        frames.Kind.PLACE, number, key, network.packet(key, packets.OPENS)
     )
     side = net.side_by_address[second]
     net._take(second, side.on_frame(copy, ("balancer0", 1), net.now))
@@ -285,7 +286,7 @@
         frames.Kind.PLACE,
         frames.service_number("exports"),
         key,
-        network.packet(key, network.OPENS),
+        network.packet(key, packets.OPENS),
     )
     side = net.side_by_address[("side0", 1)]
     side.on_frame(foreign, ("balancer0", 1), net.now)
--- /dev/null
+++ b/clementinelead/replays/__init__.py
@@ -0,0 +1,1 @@
+"""Replays of loads against the placement decisions, without processes."""
--- /dev/null
+++ b/clementinelead/replays/command.py
@@ -0,0 +1,101 @@
+"""``clementinelead-replay``: replays a load under several policies."""
+
+import pathlib
+import sys
+import typing
+
+import rich.console
+import rich.table
+import typer
+
+from clementinelead import exceptions
+from clementinelead.replays import loads
+from clementinelead.replays import patterns
+from clementinelead.replays import simulations
+from clementinelead.replays import summaries
+
+__all__ = ["main"]
+
+_NAMES = [pattern.__name__.replace("_", "-") for pattern in patterns.PATTERNS]
+
+_application = typer.Typer(add_completion=False)
+
+
+@_application.command()
+def run(
+    load: typing.Annotated[
+        str,
+        typer.Argument(help=f"a JSON file, or one of {', '.join(_NAMES)}"),
+    ],
+    policy: typing.Annotated[
+        list[str] | None,
+        typer.Option(help="all, or each that is named by one of these"),
+    ] = None,
+    seed: typing.Annotated[int, typer.Option()] = 1,
+    targets: typing.Annotated[int, typer.Option(min=1)] = 12,
+    seconds: typing.Annotated[float, typer.Option(min=0.1)] = 8.0,
+    utilisation: typing.Annotated[float, typer.Option(min=0.01)] = 0.5,
+    save: typing.Annotated[
+        pathlib.Path | None, typer.Option(help="write the load to a file")
+    ] = None,
+) -> None:
+    """Replays a load and prints what its callers got, by policy."""
+    chosen = policy or list(simulations.POLICIES)
+    unknown = set(chosen) - set(simulations.POLICIES)
+    if unknown:
+        raise typer.BadParameter(f"no policy {', '.join(sorted(unknown))}")
+    found = _load(load, patterns.Scale(targets, seconds, utilisation), seed)
+    if save is not None:
+        loads.write(save, found)
+    table = rich.table.Table(title=found.name)
+    for column in (
+        "policy",
+        "kind",
+        "asked",
+        "in time",
+        "late",
+        "refused",
+        "failed",
+        "p50 ms",
+        "p99 ms",
+        "busiest/mean",
+        f"in time, each {summaries.PLOT_STEP_S} s",
+    ):
+        table.add_column(column)
+    for name in chosen:
+        replayed = simulations.replay(found, name, seed)
+        for row in summaries.summarize(replayed):
+            table.add_row(
+                name,
+                row.kind,
+                str(row.asked),
+                f"{row.in_objective:.3f}",
+                f"{row.late:.3f}",
+                f"{row.refused:.3f}",
+                f"{row.failed:.3f}",
+                f"{row.p50_ms:.1f}",
+                f"{row.p99_ms:.1f}",
+                f"{row.busiest:.2f}",
+                summaries.plot(replayed),
+            )
+    rich.console.Console(width=132).print(table)
+
+
+def _load(text: str, scale: patterns.Scale, seed: int) -> loads.Load:
+    if text in _NAMES:
+        return patterns.generate(text, scale, seed)
+    try:
+        return loads.read(pathlib.Path(text))
+    except exceptions.FindingsError as error:
+        for finding in error.findings:
+            print(finding, file=sys.stderr)
+        raise typer.Exit(2) from error
+
+
+def main() -> None:
+    """Runs the command."""
+    _application()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/clementinelead/replays/relayed.py
@@ -0,0 +1,357 @@
+"""The product's own decisions, from packet to packet, in a replay's time."""
+
+import dataclasses
+import functools
+import typing
+
+from clementinelead.relays import announcements
+from clementinelead.relays import candidates
+from clementinelead.relays import formats
+from clementinelead.relays import holding
+from clementinelead.relays import outcomes
+from clementinelead.relays import routes
+from clementinelead.relays import steering
+from clementinelead.replays import agendas
+from clementinelead.replays import calls
+from clementinelead.replays import distances
+from clementinelead.replays import loads
+from clementinelead.replays import packets
+from clementinelead.replays import servers
+
+__all__ = ["Relayed"]
+
+SERVICE = "replayed"
+SERVICE_ADDRESS = b"S1"
+COPIES_AT_S = (0.2, 0.6)
+"""When a caller sends its opening packet again, seconds."""
+
+BUSY_TICK_S = 0.004
+IDLE_TICK_S = 0.05
+"""Timers as the processes have them, seconds."""
+
+REQUEST_BYTES = 10
+_ATTEMPTS = 1 + calls.RETRIES
+_Address = tuple[str, int]
+
+
+@dataclasses.dataclass(slots=True)
+class _Flow:
+    """A flow as its caller sees it."""
+
+    call: calls.Call
+    attempt: int
+    opened: bool = False
+    status: servers.Status = servers.Status.OK
+
+
+class _Side:
+    """A side process with its target."""
+
+    def __init__(self, server: servers.Server, now: float):
+        self.server = server
+        self.address = (server.spec.name, 1)
+        self.sequence_by_key: dict[bytes, int] = {}
+        self._born = 0
+        self.holding = holding.Holding(
+            packets.Format(), SERVICE, _ignore, now, started_ms=0
+        )
+        self.announce(now)
+
+    def announce(self, now: float) -> None:
+        """Lets the target announce a new incarnation."""
+        self._born += 1
+        self.holding.heartbeat(
+            announcements.Announcement(
+                id=self.server.spec.name,
+                born=self._born,
+                sequence=1,
+                service=SERVICE,
+                slots=self.server.spec.slots,
+                draining=False,
+                warmup_s=0.0,
+            ),
+            now,
+        )
+
+
+class _Balancer:
+    """A balancer of one availability zone."""
+
+    def __init__(self, zone: str):
+        self.zone = zone
+        self.address = (f"balancer-{zone}", 1)
+        self.steering = steering.Steering(packets.Format(), _ignore, zone)
+        self.ticking = False
+
+
+class Relayed:
+    """Carries flows through balancers and side processes.
+
+    Each caller's packets go to the balancer of its availability zone; no
+    datagram is lost.
+    """
+
+    def __init__(
+        self,
+        load: loads.Load,
+        known: list[servers.Server],
+        agenda: agendas.Agenda,
+        draw: typing.Callable[[], float],
+    ):
+        self._agenda = agenda
+        self._draw = draw
+        self._flow_by_key: dict[bytes, _Flow] = {}
+        self._side_by_address = {
+            side.address: side
+            for side in (_Side(server, agenda.now) for server in known)
+        }
+        zones = sorted({arrival.zone for arrival in load.arrivals})
+        self._balancer_by_address = {
+            balancer.address: balancer for balancer in map(_Balancer, zones)
+        }
+        kind = load.kinds[0]
+        for balancer in self._balancer_by_address.values():
+            self._configure(balancer, kind)
+        agenda.at(agenda.now + IDLE_TICK_S, self._idle_tick)
+
+    def _configure(self, balancer: _Balancer, kind: loads.RequestKind) -> None:
+        now = self._agenda.now
+        route = routes.Route(
+            SERVICE,
+            SERVICE_ADDRESS,
+            (routes.Share(SERVICE, 1),),
+            int(kind.objective_s * 1000),
+            int(kind.timeout_s * 1000),
+        )
+        balancer.steering.set_routes(
+            routes.RoutingTable(1, (route,), 60.0), now
+        )
+        targets = tuple(
+            candidates.Target(
+                side.server.spec.name,
+                side.address,
+                side.server.spec.zone,
+                accepting=True,
+                starting=False,
+            )
+            for side in self._side_by_address.values()
+        )
+        balancer.steering.set_targets(SERVICE, targets)
+        balancer.steering.set_complete_from(now)
+
+    def change(self, target: str, condition: loads.Condition) -> None:
+        """Puts a target into another condition."""
+        side = self._side_by_address[(target, 1)]
+        was_up = side.server.condition.up
+        side.server.condition = condition
+        if not condition.up:
+            side.sequence_by_key.clear()
+        elif not was_up:
+            side.announce(self._agenda.now)
+
+    # Callers.
+
+    def begin(self, call: calls.Call) -> None:
+        """Opens a flow for a call and sends its request there."""
+        number = call.number * _ATTEMPTS + call.attempts - 1
+        key = packets.flow_key(number, SERVICE_ADDRESS)
+        flow = _Flow(call, call.attempts)
+        self._flow_by_key[key] = flow
+        self._send_opening(key, flow, 0)
+        for copies, pause in enumerate(COPIES_AT_S, start=1):
+            self._agenda.at(
+                self._agenda.now + pause,
+                functools.partial(self._send_opening, key, flow, copies),
+            )
+        deadline = call.arrival.at_s + call.kind.timeout_s
+        self._agenda.at(deadline, lambda: self._abandon(key, flow))
+
+    def _send_opening(self, key: bytes, flow: _Flow, copies: int) -> None:
+        if self._current(flow) and not flow.opened:
+            opening = packets.packet(key, packets.OPENS, acknowledgement=copies)
+            self._send(flow, opening)
+
+    def _current(self, flow: _Flow) -> bool:
+        """Tells whether a flow's caller still waits for it."""
+        call = flow.call
+        return call.outcome is None and call.attempts == flow.attempt
+
+    def _abandon(self, key: bytes, flow: _Flow) -> None:
+        """Resets a flow whose caller has given up."""
+        if flow.opened and key in self._flow_by_key:
+            self._send(flow, packets.packet(key, packets.RESETS))
+
+    def _send(self, flow: _Flow, data: bytes) -> None:
+        """Sends a caller's packet to the balancer of its zone."""
+        address = (f"balancer-{flow.call.arrival.zone}", 1)
+        balancer = self._balancer_by_address[address]
+        self._agenda.at(
+            self._agenda.now + distances.CALLER_S,
+            lambda: self._steer(
+                balancer, balancer.steering.on_packet(data, self._agenda.now)
+            ),
+        )
+
+    def _receive(self, data: bytes) -> None:
+        """Hands a packet to its caller."""
+        segment = packets.Format().from_target(data)
+        assert segment is not None, "replays write whole packets"
+        flow = self._flow_by_key.get(segment.key)
+        if flow is None:
+            return
+        if segment.resets:
+            del self._flow_by_key[segment.key]
+            flow.call.turned_away(flow.attempt)
+        elif segment.accepts:
+            self._on_accepted(segment, flow)
+        elif segment.length:
+            del self._flow_by_key[segment.key]
+            self._send(flow, packets.packet(segment.key, packets.CLOSES))
+            # Only one target has accepted a flow of a replay.
+            flow.call.answered(flow.attempt, flow.status, "")
+
+    def _on_accepted(self, segment: formats.Segment, flow: _Flow) -> None:
+        if flow.opened or not self._current(flow):
+            return
+        flow.opened = True
+        request = packets.packet(
+            segment.key,
+            sequence=1,
+            acknowledgement=segment.sequence + 1,
+            length=REQUEST_BYTES,
+        )
+        self._send(flow, request)
+
+    # Processes.
+
+    def _steer(
+        self, balancer: _Balancer, several: list[outcomes.Outcome]
+    ) -> None:
+        """Carries out what a balancer has decided."""
+        now = self._agenda.now
+        for outcome in several:
+            match outcome:
+                case outcomes.ToPeer(address, data):
+                    side = self._side_by_address[address]
+                    way = distances.between(
+                        balancer.zone, side.server.spec.zone
+                    )
+                    self._agenda.at(
+                        now + way,
+                        functools.partial(
+                            self._side_gets, side, data, balancer.address
+                        ),
+                    )
+                case outcomes.ToCaller(_, data):
+                    self._agenda.at(
+                        now + distances.CALLER_S,
+                        functools.partial(self._receive, data),
+                    )
+        if balancer.steering.busy and not balancer.ticking:
+            balancer.ticking = True
+            self._agenda.at(
+                now + BUSY_TICK_S, lambda: self._busy_tick(balancer)
+            )
+
+    def _side_gets(self, side: _Side, data: bytes, source: _Address) -> None:
+        now = self._agenda.now
+        self._hold(side, side.holding.on_frame(data, source, now))
+
+    def _balancer_gets(
+        self, balancer: _Balancer, data: bytes, source: _Address
+    ) -> None:
+        now = self._agenda.now
+        self._steer(balancer, balancer.steering.on_frame(data, source, now))
+
+    def _busy_tick(self, balancer: _Balancer) -> None:
+        balancer.ticking = False
+        self._steer(balancer, balancer.steering.on_tick(self._agenda.now))
+
+    def _idle_tick(self) -> None:
+        now = self._agenda.now
+        for balancer in self._balancer_by_address.values():
+            self._steer(balancer, balancer.steering.on_tick(now))
+        for side in self._side_by_address.values():
+            self._hold(side, side.holding.on_tick(now))
+        self._agenda.at(now + IDLE_TICK_S, self._idle_tick)
+
+    def _hold(self, side: _Side, several: list[outcomes.Outcome]) -> None:
+        """Carries out what a side process has decided."""
+        now = self._agenda.now
+        zone = side.server.spec.zone
+        for outcome in several:
+            match outcome:
+                case outcomes.ToPeer(address, data):
+                    balancer = self._balancer_by_address[address]
+                    self._agenda.at(
+                        now + distances.between(zone, balancer.zone),
+                        functools.partial(
+                            self._balancer_gets, balancer, data, side.address
+                        ),
+                    )
+                case outcomes.ToCaller(_, data):
+                    self._answer_caller(zone, data)
+                case outcomes.ToTarget(data):
+                    self._target_takes(side, data)
+
+    def _answer_caller(self, zone: str, data: bytes) -> None:
+        """Sends a target's packet straight to its caller."""
+        segment = packets.Format().from_target(data)
+        assert segment is not None, "replays write whole packets"
+        flow = self._flow_by_key.get(segment.key)
+        if flow is None:
+            return
+        way = distances.between(zone, flow.call.arrival.zone)
+        self._agenda.at(
+            self._agenda.now + way + distances.CALLER_S,
+            lambda: self._receive(data),
+        )
+
+    # Targets.
+
+    def _target_takes(self, side: _Side, data: bytes) -> None:
+        """Lets a target work on a packet; one that is down does nothing."""
+        segment = packets.Format().from_caller(data)
+        assert segment is not None, "replays write whole packets"
+        if not side.server.condition.up:
+            return
+        key = segment.key
+        if segment.opens:
+            number = side.sequence_by_key.setdefault(
+                key, int(self._draw() * (1 << 30))
+            )
+            self._target_sends(
+                side, packets.packet(key, packets.ACCEPTS, number)
+            )
+        elif key not in side.sequence_by_key:
+            self._target_sends(side, packets.returned(data))
+        elif segment.closes or segment.resets:
+            del side.sequence_by_key[key]
+        elif segment.length:
+            self._run(side, key)
+
+    def _run(self, side: _Side, key: bytes) -> None:
+        flow = self._flow_by_key.get(key)
+        if flow is None:
+            return
+        work_s = flow.call.arrival.work_s
+        answer = side.server.serve(work_s, self._draw(), self._agenda.now)
+        if answer is None:
+            return
+        flow.status = answer.status
+        self._agenda.at(answer.at_s, lambda: self._answer(side, key))
+
+    def _answer(self, side: _Side, key: bytes) -> None:
+        """Sends the answer of a request that has run, if its flow lives."""
+        number = side.sequence_by_key.get(key)
+        if number is not None:
+            answer = packets.packet(key, 0, number + 1, length=REQUEST_BYTES)
+            self._target_sends(side, answer)
+
+    def _target_sends(self, side: _Side, data: bytes) -> None:
+        now = self._agenda.now
+        self._hold(side, side.holding.on_target_packet(data, now))
+
+
+def _ignore(decision: outcomes.Decision) -> None:
+    """Replays read what callers see, not what is logged."""
--- /dev/null
+++ b/clementinelead/replays/tests/test_replays.py
@@ -0,0 +1,126 @@
+"""Each load pattern, replayed against the product's decisions."""
+
+import functools
+
+import pytest
+
+from clementinelead import exceptions
+from clementinelead.replays import loads
+from clementinelead.replays import patterns
+from clementinelead.replays import simulations
+from clementinelead.replays import summaries
+
+SCALE = patterns.Scale(targets=12, seconds=4.0, utilisation=0.5)
+SEED = 3
+
+QUIET_SHARE = 0.95
+"""Share of requests within their objective that the users ask for."""
+
+ORACLE_MARGIN = 0.05
+"""What asking targets may cost against knowing everything."""
+
+NAMES = [pattern.__name__.replace("_", "-") for pattern in patterns.PATTERNS]
+
+
+@functools.cache
+def _summary(name, policy):
+    load = patterns.generate(name, SCALE, SEED)
+    return summaries.summarize(simulations.replay(load, policy, SEED))[0]
+
+
+@pytest.mark.parametrize("name", [name for name in NAMES if name != "burst"])
+def test_load_below_capacity_is_served_in_time(name):
+    assert _summary(name, "relayed").in_objective >= QUIET_SHARE
+
+
+@pytest.mark.parametrize("name", NAMES)
+def test_asking_targets_comes_near_to_knowing_everything(name):
+    oracle = _summary(name, "shortest-queue").in_objective
+    assert _summary(name, "relayed").in_objective >= oracle - ORACLE_MARGIN
+
+
+@pytest.mark.parametrize(
+    "name", ["slowdown", "mute", "half-mute", "flapping", "cold"]
+)
+def test_ill_targets_cost_less_than_with_a_hash_alone(name):
+    own, hashed = (_summary(name, p) for p in ("relayed", "plain-hash"))
+    assert own.late + own.failed < (hashed.late + hashed.failed) / 2
+    assert own.p99_ms < hashed.p99_ms
+
+
+def test_burst_is_refused_before_callers_give_up():
+    burst = _summary("burst", "relayed")
+    timeout_ms = patterns.KIND.timeout_s * 1000
+    assert burst.refused > 0
+    assert burst.failed == 0
+    assert burst.p99_refusal_ms < timeout_ms
+    assert burst.late < 0.02
+
+
+def test_callers_that_move_between_zones_notice_nothing():
+    assert _summary("moving", "relayed").failed == 0
+    assert _summary("moving", "relayed").refused == 0
+
+
+def test_replays_repeat():
+    load = patterns.generate("half-mute", patterns.Scale(4, 1.0), SEED)
+    first, second = (
+        simulations.replay(load, "relayed", SEED).outcomes for _ in range(2)
+    )
+    assert first == second
+    assert len(first) == len(load.arrivals)
+
+
+def test_every_request_has_one_outcome_under_every_policy():
+    load = patterns.generate("flapping", patterns.Scale(6, 2.0, 1.5), SEED)
+    for policy in simulations.POLICIES:
+        run = simulations.replay(load, policy, SEED)
+        assert [one.arrival for one in run.outcomes] == list(load.arrivals)
+        row = summaries.summarize(run)[0]
+        shares = row.in_objective + row.late + row.refused + row.failed
+        assert shares == pytest.approx(1.0)
+
+
+def test_unknown_policy_is_an_error():
+    load = patterns.generate("calm", patterns.Scale(2, 0.1), SEED)
+    with pytest.raises(ValueError, match="plain-hash"):
+        simulations.replay(load, "guess", SEED)
+
+
+def test_plot_has_a_sign_for_each_half_second():
+    load = patterns.generate("calm", patterns.Scale(4, 2.0), SEED)
+    drawn = summaries.plot(simulations.replay(load, "relayed", SEED))
+    assert drawn == "█" * len(drawn)
+    assert len(drawn) in (4, 5)
+
+
+def test_load_survives_its_file(tmp_path):
+    load = patterns.generate("flapping", patterns.Scale(4, 2.0), SEED)
+    path = tmp_path / "load.json"
+    loads.write(path, load)
+    assert loads.read(path) == load
+
+
+@pytest.mark.parametrize(
+    ("text", "place"),
+    [
+        ("{", "load.json"),
+        ('{"name": 1}', "load.json"),
+        (
+            '{"name": "x", "kinds": [], "targets": [], "arrivals": [{"at_s":'
+            ' 0, "zone": "a", "kind": "k", "work_s": 1}]}',
+            "load.json:arrivals.0",
+        ),
+        (
+            '{"name": "x", "kinds": [], "targets": [], "arrivals": [],'
+            ' "changes": [{"at_s": 0, "target": "t", "condition": {}}]}',
+            "load.json:changes.0",
+        ),
+    ],
+)
+def test_wrong_files_are_told_with_the_place(tmp_path, text, place):
+    path = tmp_path / "load.json"
+    path.write_text(text)
+    with pytest.raises(exceptions.FindingsError) as raised:
+        loads.read(path)
+    assert raised.value.findings[0].place.endswith(place)
