Give the seed's record to a restarted process that announces itself

Seen in the log of acknowledgements: known incarnation equal to the sender's, no records. Ruled out: replay protection, budgets, HTTP between peers. Change: a ping of one who knows nobody is answered with the own record; a process that is not announced asks its seeds even if it has heard of others.

--- a/clementinelead/memberships/gossip.py
+++ b/clementinelead/memberships/gossip.py
@@ -78,6 +78,7 @@
 _RECORDS_PER_MESSAGE = 5
 _TRANSMISSIONS_PER_LOG = 3
 _SUSPECT_PING_INTERVAL_S = 0.15
+_SEED_PROBE = 0  # number of a ping whose sender knows nobody to probe
 _MIN_PINGS = 8
 _MAX_HEARD = 4_096
 _MAX_SUSPICIONS = 4
@@ -387,8 +388,8 @@
     ) -> Send:
         """Returns the answer to a ping, with news if the budget allows it.
 
-        A sender that is not known yet, or has restarted, gets this process's
-        record, so that it can ask for all the others.
+        A sender that is not known yet, has restarted or knows nobody gets
+        this process's record, so that it can ask for all the others.
         """
         assert isinstance(control.body, controls.Ping), (
             "only pings are answered"
@@ -397,7 +398,8 @@
         known = self.table.by_id.get(control.sender)
         unknown = known is None or known.incarnation != control.incarnation
         asked = any(record.id == self.own.id for record in control.records)
-        if self.announced and (unknown or asked):
+        lost = control.body.probe == _SEED_PROBE
+        if self.announced and (unknown or asked or lost):
             return Send(source, (self.own,), body)
         return Send(source, self._news(), body)
 
@@ -429,13 +431,14 @@
             if sends:
                 return sends
         subject = self._next_subject(now)
-        if subject is not None:
-            return [self._probe(subject, now, None)]
-        if self.peers():
-            return []
+        sends = [self._probe(subject, now, None)] if subject else []
+        # Whom a process that starts hears of first may know few others.
+        if self.announced and self.peers():
+            return sends
         news = (self.own,) if self.announced else ()
-        return [
-            Send(address, news, controls.Ping(0)) for address in self._seeds
+        return sends + [
+            Send(address, news, controls.Ping(_SEED_PROBE))
+            for address in self._seeds
         ]
 
     def _dead_probes(self) -> list[Send]:
@@ -444,7 +447,9 @@
         if not dead:
             return []
         chosen = self._random.choice(dead)
-        return [Send(chosen.control_address, (chosen,), controls.Ping(0))]
+        return [
+            Send(chosen.control_address, (chosen,), controls.Ping(_SEED_PROBE))
+        ]
 
     def _probe(
         self,
--- a/clementinelead/memberships/tests/test_gossip.py
+++ b/clementinelead/memberships/tests/test_gossip.py
@@ -148,3 +148,45 @@
     )
     answers, _ = seed.on_control(ping, ("10.0.0.1", 7001), net.now)
     assert seed.own in answers[-1].records
+
+
+def test_a_restarted_process_that_announces_itself_learns_of_its_seed():
+    """Its record comes with the ping, so the seed knows it already."""
+    net = network()
+    seed = net.nodes["node-0"]
+    restarted = gossip.Gossiper(
+        dataclasses.replace(net.nodes["node-1"].own, incarnation=10**6),
+        (seed.own.control_address,),
+        gossip.Options(),
+        random.Random(1),
+        net.now,
+    )
+    restarted.announce(net.now)
+    sends, _ = restarted.on_tick(net.now)
+    seed.forget_news()
+    for counter in (1, 2):
+        ping = controls.Control(
+            "node-1", 10**6, counter, 0, 0, sends[0].records, sends[0].body
+        )
+        answers, _ = seed.on_control(ping, ("10.0.0.1", 7001), net.now)
+    acks = [one for one in answers if isinstance(one.body, controls.Ack)]
+    assert seed.own in acks[-1].records
+
+
+def test_a_process_that_starts_asks_its_seeds_though_it_knows_others():
+    """A side process may be heard of first, which knows little of balancers."""
+    net = network()
+    seed = net.nodes["node-0"].own
+    starting = gossip.Gossiper(
+        dataclasses.replace(net.nodes["node-1"].own, incarnation=10**6),
+        (seed.control_address,),
+        gossip.Options(),
+        random.Random(1),
+        net.now,
+    )
+    starting.merge((net.nodes["node-2"].own,), net.now)
+    asked = set()
+    for step in range(1, 20):
+        sends, _ = starting.on_tick(net.now + step * 0.05)
+        asked |= {send.address for send in sends}
+    assert seed.control_address in asked
