--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,10 @@
 BIN := $(VENV)/bin
 SEED ?= 1
 SEEDS ?= 1-50
+DAYS ?= 1
+PROCESSES ?= 9
 
-.PHONY: setup format check demo test bench soak clean
+.PHONY: setup format check demo test bench soak faults clean
 
 setup: $(VENV)/installed
 
@@ -38,5 +40,10 @@
 	CLEMENTINELEAD_SOAK=1 $(BIN)/python -m pytest -k stateful
 	$(BIN)/python -m bench.soak.run --seeds $(SEEDS)
 
+faults: setup
+	$(BIN)/python -m bench.soak.run --seeds $(SEED)-$$(($(SEED) + $(DAYS) - 1)) \
+	  --balancers $$(($(PROCESSES) / 3)) \
+	  --targets $$(($(PROCESSES) - $(PROCESSES) / 3))
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -4,6 +4,7 @@
 import signal
 import time
 
+from bench.soak import proxy
 from bench.soak import world as world_module
 
 __all__ = ["inject"]
@@ -18,8 +19,11 @@
     begun = time.monotonic()
     done: list[str] = []
     under_way: set[asyncio.Task[None]] = set()
+    names = sorted(_FAULTS)
+    if not world.sizes.connections:
+        names.remove("connections")
     while time.monotonic() - begun < seconds:
-        name = generator.choice(sorted(_FAULTS))
+        name = generator.choice(names)
         done.append(f"{time.monotonic():.3f} s: {name}")
         task = asyncio.create_task(_FAULTS[name](world))
         under_way.add(task)
@@ -27,6 +31,7 @@
         await asyncio.sleep(generator.uniform(*GAP_S))
     await asyncio.gather(*under_way)
     world.store.fault = ""
+    world.proxy.suffer(proxy.Harm.NONE)
     return done
 
 
@@ -68,6 +73,14 @@
     world.store.fault = ""
 
 
+async def _connections(world: world_module.World) -> None:
+    """Harms the connections to the store."""
+    harms = [harm for harm in proxy.Harm if harm is not proxy.Harm.NONE]
+    world.proxy.suffer(world.random.choice(harms))
+    await asyncio.sleep(world.random.uniform(0.5, 4.0))
+    world.proxy.suffer(proxy.Harm.NONE)
+
+
 async def _change(world: world_module.World) -> None:
     for _ in range(world.random.randint(1, 5)):
         world.change_config()
@@ -93,6 +106,7 @@
 
 _FAULTS = {
     "change configuration": _change,
+    "connections": _connections,
     "crash target": _crash_target,
     "drain target": _drain_target,
     "kill all": _kill_all,
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -1,6 +1,7 @@
 """Runs the soak: ``python -m bench.soak.run --seeds 1-50``."""
 
 import asyncio
+import collections
 import json
 import pathlib
 import shutil
@@ -78,6 +79,7 @@
     first, _, last = seeds.partition("-")
     sizes = world_module.Sizes(balancers, targets, callers)
     failed = 0
+    totals: collections.Counter[str] = collections.Counter()
     for seed in range(int(first), int(last or first) + 1):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         violations, outcomes, done = asyncio.run(
@@ -85,12 +87,16 @@
         )
         line = {"seed": seed, "violations": violations, **outcomes}
         print(json.dumps(line), flush=True)
+        totals.update(outcomes)
+        totals.update(fault.partition(": ")[2] for fault in done)
         if violations:
             failed += 1
             (folder / "faults.txt").write_text("\n".join(done) + "\n")
             print(f"  kept: {folder}", flush=True)
         else:
             shutil.rmtree(folder)
+    seeds_run = int(last or first) - int(first) + 1
+    print(json.dumps({"seeds": seeds_run, "failed": failed, **totals}))
     if failed:
         sys.exit(1)
 
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -9,6 +9,7 @@
 from bench.soak import audit as audit_module
 from bench.soak import callers
 from bench.soak import programs
+from bench.soak import proxy as proxy_module
 from bench.soak import router as router_module
 from bench.soak import store as store_module
 from bench.soak import targets as targets_module
@@ -25,11 +26,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class Sizes:
-    """How many of each part there are."""
+    """How many of each part there are, and what is harmed.
+
+    Attributes:
+        balancers: Balancers.
+        targets: Targets, each with its side process.
+        callers: Callers.
+        connections: Whether connections to the store are harmed too; seeds
+            that failed before that was possible draw their faults without.
+    """
 
     balancers: int = 3
     targets: int = 6
     callers: int = 24
+    connections: bool = True
 
 
 class World:
@@ -46,6 +56,9 @@
         self.ports = {name: picked.pick(first) for name in _PORT_NAMES}
         self._inner = picked.pick(first)
         self.store = store_module.Store()
+        self.proxy = proxy_module.Proxy(
+            (self._address(241), self.ports["store"])
+        )
         self.balancers = [
             self._program("balancer", number, self._address(1 + number))
             for number in range(sizes.balancers)
@@ -133,9 +146,9 @@
     async def start(self) -> None:
         """Starts everything, in no particular order."""
         self.change_config()
-        self._runner = await self.store.start(
-            self._address(240), self.ports["store"]
-        )
+        port = self.ports["store"]
+        self._runner = await self.store.start(self._address(241), port)
+        await self.proxy.start((self._address(240), port))
         for program in self.balancers + self.sides:
             self.spawn(program.run())
         for target in self.targets:
@@ -177,4 +190,5 @@
             self.audit.violate(f"the soak itself failed: {error}", 0.0)
         for target in self.targets:
             target.crash()
+        await self.proxy.stop()
         await self._runner.cleanup()
