--- a/bench/soak/store.py
+++ b/bench/soak/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import typing
 
 from aiohttp import web
 
@@ -108,7 +109,7 @@
     async def _lease(self, request: web.Request) -> web.Response:
         await self._suffer()
         self._leases += 1
-        ttl_ms = (await request.json())["ttl_ms"]
+        ttl_ms = (await _content(request))["ttl_ms"]
         return web.json_response({"lease": self._leases, "ttl_ms": ttl_ms})
 
     async def _keep(self, _: web.Request) -> web.Response:
@@ -117,6 +118,14 @@
 
     async def _write(self, request: web.Request) -> web.Response:
         await self._suffer()
-        for entry in (await request.json())["writes"]:
+        for entry in (await _content(request))["writes"]:
             self._leased_by_key[entry["key"]] = {**entry, "revision": 1}
         return web.json_response({"revision": 1})
+
+
+async def _content(request: web.Request) -> typing.Any:
+    """Returns what a request says; its connection may be harmed meanwhile."""
+    try:
+        return await request.json()
+    except ConnectionError as error:
+        raise web.HTTPBadRequest from error
