Let a process that knows all side processes write its own count at once

Change: the count of the keys holds until the process has known all of them (completeness, 5 s after the last new one at most); keys are looked at each second, not every two.

--- a/clementinelead/processes/contact_keys.py
+++ b/clementinelead/processes/contact_keys.py
@@ -14,7 +14,6 @@
 
 import loguru
 
-from clementinelead.memberships import members
 from clementinelead.processes import relay_node
 
 __all__ = [
@@ -31,7 +30,7 @@
 
 RENEWALS_PER_LEASE = 3
 
-CHECK_S = 2.0
+CHECK_S = 1.0
 """Pause between looks at whether the key still says what is true, seconds."""
 
 RETRY_S = 2.0
@@ -90,16 +89,12 @@
     Attributes:
         before: How many the keys have named since this process began, 0 if
             that is not known.
+        complete: Whether this process has known all of them since then.
     """
 
-    def __init__(self, now: float):
-        """Starts without knowing.
-
-        Args:
-            now: Present time, seconds.
-        """
+    def __init__(self) -> None:
         self.before = 0
-        self._certain_from = now + members.RETURN_S
+        self.complete = False
 
     def told(self, contacts: tuple[Contact, ...]) -> None:
         """Takes over what the keys say.
@@ -110,7 +105,7 @@
         counts = [one.sides for one in contacts if one.sides]
         self.before = counts[-1] if counts else 0
 
-    def publishable(self, expected: int, now: float) -> int:
+    def publishable(self, expected: int) -> int:
         """Returns what a key is to say, 0 while this process can't tell.
 
         A process that has just started may not know all of them yet, but
@@ -118,9 +113,8 @@
 
         Args:
             expected: Side processes that are known or may come back.
-            now: Present time, seconds.
         """
-        if now >= self._certain_from:
+        if self.complete:
             return expected
         return max(expected, self.before) if self.before else 0
 
@@ -153,7 +147,7 @@
     async def _hold(self, now: float) -> None:
         """Calls the store if the key has changed or its lease is old."""
         expected = self._node.count_sides(now).expected
-        sides = self._count.publishable(expected, now)
+        sides = self._count.publishable(expected)
         own = self._node.gossiper.own
         contact = Contact(own.address, sides)
         if contact == self._held and now < self._renew_at:
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -73,7 +73,7 @@
         )
         self._watch = route_watch.RouteWatch(self.node, source)
         generator = self.node.random
-        self._side_count = contact_keys.SideCount(time.monotonic())
+        self._side_count = contact_keys.SideCount()
         self._holder = contact_keys.ContactHolder(
             self.node, keys, self._side_count, generator
         )
@@ -183,7 +183,8 @@
         if self.node.joined and not self._settling:
             self._settling = True
             self._completeness.on_joined(now)
-        if not self._completeness.reached(now):
+        self._side_count.complete = self._completeness.reached(now)
+        if not self._side_count.complete:
             sides = self.node.count_sides(now)
             self._completeness.compare(
                 sides.serving, sides.missing, self._side_count.before, now
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -172,3 +172,11 @@
     _learn(balancer, dead, 106.0)
     late = 100.0 + completeness.VIEW_S + 1.1
     assert _resets_after_denial(balancer, late) == 0
+
+
+def test_keys_get_the_own_count_once_all_are_known(balancer):
+    _keys_say(balancer, 2)
+    _joined_with(balancer, 100.0)
+    assert balancer._side_count.publishable(1) == 2
+    balancer.on_tick(100.0 + completeness.VIEW_S + 0.1)
+    assert balancer._side_count.publishable(1) == 1
--- a/clementinelead/processes/tests/test_relay_node.py
+++ b/clementinelead/processes/tests/test_relay_node.py
@@ -227,7 +227,7 @@
     keys = Keys()
     first, _ = _node(2, ports, ())
     second, _ = _node(3, ports, ("127.0.0.9",))
-    count = contact_keys.SideCount(time.monotonic())
+    count = contact_keys.SideCount()
     holder = contact_keys.ContactHolder(first, keys, count, first.random)
 
     async def check():
