--- a/clementinelead/replays/relayed.py
+++ b/clementinelead/replays/relayed.py
@@ -36,12 +36,21 @@
 
 @dataclasses.dataclass(slots=True)
 class _Flow:
-    """A flow as its caller sees it."""
+    """A flow as its caller sees it.
+
+    Attributes:
+        call: The call that it belongs to.
+        attempt: Which of the call's flows it is.
+        opened: Whether a target has accepted it.
+        status: What the target that runs its request will say.
+        target: Name of that target.
+    """
 
     call: calls.Call
     attempt: int
     opened: bool = False
     status: servers.Status = servers.Status.OK
+    target: str = ""
 
 
 class _Side:
@@ -207,8 +216,7 @@
         elif segment.length:
             del self._flow_by_key[segment.key]
             self._send(flow, packets.packet(segment.key, packets.CLOSES))
-            # Only one target has accepted a flow of a replay.
-            flow.call.answered(flow.attempt, flow.status, "")
+            flow.call.answered(flow.attempt, flow.status, flow.target)
 
     def _on_accepted(self, segment: formats.Segment, flow: _Flow) -> None:
         if flow.opened or not self._current(flow):
@@ -339,6 +347,7 @@
         if answer is None:
             return
         flow.status = answer.status
+        flow.target = side.server.spec.name
         self._agenda.at(answer.at_s, lambda: self._answer(side, key))
 
     def _answer(self, side: _Side, key: bytes) -> None:
--- a/clementinelead/replays/tests/test_replays.py
+++ b/clementinelead/replays/tests/test_replays.py
@@ -5,6 +5,7 @@
 import pytest
 
 from clementinelead import exceptions
+from clementinelead.replays import calls
 from clementinelead.replays import loads
 from clementinelead.replays import patterns
 from clementinelead.replays import simulations
@@ -76,6 +77,13 @@
     for policy in simulations.POLICIES:
         run = simulations.replay(load, policy, SEED)
         assert [one.arrival for one in run.outcomes] == list(load.arrivals)
+        served = {
+            one.target
+            for one in run.outcomes
+            if one.result is calls.Result.SERVED
+        }
+        assert served
+        assert served <= {target.name for target in load.targets}
         row = summaries.summarize(run)[0]
         shares = row.in_objective + row.late + row.refused + row.failed
         assert shares == pytest.approx(1.0)
