--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -31,7 +31,7 @@
         await asyncio.sleep(generator.uniform(*GAP_S))
     await asyncio.gather(*under_way)
     world.store.fault = ""
-    world.proxy.suffer(proxy.Harm.NONE)
+    world.proxy.inject(proxy.Fault.NONE)
     return done
 
 
@@ -75,10 +75,10 @@
 
 async def _connections(world: world_module.World) -> None:
     """Harms the connections to the store."""
-    harms = [harm for harm in proxy.Harm if harm is not proxy.Harm.NONE]
-    world.proxy.suffer(world.random.choice(harms))
+    kinds = [kind for kind in proxy.Fault if kind is not proxy.Fault.NONE]
+    world.proxy.inject(world.random.choice(kinds))
     await asyncio.sleep(world.random.uniform(0.5, 4.0))
-    world.proxy.suffer(proxy.Harm.NONE)
+    world.proxy.inject(proxy.Fault.NONE)
 
 
 async def _change(world: world_module.World) -> None:
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -4,13 +4,13 @@
 import contextlib
 import enum
 
-__all__ = ["Harm", "Proxy"]
+__all__ = ["Fault", "Proxy"]
 
 DELAY_S = 0.3
 READ_BYTES = 65_536
 
 
-class Harm(enum.Enum):
+class Fault(enum.Enum):
     """What happens to connections while it lasts."""
 
     NONE = "none"
@@ -25,11 +25,11 @@
     """Passes connections on to one address.
 
     Attributes:
-        harm: What happens to them now.
+        fault: What happens to them now.
     """
 
     def __init__(self, target: tuple[str, int]):
-        self.harm = Harm.NONE
+        self.fault = Fault.NONE
         self._target = target
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
@@ -49,10 +49,10 @@
         self._reset()
         await asyncio.sleep(0)
 
-    def suffer(self, harm: Harm) -> None:
+    def inject(self, fault: Fault) -> None:
         """Lets something happen to the connections from now on."""
-        self.harm = harm
-        if harm is Harm.RESET:
+        self.fault = fault
+        if fault is Fault.RESET:
             self._reset()
 
     def _reset(self) -> None:
@@ -62,7 +62,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self.harm is Harm.RESET:
+        if self.fault is Fault.RESET:
             writer.transport.abort()
             return
         with contextlib.suppress(OSError):
@@ -73,10 +73,10 @@
             try:
                 async with asyncio.TaskGroup() as group:
                     group.create_task(
-                        self._copy(reader, back_writer, Harm.REQUESTS_LOST)
+                        self._copy(reader, back_writer, Fault.REQUESTS_LOST)
                     )
                     group.create_task(
-                        self._copy(back_reader, writer, Harm.ANSWERS_LOST)
+                        self._copy(back_reader, writer, Fault.ANSWERS_LOST)
                     )
             finally:
                 self._writers -= {writer, back_writer}
@@ -87,14 +87,14 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        cut: Harm,
+        cut: Fault,
     ) -> None:
-        """Copies one direction until its end, as far as harm lets it."""
+        """Copies one direction until its end, as far as the fault lets it."""
         with contextlib.suppress(OSError):
             while data := await reader.read(READ_BYTES):
-                if self.harm is Harm.DELAYED:
+                if self.fault is Fault.DELAYED:
                     await asyncio.sleep(DELAY_S)
-                if self.harm in (cut, Harm.SILENT):
+                if self.fault in (cut, Fault.SILENT):
                     continue
                 writer.write(data)
                 await writer.drain()
--- a/tests/test_soak_proxy.py
+++ b/tests/test_soak_proxy.py
@@ -8,7 +8,7 @@
 from bench.soak import proxy
 
 
-def ask(harm, late=None):
+def ask(fault, late=None):
     """Sends a line through a proxy to an echo; returns what comes back."""
 
     async def whole():
@@ -27,13 +27,13 @@
         server = await asyncio.start_server(echo, *behind)
         between = proxy.Proxy(behind)
         await between.start(before)
-        between.suffer(harm)
+        between.inject(fault)
         try:
             reader, writer = await asyncio.open_connection(*before)
             writer.write(b"x\n")
             if late is not None:
                 await asyncio.sleep(0.05)
-                between.suffer(late)
+                between.inject(late)
             try:
                 async with asyncio.timeout(1.0):
                     answer = await reader.readline()
@@ -50,20 +50,20 @@
     return asyncio.run(whole())
 
 
-@pytest.mark.parametrize("harm", [proxy.Harm.NONE, proxy.Harm.DELAYED])
-def test_passes_on(harm):
-    assert ask(harm) == (b"x\n", [b"x\n"])
+@pytest.mark.parametrize("fault", [proxy.Fault.NONE, proxy.Fault.DELAYED])
+def test_passes_on(fault):
+    assert ask(fault) == (b"x\n", [b"x\n"])
 
 
 def test_cuts_one_way():
-    assert ask(proxy.Harm.REQUESTS_LOST) == (None, [])
-    answer, got = ask(proxy.Harm.ANSWERS_LOST)
+    assert ask(proxy.Fault.REQUESTS_LOST) == (None, [])
+    answer, got = ask(proxy.Fault.ANSWERS_LOST)
     assert answer in (b"", None)
     assert got == [b"x\n"]
 
 
 def test_silences_and_resets():
-    assert ask(proxy.Harm.SILENT) == (None, [])
-    assert ask(proxy.Harm.RESET)[0] in (b"", ConnectionError)
-    late = ask(proxy.Harm.SILENT, late=proxy.Harm.RESET)
+    assert ask(proxy.Fault.SILENT) == (None, [])
+    assert ask(proxy.Fault.RESET)[0] in (b"", ConnectionError)
+    late = ask(proxy.Fault.SILENT, late=proxy.Fault.RESET)
     assert late[0] in (b"", ConnectionError)
