Search for a flow before an old opening packet is refused

Ruled out: a search in vain, a side process denying the flow. Change: a placement given up after the callers' first repetition, or read after a freeze, is searched for; it is refused if all side processes deny it. Before: three of four new tests fail. After: they pass.

--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -57,6 +57,12 @@
 Callers give an attempt up after 1.4 s, and can try again if told before.
 """
 
+COPY_S = 0.2
+"""Time after which callers send a copy of an opening packet, seconds.
+
+From then on the flow may be open through another balancer.
+"""
+
 
 @dataclasses.dataclass(slots=True)
 class Placement:
@@ -135,6 +141,9 @@
 
 _Kind = frames.Kind
 _Address = tuple[str, int]
+_Search = collections.abc.Callable[
+    [formats.Segment, frozenset[str], bytes, float], list[outcomes.Outcome]
+]
 
 
 class Placer:
@@ -146,6 +155,7 @@
         known: directory.Directory,
         counts: counters.CounterSet,
         report: collections.abc.Callable[[outcomes.Decision], None],
+        search: _Search,
     ):
         """Starts with nothing to place.
 
@@ -154,12 +164,15 @@
             known: The targets.
             counts: Counts decisions by outcome.
             report: Gets each decision for the log.
+            search: Searches for a flow that may be open, as
+                ``searching.Searcher.find`` does.
         """
         self.version = 0
         self._format = packet_format
         self._directory = known
         self._counts = counts
         self._report = report
+        self._search = search
         self._placement_by_key: dict[bytes, Placement] = {}
 
     @property
@@ -182,8 +195,8 @@
             route: Route of the flow.
             data: The opening packet.
             now: Present time, seconds.
-            known: Whether the flow was placed before, and its target is
-                silent now.
+            known: Whether the flow may be open: it was placed before, and its
+                target is silent now, or its packet may have waited long.
         """
         key = segment.key
         pending = self._placement_by_key.get(key)
@@ -360,14 +373,17 @@
     ) -> list[outcomes.Outcome]:
         """Refuses a flow that no target takes; the caller hears at once.
 
-        A late copy of an opening packet gets silence: its flow may be open.
+        If the flow may be open by now, it is searched for; the search refuses
+        it if all side processes deny it.
         """
         del self._placement_by_key[key]
-        if placement.may_be_open or placement.sent:
-            self._report_decision(key, placement, "left open", now)
-            return []
         segment = self._format.from_caller(placement.packet)
         assert segment is not None, "a placement's packet was parsed before"
+        copied = now - placement.begun >= COPY_S
+        if copied or placement.may_be_open or placement.sent:
+            self._report_decision(key, placement, "searched for", now)
+            services = frozenset((placement.service,))
+            return self._search(segment, services, placement.packet, now)
         inputs: dict[str, object] = {
             "service": placement.service,
             "age_ms": round((now - placement.begun) * 1000, 1),
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -58,6 +58,8 @@
         absent: How many have said that they do not hold it.
         silent: Addresses that have not answered in time.
         probes: Targets that have been handed the first packet.
+        opening: Whether the first packet opens the flow; then it is less than
+            two seconds old, and at a target of its route if anywhere.
         complete: Whether all side processes were asked and have answered.
     """
 
@@ -70,6 +72,7 @@
     absent: int = 0
     silent: frozenset[tuple[str, int]] = frozenset()
     probes: int = 0
+    opening: bool = False
     complete: bool = True
 
 
@@ -130,7 +133,7 @@
 
     def find(
         self,
-        key: bytes,
+        segment: formats.Segment,
         services: frozenset[str],
         data: bytes,
         now: float,
@@ -138,11 +141,12 @@
         """Begins or joins a search for the owner of a flow.
 
         Args:
-            key: Flow key.
+            segment: Header of the packet.
             services: Services of the flow's route.
             data: A packet of the flow.
             now: Present time, seconds.
         """
+        key = segment.key
         search = self._search_by_key.get(key)
         if search is not None:
             if len(search.packets) < MAX_PACKETS:
@@ -165,7 +169,8 @@
             deadline=float("inf"),
             waiting=waiting,
             unsure=[],
-            complete=complete,
+            opening=segment.opens,
+            complete=complete or segment.opens,
         )
         self._search_by_key[key] = search
         for owner in owners:
@@ -303,8 +308,11 @@
     def _probe_next(
         self, key: bytes, search: Search, now: float
     ) -> list[outcomes.Outcome]:
-        """Hands the first packet to the next target that may hold the flow."""
-        if search.probes >= MAX_PROBES and search.unsure:
+        """Hands the first packet to the next target that may hold the flow.
+
+        A target would take an opening packet for a new flow.
+        """
+        if search.unsure and (search.opening or search.probes >= MAX_PROBES):
             search.complete = False
             search.unsure.clear()
         if not search.unsure:
@@ -340,7 +348,8 @@
         del self._search_by_key[key]
         segment = self._format.from_caller(search.packets[0])
         assert segment is not None, "a search's packet was parsed before"
-        nowhere = search.complete and now >= self._directory.complete_from
+        known = search.opening or now >= self._directory.complete_from
+        nowhere = search.complete and known
         if nowhere and not segment.resets:
             self._report_end(key, search, "reset", None, now)
             reset = self._format.reset(segment)
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -26,6 +26,12 @@
 RETIRED_ROUTE_S = 90.0
 """Time that the flows of a dropped route can still be found, seconds."""
 
+DOUBT_S = 0.2
+"""Time after a freeze in which old packets may come, seconds.
+
+What has waited in a socket's buffer is read within some tens of milliseconds.
+"""
+
 _Kind = frames.Kind
 _Address = tuple[str, int]
 
@@ -58,12 +64,18 @@
         self._retired: dict[bytes, tuple[routes.Route, float]] = {}
         self._directory = directory.Directory(zone)
         self._cache = flow_cache.FlowCache()
-        self._placer = placing.Placer(
-            packet_format, self._directory, self.counts, report
-        )
         self._searcher = searching.Searcher(
             packet_format, self._directory, self.counts, report
         )
+        self._placer = placing.Placer(
+            packet_format,
+            self._directory,
+            self.counts,
+            report,
+            self._searcher.find,
+        )
+        self._active_at = float("inf")
+        self._doubted_until = float("-inf")
         self._next_expiry = 0.0
 
     # What the process learns.
@@ -118,6 +130,7 @@
             data: The packet.
             now: Present time, seconds.
         """
+        self._note_activity(now)
         segment = self._format.from_caller(data)
         if segment is None or segment.accepts or segment.returned:
             self.counts.add("malformed")
@@ -126,8 +139,17 @@
         if flow is not None:
             return self._follow(flow, segment, data, now)
         if segment.opens:
-            return self._open(segment, data, now, False)
-        return self._find(segment.key, data, now)
+            return self._open(segment, data, now, now < self._doubted_until)
+        return self._find(segment, data, now)
+
+    def _note_activity(self, now: float) -> None:
+        """Notices that this process has been frozen.
+
+        Packets that have waited meanwhile may be late copies.
+        """
+        if now - self._active_at >= placing.COPY_S:
+            self._doubted_until = now + DOUBT_S
+        self._active_at = now
 
     def _follow(
         self,
@@ -167,16 +189,16 @@
         return [self._placer.refuse(segment, "no route", {})]
 
     def _find(
-        self, key: bytes, data: bytes, now: float
+        self, segment: formats.Segment, data: bytes, now: float
     ) -> list[outcomes.Outcome]:
         """Searches for the owner of a flow."""
-        address = self._format.service_address(key)
+        address = self._format.service_address(segment.key)
         route = self._by_address.get(address)
         if route is None and address in self._retired:
             route = self._retired[address][0]
         shares = route.shares if route is not None else ()
         services = frozenset(share.service for share in shares)
-        return self._searcher.find(key, services, data, now)
+        return self._searcher.find(segment, services, data, now)
 
     # Answers of peers and the passing of time.
 
@@ -253,7 +275,11 @@
             self._cache.forget(frame.key)
             if flow.closing:
                 return []
-        return self._find(frame.key, frame.payload, now)
+        segment = self._format.from_caller(frame.payload)
+        if segment is None or segment.key != frame.key:
+            self.counts.add("malformed_frame")
+            return []
+        return self._find(segment, frame.payload, now)
 
     # The passing of time.
 
@@ -268,6 +294,7 @@
         Args:
             now: Present time, seconds.
         """
+        self._note_activity(now)
         sends = self._placer.on_tick(now) + self._searcher.on_tick(now)
         if now >= self._next_expiry:
             self._next_expiry = now + EXPIRY_INTERVAL_S
--- a/clementinelead/relays/tests/test_relaying.py
+++ b/clementinelead/relays/tests/test_relaying.py
@@ -180,6 +180,53 @@
     assert not _resets(net)
 
 
+def test_flow_opened_through_another_balancer_is_not_reset_by_the_first():
+    # The first copy waits at a balancer that nobody answers; the second one
+    # opens the flow through another balancer meanwhile.
+    net = network.Network(balancers=2)
+    key = network.flow_key(1)
+    net.silent.add(("balancer0", 1))
+    net.send(network.packet(key, packets.OPENS))
+    net.run(0.2)
+    net.open(key, balancer=1)
+    net.run(0.842)
+    net.silent.clear()
+    net.run(1.0)
+    assert not _resets(net)
+
+
+def test_opening_packet_after_a_freeze_is_not_reset_by_its_balancer():
+    net = network.Network(targets=2, balancers=2)
+    key = network.flow_key(1)
+    net.open(key, balancer=1)
+    for number in range(2):
+        net.beat(number, sequence=2, draining=True)
+    net.tell_targets(net.balancer_by_address[("balancer0", 1)])
+    net.now += 1.0
+    net.send(network.packet(key, packets.OPENS))
+    net.run(1.0)
+    assert not _resets(net)
+
+
+def test_flow_that_no_target_takes_is_refused_before_its_caller_gives_up():
+    net = network.Network()
+    for target in net.target_by_address.values():
+        target.full = True
+    net.send(network.packet(network.flow_key(1), packets.OPENS))
+    net.run(1.4)
+    assert len(_resets(net)) == 1
+
+
+def test_repeated_opening_packet_of_no_flow_is_refused():
+    net = network.Network(targets=2)
+    for number in range(2):
+        net.beat(number, sequence=2, draining=True)
+    key = network.flow_key(1)
+    net.send(network.packet(key, packets.OPENS, acknowledgement=1))
+    net.run(0.1)
+    assert len(_resets(net)) == 1
+
+
 def test_flow_that_everybody_denies_is_reset():
     net = network.Network()
     assert len(_search_in_vain(net)) == 1
