Do not count frozen time as the silence of a target

Cause: a side process frozen before its target's first heartbeat announced on waking that it had no flows, so balancers could reset flows of a living target.

--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -33,6 +33,12 @@
 One may be lost while this process starts, and the next be late.
 """
 
+FROZEN_S = 0.5
+"""Time without a tick after which this process has been frozen, seconds.
+
+Ticks come ten times as often. Heartbeats that came meanwhile are not read yet.
+"""
+
 LINGER_STEP_S = 0.05
 RETURN_TICK_S = 0.01
 
@@ -89,7 +95,8 @@
             time.monotonic(),
             time.time_ns() // 1_000_000,
         )
-        self._started = time.monotonic()
+        self._unheard_since = time.monotonic()
+        self._ticked_at = self._unheard_since
         self._unheard_s = UNHEARD_HEARTBEATS * settings.heartbeat_s
         self._announced = records.State.COLD
         self._tick_scheduled = False
@@ -157,7 +164,7 @@
         """
         lifecycle = self.holding.lifecycle
         if lifecycle.current is None:
-            return now - self._started > self._unheard_s
+            return now - self._unheard_since > self._unheard_s
         return lifecycle.state in ("leaving", "dead")
 
     # What the target says of itself.
@@ -238,6 +245,10 @@
 
     def on_tick(self, now: float) -> None:
         """Lets time pass for the decisions."""
+        frozen = now - self._ticked_at
+        self._ticked_at = now
+        if frozen >= FROZEN_S:
+            self._unheard_since += frozen
         self._send(self.holding.on_tick(now))
         self._announce(now)
 
