Let a service have several addresses

Change: field and sheet column more_addresses, in the API and the CLI as well; balancers and side processes know all of them; findings name the one that stands twice. Found on the way and mended: an address that moved from one service to another led nowhere if the receiver was updated first (the new test of forwarding fails on the former update). Not done: an address split over several services by weight. Measured: unit tests only; the packet path looks up one dictionary as before.

--- a/clementinelead/configurations/edits.py
+++ b/clementinelead/configurations/edits.py
@@ -130,17 +130,21 @@
 
 
 def _check_addresses(name: str, entry_by_name: dict[str, models.Entry]) -> None:
-    """Checks that a service's address belongs to no other.
+    """Checks that a service's addresses belong to no other.
 
     Raises:
         exceptions.FindingsError: It does.
     """
     service = entry_by_name[name].service
+    endpoint_by_key = service.endpoint_by_key
     for other in entry_by_name.values():
-        if other.service.name != name and other.service.key == service.key:
+        if other.service.name == name:
+            continue
+        shared = endpoint_by_key.keys() & other.service.endpoint_by_key.keys()
+        if shared:
             finding = exceptions.Finding(
                 f"{name}.address",
-                f"{service.protocol} {service.address}:{service.port} belongs"
+                f"{service.protocol} {endpoint_by_key[min(shared)]} belongs"
                 f" to {other.service.name!r}",
             )
             raise exceptions.FindingsError((finding,))
--- a/clementinelead/configurations/models.py
+++ b/clementinelead/configurations/models.py
@@ -1,6 +1,7 @@
 """Schema of the configuration, as the store holds it."""
 
 import collections.abc
+import functools
 import ipaddress
 import math
 import typing
@@ -22,6 +23,8 @@
 POLICIES = ("hunting", "weighted-hash", "plain-hash")
 """Placement policies: ``hunting`` passes a flow on until a target accepts."""
 
+MAX_PORT = 65_535
+
 Name = typing.Annotated[
     str, pydantic.StringConstraints(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")
 ]
@@ -32,12 +35,31 @@
     return text
 
 
+def _check_endpoint(text: str) -> str:
+    address, _, port = text.rpartition(":")
+    _check_address(address)
+    if not port.isdecimal() or not 1 <= int(port) <= MAX_PORT:
+        raise ValueError("must end with a port from 1 to 65535")
+    return f"{address}:{int(port)}"
+
+
+def _split(value: object) -> object:
+    """Splits what a sheet or a command line gives as one text."""
+    return value.split() if isinstance(value, str) else value
+
+
+Endpoints = typing.Annotated[
+    tuple[typing.Annotated[str, pydantic.AfterValidator(_check_endpoint)], ...],
+    pydantic.BeforeValidator(_split),
+]
+
+
 class _Frozen(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
 
 class Service(_Frozen):
-    """A set of targets behind an address, and how work is spread.
+    """A set of targets behind its addresses, and how work is spread.
 
     Attributes:
         name: Name, which targets announce.
@@ -45,6 +67,8 @@
         address: IPv4 address that callers use.
         port: Port that callers use.
         protocol: ``tcp`` or ``udp``.
+        more_addresses: Further ones that callers use, each ``address:port``,
+            with the same protocol; as one text they are separated by spaces.
         policy: One of ``POLICIES``.
         candidates: Targets that a new flow may be offered to.
         buckets: Size of the bucket table, a power of two.
@@ -59,8 +83,9 @@
     name: Name
     team: Name
     address: typing.Annotated[str, pydantic.AfterValidator(_check_address)]
-    port: typing.Annotated[int, pydantic.Field(ge=1, le=65535)]
+    port: typing.Annotated[int, pydantic.Field(ge=1, le=MAX_PORT)]
     protocol: typing.Literal["tcp", "udp"]
+    more_addresses: Endpoints = ()
     policy: typing.Literal["hunting", "weighted-hash", "plain-hash"] = "hunting"
     candidates: typing.Annotated[int, pydantic.Field(ge=1, le=16)] = 7
     buckets: typing.Literal[64, 256, 1024, 4096] = 256
@@ -72,10 +97,27 @@
         3600.0
     )
 
+    @pydantic.model_validator(mode="after")
+    def _check_repeated(self) -> "Service":
+        endpoints = self.endpoints
+        if len(set(endpoints)) < len(endpoints):
+            raise ValueError("an address stands twice in more_addresses")
+        return self
+
     @property
-    def key(self) -> bytes:
-        """Destination as packets carry it."""
-        return headers.service_key(self.address, self.port, self.protocol)
+    def endpoints(self) -> tuple[str, ...]:
+        """All addresses that callers use, each ``address:port``."""
+        return (f"{self.address}:{self.port}", *self.more_addresses)
+
+    @functools.cached_property
+    def endpoint_by_key(self) -> dict[bytes, str]:
+        """All addresses by the destination that packets carry."""
+        pairs = (endpoint.rsplit(":", 1) for endpoint in self.endpoints)
+        keys = (
+            headers.service_key(address, int(port), self.protocol)
+            for address, port in pairs
+        )
+        return dict(zip(keys, self.endpoints, strict=True))
 
 
 class Author(_Frozen):
--- a/clementinelead/configurations/sheets.py
+++ b/clementinelead/configurations/sheets.py
@@ -133,15 +133,16 @@
                     f"{service.name!r} stands in row {first} too",
                 )
             )
-        first = row_by_key.setdefault(service.key, number)
-        if first != number:
-            findings.append(
-                exceptions.Finding(
-                    f"{place}:{number}:address",
-                    f"{service.protocol} {service.address}:{service.port}"
-                    f" stands in row {first} too",
+        for key, endpoint in service.endpoint_by_key.items():
+            first = row_by_key.setdefault(key, number)
+            if first != number:
+                findings.append(
+                    exceptions.Finding(
+                        f"{place}:{number}:address",
+                        f"{service.protocol} {endpoint}"
+                        f" stands in row {first} too",
+                    )
                 )
-            )
     return findings
 
 
--- a/clementinelead/configurations/tests/test_repositories.py
+++ b/clementinelead/configurations/tests/test_repositories.py
@@ -16,14 +16,14 @@
 TIMEOUT_S = 60.0
 
 
-def add(name, number, change):
+def add(name, number, change, **fields):
     author = fakes.author(change)
-    values = fakes.service(name, number).model_dump()
+    values = fakes.service(name, number, **fields).model_dump()
     return edits.set_edit(name, values, author), author
 
 
-async def made(store, name, number, change, timeout_s=TIMEOUT_S):
-    edit, author = add(name, number, change)
+async def made(store, name, number, change, timeout_s=TIMEOUT_S, **fields):
+    edit, author = add(name, number, change, **fields)
     return await fakes.repository(store).change(edit, author, timeout_s)
 
 
@@ -131,6 +131,19 @@
     asyncio.run(scenario())
 
 
+def test_a_further_address_belongs_to_one_service_too():
+    async def scenario():
+        store = fakes.FakeStore()
+        await made(store, "a", 1, "c1", more_addresses="10.9.8.7:80")
+        outcome = await made(
+            store, "b", 2, "c2", more_addresses=["10.9.8.6:80", "10.9.8.7:80"]
+        )
+        assert isinstance(outcome, repositories.Rejected)
+        assert "10.9.8.7:80 belongs to 'a'" in str(outcome.findings[0])
+
+    asyncio.run(scenario())
+
+
 @hypothesis.given(
     strategies.integers(0, 10**6),
     strategies.integers(2, 6),
--- a/clementinelead/configurations/tests/test_sheets.py
+++ b/clementinelead/configurations/tests/test_sheets.py
@@ -74,3 +74,16 @@
     ]
     path.write_text(HEADER + "\n".join(lines), "utf-8")
     assert len(sheets.read(path)) == 18_000
+
+
+def test_further_addresses_are_read_and_may_not_stand_twice(tmp_path):
+    header = "name,team,address,port,protocol,more_addresses\n"
+    path = tmp_path / "sheet.csv"
+    first = "a,consortium,10.9.0.1,43,tcp,10.9.1.1:43 10.9.1.2:43\n"
+    path.write_text(header + first)
+    row = sheets.read(path)["a"]
+    assert row.service.more_addresses == ("10.9.1.1:43", "10.9.1.2:43")
+    found = findings(
+        tmp_path, header + first + "b,consortium,10.9.1.2,43,tcp,\n"
+    )
+    assert found == ["3:address: tcp 10.9.1.2:43 stands in row 2 too"]
--- a/clementinelead/flows/decisions.py
+++ b/clementinelead/flows/decisions.py
@@ -7,6 +7,8 @@
 origin has been first for so long that it would know.
 """
 
+import collections.abc
+
 from clementinelead.flows import attempts
 from clementinelead.flows import beliefs
 from clementinelead.flows import loads
@@ -471,21 +473,25 @@
 
     # Events other than packets.
 
-    def on_services(self, address_by_service: dict[str, bytes]) -> None:
+    def on_services(
+        self,
+        addresses_by_service: collections.abc.Mapping[
+            str, collections.abc.Set[bytes]
+        ],
+    ) -> None:
         """Takes over the addresses of the services that the target serves.
 
         Args:
-            address_by_service: ``headers.service_key`` of each service.
+            addresses_by_service: ``headers.service_key`` of each address of
+                each service.
         """
         self._service_by_address = {
-            address: name for name, address in address_by_service.items()
+            address: name
+            for name, addresses in addresses_by_service.items()
+            for address in addresses
         }
-        for name, address in address_by_service.items():
-            view = self._view_by_service.get(name)
-            if view is None:
-                self._view_by_service[name] = views.ServiceView(name, address)
-            else:
-                view.address = address
+        for name in addresses_by_service:
+            self._view_by_service.setdefault(name, views.ServiceView(name))
 
     def on_table(
         self, service: str, table: placement_tables.Table | None, now: float
--- a/clementinelead/flows/tests/network.py
+++ b/clementinelead/flows/tests/network.py
@@ -71,7 +71,7 @@
             self.name, self.address, load, TIMEOUTS
         )
         self.decider.on_services(
-            {SERVICE: headers.service_key(ADDRESS, PORT, "tcp")}
+            {SERVICE: {headers.service_key(ADDRESS, PORT, "tcp")}}
         )
         self.decider.state = self.state
         self.decider.recovering = False
@@ -104,7 +104,7 @@
         """Adds a target that nobody knows yet."""
         side = Side(name, number, slots, self.now)
         key = headers.service_key(ADDRESS, PORT, self.protocol)
-        side.decider.on_services({SERVICE: key})
+        side.decider.on_services({SERVICE: {key}})
         self.side_by_name[name] = side
         return side
 
--- a/clementinelead/flows/tests/test_stateful.py
+++ b/clementinelead/flows/tests/test_stateful.py
@@ -142,9 +142,11 @@
         side.start(self.net.now)
         side.decider.on_services(
             {
-                network.SERVICE: headers.service_key(
-                    network.ADDRESS, network.PORT, self.protocol
-                )
+                network.SERVICE: {
+                    headers.service_key(
+                        network.ADDRESS, network.PORT, self.protocol
+                    )
+                }
             }
         )
         side.decider.on_table(network.SERVICE, table, self.net.now)
--- a/clementinelead/flows/views.py
+++ b/clementinelead/flows/views.py
@@ -62,13 +62,11 @@
 
     Attributes:
         service: Name of the service.
-        address: Key of the service's address, protocol and port.
         table: Table of the present view, or None before the first.
     """
 
-    def __init__(self, service: str, address: bytes):
+    def __init__(self, service: str):
         self.service = service
-        self.address = address
         self.table: tables.Table | None = None
         self._first_since: npt.NDArray[np.float64] | None = None
 
--- a/clementinelead/placements/forwarding.py
+++ b/clementinelead/placements/forwarding.py
@@ -68,12 +68,13 @@
         self._routes_by_address: dict[
             bytes, tuple[envelopes.Route, ...] | None
         ] = {}
-        self._address_by_name: dict[str, bytes] = {}
+        self._addresses_by_name: dict[str, frozenset[bytes]] = {}
+        self._name_by_address: dict[bytes, str] = {}
         self._table_by_name: dict[str, tables.Table] = {}
 
     def names(self) -> frozenset[str]:
         """Returns the names of the services known."""
-        return frozenset(self._address_by_name)
+        return frozenset(self._addresses_by_name)
 
     def forward(self, packet: bytes) -> tuple[bytes, tuple[str, int]] | None:
         """Returns the envelope and where to send it, or None to drop.
@@ -113,17 +114,22 @@
             targets: Its targets that are not dead or leaving.
             revision: Configuration revision in force.
         """
-        address = self._address_by_name.pop(name, None)
-        if address is not None:
-            del self._routes_by_address[address]
+        addresses = frozenset(service.endpoint_by_key if service else ())
+        for address in self._addresses_by_name.pop(name, frozenset()):
+            # It may have moved to a service that was updated before this one.
+            if self._name_by_address[address] == name:
+                del self._name_by_address[address]
+                del self._routes_by_address[address]
         if service is None:
             self._table_by_name.pop(name, None)
             return
         previous = self._table_by_name.get(name)
         table = table_of(service, targets, revision, previous)
-        self._address_by_name[name] = service.key
+        self._addresses_by_name[name] = addresses
         routes = table.routes if table else None
-        self._routes_by_address[service.key] = routes
+        for address in addresses:
+            self._name_by_address[address] = name
+            self._routes_by_address[address] = routes
         if table is not None:
             self._table_by_name[name] = table
 
--- /dev/null
+++ b/clementinelead/placements/tests/test_forwarding.py
@@ -0,0 +1,63 @@
+"""Which service a packet's destination belongs to."""
+
+import socket
+
+from clementinelead.configurations.tests import fakes
+from clementinelead.packets import headers
+from clementinelead.placements import forwarding
+from clementinelead.placements import tables
+
+MOVED = "198.18.0.9:80"
+
+
+def _packet(endpoint):
+    """Returns an opening packet for an address."""
+    address, port = endpoint.split(":")
+    ip = bytes((0x45, 0, 0, 40, 0, 0, 0, 0, 64, headers.PROTOCOL_TCP, 0, 0))
+    ip += socket.inet_aton("192.0.2.1") + socket.inet_aton(address)
+    tcp = (4_000).to_bytes(2, "big") + int(port).to_bytes(2, "big")
+    tcp += bytes(8) + bytes((5 << 4, headers.SYN)) + bytes(6)
+    return ip + tcp
+
+
+def _member(number):
+    return (tables.Member(f"t{number}", (f"10.0.0.{number}", 1), 1.0),)
+
+
+def _side_of(forwarder, endpoint):
+    """Returns the number of the target that a packet goes to, or None."""
+    sent = forwarder.forward(_packet(endpoint))
+    return sent and int(sent[1][0].rsplit(".", 1)[1])
+
+
+def test_all_addresses_of_a_service_lead_to_its_targets():
+    forwarder = forwarding.Forwarder(lambda _: None)
+    service = fakes.service("a", 1, more_addresses=MOVED)
+    forwarder.update("a", service, _member(1), 1)
+    assert [_side_of(forwarder, one) for one in service.endpoints] == [1, 1]
+
+
+def test_address_that_was_taken_away_leads_nowhere():
+    forwarder = forwarding.Forwarder(lambda _: None)
+    service = fakes.service("a", 1, more_addresses=MOVED)
+    forwarder.update("a", service, _member(1), 1)
+    forwarder.update("a", fakes.service("a", 1), _member(1), 2)
+    assert _side_of(forwarder, MOVED) is None
+    forwarder.update("a", None, (), 3)
+    assert _side_of(forwarder, service.endpoints[0]) is None
+    assert forwarder.names() == frozenset()
+
+
+def test_address_moves_in_whatever_order_its_services_are_updated():
+    for order in ("ab", "ba"):
+        forwarder = forwarding.Forwarder(lambda _: None)
+        first = fakes.service("a", 1, more_addresses=MOVED)
+        forwarder.update("a", first, _member(1), 1)
+        forwarder.update("b", fakes.service("b", 2), _member(2), 1)
+        changed = {
+            "a": (fakes.service("a", 1), _member(1)),
+            "b": (fakes.service("b", 2, more_addresses=MOVED), _member(2)),
+        }
+        for name in order:
+            forwarder.update(name, *changed[name], 2)
+        assert _side_of(forwarder, MOVED) == 2, order
--- a/clementinelead/processes/operator.py
+++ b/clementinelead/processes/operator.py
@@ -345,7 +345,7 @@
         return
     console = rich.console.Console()
     table = rich.table.Table(title=f"Revision {configuration.revision}")
-    for column in ("service", "team", "address", "policy", "by hand"):
+    for column in ("service", "team", "addresses", "policy", "by hand"):
         table.add_column(column)
     for name in sorted(configuration.entry_by_name):
         entry = configuration.entry_by_name[name]
@@ -353,7 +353,7 @@
         table.add_row(
             name,
             service.team,
-            f"{service.protocol} {service.address}:{service.port}",
+            f"{service.protocol} {' '.join(service.endpoints)}",
             service.policy,
             ", ".join(sorted(entry.by_hand)) or "-",
         )
--- a/clementinelead/processes/side.py
+++ b/clementinelead/processes/side.py
@@ -446,7 +446,10 @@
         """Takes over the definitions of the own services."""
         entries = self.node.adopted.entry_by_name
         self.decider.on_services(
-            {name: entry.service.key for name, entry in entries.items()}
+            {
+                name: entry.service.endpoint_by_key.keys()
+                for name, entry in entries.items()
+            }
         )
         self._take_limits()
         self._schedule_rebuild()
