--- a/clementinelead/memberships/gossip.py
+++ b/clementinelead/memberships/gossip.py
@@ -31,9 +31,6 @@
 
     Attributes:
         probe_interval_s: Time between probes.
-        first_seed_interval_s: Time between pings to the seeds at first; a
-            third of ``probe_interval_s``, as they may be starting too.
-        first_s: How long that is, from the start.
         probe_timeout_s: Time after which helpers are asked.
         suspicion_s: Time that a suspect has to refute.
         helpers: Processes asked to probe in this one's place.
@@ -44,8 +41,6 @@
     """
 
     probe_interval_s: float = 0.3
-    first_seed_interval_s: float = 0.1
-    first_s: float = 3.0
     probe_timeout_s: float = 0.15
     suspicion_s: float = 2.0
     helpers: int = 3
@@ -143,8 +138,6 @@
         self._peers_generation = -1
         self._heard_at_by_id: dict[str, float] = {}
         self._next_probe = now
-        self._next_seed_ping = now
-        self._eager_until = now + options.first_s
         self._last_tick = now
 
     # Events.
@@ -166,8 +159,6 @@
         if now >= self._next_probe:
             self._next_probe = now + self.options.probe_interval_s
             sends.extend(self._next_probes(now))
-        if now >= self._next_seed_ping:
-            sends.extend(self._seed_pings(now))
         return sends, changes
 
     def on_control(
@@ -440,24 +431,12 @@
             if sends:
                 return sends
         subject = self._next_subject(now)
-        return [self._probe(subject, now, None)] if subject else []
-
-    def _seed_pings(self, now: float) -> list[Send]:
-        """Asks the seeds while nobody is known.
-
-        Whom a process that starts hears of first may know few others.
-        """
+        sends = [self._probe(subject, now, None)] if subject else []
+        # Whom a process that starts hears of first may know few others.
         if self.announced and self.peers():
-            return []
-        eager = now < self._eager_until
-        pause = (
-            self.options.first_seed_interval_s
-            if eager
-            else self.options.probe_interval_s
-        )
-        self._next_seed_ping = now + pause
+            return sends
         news = (self.own,) if self.announced else ()
-        return [
+        return sends + [
             Send(address, news, controls.Ping(_SEED_PROBE))
             for address in self._seeds
         ]
