Let balancers greet the side processes that contact keys name

Ruled out: the interval of pings to seeds (try before). Change: a key names up to 12 side processes; a balancer that has joined greets those that it does not know yet, 64 at most.

--- a/clementinelead/memberships/gossip.py
+++ b/clementinelead/memberships/gossip.py
@@ -280,6 +280,10 @@
             self.own, incarnation=record.incarnation + 1
         )
 
+    def greeting(self, address: tuple[str, int]) -> Send:
+        """Returns what tells a process that knows nobody of this one."""
+        return Send(address, (self.own,), controls.Ping(_SEED_PROBE))
+
     def add_seeds(self, addresses: tuple[tuple[str, int], ...]) -> None:
         """Adds control addresses to ask while nobody is known."""
         own = self.own.control_address
--- a/clementinelead/platform/store.py
+++ b/clementinelead/platform/store.py
@@ -28,6 +28,7 @@
 CONTACT_PREFIX = "clementinelead/contacts/"
 
 _CONFIG_KEY = "op/config"
+_MAX_PORT = 65_535
 _MS_PER_S = 1000
 _OK = 200
 _GONE = 410
@@ -188,7 +189,13 @@
     async def _write(
         self, identifier: str, contact: contact_keys.Contact
     ) -> contact_keys.Failed | None:
-        text = f"{contact.address} {contact.sides}"
+        text = " ".join(
+            (
+                contact.address,
+                str(contact.sides),
+                *(f"{host}:{port}" for host, port in contact.named),
+            )
+        )
         entry = {
             "key": f"{CONTACT_PREFIX}{identifier}",
             "value": base64.b64encode(text.encode()).decode(),
@@ -237,12 +244,22 @@
         ValueError: It is none.
     """
     text = base64.b64decode(value, validate=True).decode()
-    address, _, sides = text.partition(" ")
+    address, sides, *named = text.split(" ")
     return contact_keys.Contact(
-        str(ipaddress.IPv4Address(address)), max(0, int(sides))
+        str(ipaddress.IPv4Address(address)),
+        max(0, int(sides)),
+        tuple(_endpoint(one) for one in named),
     )
 
 
+def _endpoint(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    number = int(port)
+    if not 0 < number <= _MAX_PORT:
+        raise ValueError(f"{text!r} has no valid port")
+    return str(ipaddress.IPv4Address(host)), number
+
+
 def _succeeded(answer: http_client.Answer | http_client.NoAnswer) -> bool:
     return isinstance(answer, http_client.Answer) and answer.status == _OK
 
--- a/clementinelead/platform/tests/test_store.py
+++ b/clementinelead/platform/tests/test_store.py
@@ -191,6 +191,18 @@
     assert _run(exchange) == ((changed,), 1)
 
 
+def test_contact_key_names_side_processes():
+    named = (("10.0.0.3", 7001), ("10.0.0.4", 7001))
+    contact = contact_keys.Contact("10.0.0.1", 2, named)
+
+    async def exchange(stand_in, client):
+        keys = store.ContactStore(client)
+        assert await keys.hold("b1", contact, 60.0) is None
+        return await keys.find()
+
+    assert _run(exchange) == (contact,)
+
+
 def test_contact_keys_with_garbage_name_nobody():
     async def exchange(stand_in, client):
         stand_in.put(store.CONTACT_PREFIX + "x", b"\xff\xfe")
@@ -198,6 +210,8 @@
         stand_in.put(store.CONTACT_PREFIX + "z", b"10.0.0.9 3")
         stand_in.put(store.CONTACT_PREFIX + "w", b"10.0.0.8 many")
         stand_in.put(store.CONTACT_PREFIX + "v", b"10.0.0.7")
+        stand_in.put(store.CONTACT_PREFIX + "u", b"10.0.0.6 3 10.0.0.5")
+        stand_in.put(store.CONTACT_PREFIX + "t", b"10.0.0.6 3 10.0.0.5:0")
         return await store.ContactStore(client).find()
 
     assert _run(exchange) == (contact_keys.Contact("10.0.0.9", 3),)
--- a/clementinelead/processes/contact_keys.py
+++ b/clementinelead/processes/contact_keys.py
@@ -2,8 +2,8 @@
 
 A few balancers of each availability zone hold a key with their address under
 a lease. A process that knows nobody finds its peers there. The keys also say
-how many side processes there are: who starts after a loss of all processes
-can tell from it when all of them are back.
+how many side processes there are, and name some of them: who starts after a
+loss of all processes can greet those, and can tell when all of them are back.
 """
 
 import asyncio
@@ -13,7 +13,9 @@
 import typing
 
 import loguru
+import xxhash
 
+from clementinelead.memberships import records
 from clementinelead.processes import relay_node
 
 __all__ = [
@@ -23,6 +25,7 @@
     "ContactKeys",
     "Failed",
     "SideCount",
+    "named_sides",
 ]
 
 LEASE_S = 60.0
@@ -36,6 +39,21 @@
 RETRY_S = 2.0
 """Longest pause after a call that failed, seconds."""
 
+NAMED_SIDES = 12
+"""Side processes that a key names.
+
+The keys of a fleet of fifty together name nearly all of them so.
+"""
+
+JOIN_STEP_S = 0.01
+"""Pause between looks whether this process has joined, seconds."""
+
+GREET_AFTER_S = 0.02
+"""Pause between joining and greeting, seconds.
+
+If a peer lives that knows the others, its records have come by then.
+"""
+
 ALONE_S = 1.5
 """Time without a peer after which the keys are read, seconds.
 
@@ -61,10 +79,32 @@
     Attributes:
         address: IP address of its holder.
         sides: Side processes that there are, 0 if the holder can't tell.
+        named: Control addresses of some of them.
     """
 
     address: str
     sides: int
+    named: tuple[tuple[str, int], ...] = ()
+
+
+def named_sides(
+    holder: str, living: typing.Iterable[records.Record]
+) -> tuple[tuple[str, int], ...]:
+    """Returns the side processes that a holder's key names.
+
+    Each holder names other ones, and the same again until one of them ends.
+
+    Args:
+        holder: Identifier of the holder.
+        living: Records of processes of all roles.
+    """
+
+    def rank(record: records.Record) -> int:
+        return int(xxhash.xxh3_64_intdigest(f"{holder} {record.id}".encode()))
+
+    sides = [record for record in living if record.role is records.Role.SIDE]
+    chosen = sorted(sides, key=rank)[:NAMED_SIDES]
+    return tuple(sorted(record.control_address for record in chosen))
 
 
 class ContactKeys(typing.Protocol):
@@ -149,7 +189,8 @@
         expected = self._node.count_sides(now).expected
         sides = self._count.publishable(expected)
         own = self._node.gossiper.own
-        contact = Contact(own.address, sides)
+        named = self._named(own.id) if sides else ()
+        contact = Contact(own.address, sides, named)
         if contact == self._held and now < self._renew_at:
             return
         failed = await self._keys.hold(own.id, contact, LEASE_S)
@@ -163,6 +204,9 @@
         pause = LEASE_S / RENEWALS_PER_LEASE
         self._renew_at = now + pause * (0.5 + 0.5 * self._random.random())
 
+    def _named(self, holder: str) -> tuple[tuple[str, int], ...]:
+        return named_sides(holder, self._node.gossiper.table.living())
+
 
 class ContactFinder:
     """Reads the contact keys after the start and while nobody is known."""
@@ -195,9 +239,20 @@
             found = await self._find()
             if found is not None:
                 count.told(found)
+                await self._greet(found)
                 return
             await asyncio.sleep(RETRY_S * self._random.random())
 
+    async def _greet(self, found: tuple[Contact, ...]) -> None:
+        """Tells the side processes named of this process, once it has joined.
+
+        After a loss of all, their seeds may be the last to start.
+        """
+        while not self._node.joined:
+            await asyncio.sleep(JOIN_STEP_S)
+        await asyncio.sleep(GREET_AFTER_S)
+        self._node.greet({address for one in found for address in one.named})
+
     async def _find(self) -> tuple[Contact, ...] | None:
         """Reads the keys and takes their addresses for seeds."""
         found = await self._keys.find()
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -57,6 +57,12 @@
 PEER_TIMEOUT_S = 1.0
 """Deadline of a question to a peer, seconds."""
 
+MAX_GREETED = 64
+"""Processes that a balancer greets at most; gossip reaches the others.
+
+A datagram has some 200 bytes, so that all of them take 0.1 s on 1 Mbit/s.
+"""
+
 FOLLOW_RETRY_S = 0.3
 """Longest pause before routes are asked for again, seconds."""
 
@@ -236,6 +242,25 @@
         port = self._settings.control_port
         self.gossiper.add_seeds(tuple((seed, port) for seed in self._seeds))
 
+    def greet(self, addresses: collections.abc.Set[tuple[str, int]]) -> None:
+        """Tells some processes of this one, unless they are known already.
+
+        Args:
+            addresses: Control addresses.
+        """
+        known = {
+            record.control_address
+            for record in self.gossiper.table.by_id.values()
+        }
+        strangers = sorted(addresses - known)
+        if len(strangers) > MAX_GREETED:
+            strangers = self.random.sample(strangers, MAX_GREETED)
+        for address in strangers:
+            self._channel.send(self.gossiper.greeting(address))
+        loguru.logger.bind(named=len(addresses), greeted=len(strangers)).info(
+            "side processes greeted"
+        )
+
     @property
     def is_watcher(self) -> bool:
         """Whether this balancer holds and watches keys for its zone."""
--- a/clementinelead/processes/tests/test_contact_keys.py
+++ b/clementinelead/processes/tests/test_contact_keys.py
@@ -1,4 +1,8 @@
+import dataclasses
+
+from clementinelead.memberships import records
 from clementinelead.processes import contact_keys
+from clementinelead.processes.tests import test_relay_balancer
 
 
 def _contacts(*sides):
@@ -32,3 +36,36 @@
     count.told(_contacts(0))
     assert count.before == 0
     assert count.publishable(3) == 0
+
+
+def _records(number, role=records.Role.SIDE):
+    return [
+        dataclasses.replace(
+            test_relay_balancer.SIDE,
+            id=f"{role.name}{one}",
+            role=role,
+            address=f"10.0.{role.value}.{one}",
+        )
+        for one in range(number)
+    ]
+
+
+def test_keys_of_a_few_holders_name_nearly_all_side_processes():
+    living = _records(50) + _records(9, records.Role.BALANCER)
+    named = set()
+    for holder in range(10):
+        chosen = contact_keys.named_sides(f"b{holder}", living)
+        assert len(chosen) == contact_keys.NAMED_SIDES
+        named.update(chosen)
+    assert len(named) >= 44
+    assert named <= {one.control_address for one in _records(50)}
+
+
+def test_named_side_processes_change_only_with_one_of_them():
+    living = _records(50)
+    before = contact_keys.named_sides("b", living)
+    for gone in living:
+        rest = [record for record in living if record is not gone]
+        after = contact_keys.named_sides("b", rest)
+        changed = set(after) - set(before)
+        assert len(changed) == (gone.control_address in before)
--- a/clementinelead/processes/tests/test_relay_node.py
+++ b/clementinelead/processes/tests/test_relay_node.py
@@ -242,3 +242,25 @@
         )
 
     asyncio.run(_run([first, second], check))
+
+
+def test_side_process_whose_seeds_are_gone_is_greeted_by_a_balancer():
+    # As after a loss of all machines, when its seeds are the last to start.
+    ports = _free_ports()
+    keys = Keys()
+    balancer, _ = _node(2, ports, ())
+    side, _ = _node(3, ports, ("127.0.0.9",), records.Role.SIDE)
+    named = (side.gossiper.own.control_address,)
+    contact = contact_keys.Contact("127.0.0.8", 1, named)
+    keys.contact_by_id["gone"] = contact
+    finder = contact_keys.ContactFinder(balancer, keys, balancer.random)
+
+    async def check():
+        balancer.joined = True
+        begun = time.monotonic()
+        count = contact_keys.SideCount()
+        balancer.spawn(finder.count(count, begun + 1.0))
+        await _eventually(lambda: not balancer.alone, JOIN_BOUND_S)
+        assert side.joined
+
+    asyncio.run(_run([balancer, side], check))
