--- a/clementinelead/placements/tests/test_forwarding.py
+++ b/clementinelead/placements/tests/test_forwarding.py
@@ -2,7 +2,7 @@
 
 import socket
 
-from clementinelead.configurations.tests import fakes
+from clementinelead.configurations import models
 from clementinelead.packets import headers
 from clementinelead.placements import forwarding
 from clementinelead.placements import tables
@@ -10,6 +10,17 @@
 MOVED = "198.18.0.9:80"
 
 
+def _service(name, number, **fields):
+    return models.Service(
+        name=name,
+        team="consortium",
+        address=f"10.9.0.{number}",
+        port=43,
+        protocol="tcp",
+        **fields,
+    )
+
+
 def _packet(endpoint):
     """Returns an opening packet for an address."""
     address, port = endpoint.split(":")
@@ -32,16 +43,16 @@
 
 def test_all_addresses_of_a_service_lead_to_its_targets():
     forwarder = forwarding.Forwarder(lambda _: None)
-    service = fakes.service("a", 1, more_addresses=MOVED)
+    service = _service("a", 1, more_addresses=MOVED)
     forwarder.update("a", service, _member(1), 1)
     assert [_side_of(forwarder, one) for one in service.endpoints] == [1, 1]
 
 
 def test_address_that_was_taken_away_leads_nowhere():
     forwarder = forwarding.Forwarder(lambda _: None)
-    service = fakes.service("a", 1, more_addresses=MOVED)
+    service = _service("a", 1, more_addresses=MOVED)
     forwarder.update("a", service, _member(1), 1)
-    forwarder.update("a", fakes.service("a", 1), _member(1), 2)
+    forwarder.update("a", _service("a", 1), _member(1), 2)
     assert _side_of(forwarder, MOVED) is None
     forwarder.update("a", None, (), 3)
     assert _side_of(forwarder, service.endpoints[0]) is None
@@ -51,12 +62,12 @@
 def test_address_moves_in_whatever_order_its_services_are_updated():
     for order in ("ab", "ba"):
         forwarder = forwarding.Forwarder(lambda _: None)
-        first = fakes.service("a", 1, more_addresses=MOVED)
+        first = _service("a", 1, more_addresses=MOVED)
         forwarder.update("a", first, _member(1), 1)
-        forwarder.update("b", fakes.service("b", 2), _member(2), 1)
+        forwarder.update("b", _service("b", 2), _member(2), 1)
         changed = {
-            "a": (fakes.service("a", 1), _member(1)),
-            "b": (fakes.service("b", 2, more_addresses=MOVED), _member(2)),
+            "a": (_service("a", 1), _member(1)),
+            "b": (_service("b", 2, more_addresses=MOVED), _member(2)),
         }
         for name in order:
             forwarder.update(name, *changed[name], 2)
