Put findings of models into words in one place

An unknown field is called unknown in all of them now. No behaviour of the packet path; nothing of it runs on the platform.

--- a/clementinelead/configurations/edits.py
+++ b/clementinelead/configurations/edits.py
@@ -6,6 +6,7 @@
 import pydantic
 
 from clementinelead import exceptions
+from clementinelead import validation
 from clementinelead.configurations import drafts
 from clementinelead.configurations import merges
 from clementinelead.configurations import models
@@ -20,16 +21,10 @@
     try:
         return models.Service.model_validate(values)
     except pydantic.ValidationError as error:
-        findings = tuple(
-            exceptions.Finding(
-                f"{name}.{'.'.join(str(step) for step in item['loc'])}",
-                "is missing"
-                if item["type"] == "missing"
-                else f"{item['msg']}, got {item['input']!r}",
-            )
-            for item in error.errors()
+        found = validation.findings(
+            error, lambda steps: ".".join((name, *steps))
         )
-        raise exceptions.FindingsError(findings) from error
+        raise exceptions.FindingsError(found) from error
 
 
 def set_edit(
--- a/clementinelead/configurations/sheets.py
+++ b/clementinelead/configurations/sheets.py
@@ -7,6 +7,7 @@
 import pydantic
 
 from clementinelead import exceptions
+from clementinelead import validation
 from clementinelead.configurations import models
 
 __all__ = ["COLUMNS", "Row", "read"]
@@ -83,16 +84,10 @@
     try:
         service = models.Service.model_validate(filled)
     except pydantic.ValidationError as error:
-        findings = [
-            exceptions.Finding(
-                f"{place}:{'.'.join(str(step) for step in item['loc'])}",
-                "is empty"
-                if item["type"] == "missing"
-                else f"{item['msg']}, got {item['input']!r}",
-            )
-            for item in error.errors()
-        ]
-        return None, findings
+        found = validation.findings(
+            error, lambda steps: f"{place}:{'.'.join(steps)}", "is empty"
+        )
+        return None, list(found)
     return Row(number=number, service=service), []
 
 
--- a/clementinelead/settings/ini.py
+++ b/clementinelead/settings/ini.py
@@ -9,6 +9,7 @@
 import pydantic
 
 from clementinelead import exceptions
+from clementinelead import validation
 
 __all__ = ["dump", "load"]
 
@@ -71,7 +72,7 @@
     return values
 
 
-def _allowed(model: type[pydantic.BaseModel], place: list[str]) -> str:
+def _allowed(model: type[pydantic.BaseModel], place: tuple[str, ...]) -> str:
     """Returns what a settings key accepts, from the model's own words."""
     if not place or place[0] not in model.model_fields:
         return "sections " + ", ".join(model.model_fields)
@@ -83,22 +84,6 @@
     return part.model_fields[place[1]].description or ""
 
 
-def _finding(
-    path: pathlib.Path,
-    model: type[pydantic.BaseModel],
-    error: typing.Any,
-) -> exceptions.Finding:
-    place = [str(step) for step in error["loc"]]
-    name = ".".join(place[:2])
-    if error["type"] == "extra_forbidden":
-        problem = "is unknown"
-    elif error["type"] == "missing":
-        problem = "is missing"
-    else:
-        problem = f"{error['msg']}, got {error['input']!r}"
-    return exceptions.Finding(f"{path}:{name}", problem, _allowed(model, place))
-
-
 def load(path: pathlib.Path, model: type[Model]) -> Model:
     """Returns the settings of a file.
 
@@ -114,8 +99,12 @@
     try:
         return model.model_validate(_values(model, parser))
     except pydantic.ValidationError as error:
-        findings = tuple(_finding(path, model, item) for item in error.errors())
-        raise exceptions.FindingsError(findings) from error
+        found = validation.findings(
+            error,
+            lambda steps: f"{path}:{'.'.join(steps[:2])}",
+            allowed=lambda steps: _allowed(model, steps),
+        )
+        raise exceptions.FindingsError(found) from error
 
 
 def _text(value: object) -> str:
