--- a/clementinelead/processes/node.py
+++ b/clementinelead/processes/node.py
@@ -19,6 +19,7 @@
 from clementinelead.messages import controls
 from clementinelead.processes import control_channel
 from clementinelead.processes import peers
+from clementinelead.processes import reversions
 from clementinelead.processes import tasks
 from clementinelead.settings import models as settings_models
 from clementinelead.telemetry import metrics
@@ -122,6 +123,12 @@
             lambda: len(self.gossiper.table.by_id),
             "Membership records known",
         )
+        self._reversions = reversions.Reversions()
+        self.metrics.count(
+            "configuration_reversions",
+            self._reversions.counts,
+            "Offers of an older configuration, by source",
+        )
         self._settings = node
         self._keys = keys
         self._services = services
@@ -214,17 +221,12 @@
                 loguru.logger.info(
                     "configuration revision={} from={}", revision, source
                 )
+                self._reversions.on_adopted()
                 now = time.monotonic()
                 self._subscriber.on_configuration(outcome, now)
                 self._push_revision()
-            case adoption.Reverted(offered, in_force):
-                loguru.logger.error(
-                    "configuration went back: {} offers revision={}, in force"
-                    " is revision={}; kept the higher one",
-                    source,
-                    offered,
-                    in_force,
-                )
+            case adoption.Reverted():
+                self._reversions.note(outcome, source)
 
     async def sync_members(self, peer: records.Record) -> None:
         """Takes over what a peer knows of the members.
