--- a/clementinelead/memberships/tests/test_members.py
+++ b/clementinelead/memberships/tests/test_members.py
@@ -2,21 +2,8 @@
 
 from clementinelead.memberships import members
 from clementinelead.memberships import records
+from clementinelead.memberships.tests import samples
 
-SIDE = records.Record(
-    id="side0",
-    incarnation=1,
-    sequence=1,
-    role=records.Role.SIDE,
-    state=records.State.READY,
-    region="r",
-    zone="z",
-    address="10.0.0.2",
-    data_port=1,
-    control_port=2,
-    http_port=3,
-    services=("s",),
-)
 DEATH = 100.0
 
 
@@ -24,7 +11,7 @@
     table = members.MemberTable()
     for number, (state, health) in enumerate(several):
         record = dataclasses.replace(
-            SIDE, id=f"side{number}", state=state, health=health
+            samples.SIDE, id=f"side{number}", state=state, health=health
         )
         table.merge(record, DEATH)
     return table
@@ -49,5 +36,7 @@
 
 def test_census_does_not_count_balancers():
     table = members.MemberTable()
-    table.merge(dataclasses.replace(SIDE, role=records.Role.BALANCER), DEATH)
+    table.merge(
+        dataclasses.replace(samples.SIDE, role=records.Role.BALANCER), DEATH
+    )
     assert members.census(table, DEATH) == members.Census(0, 0, 0)
--- /dev/null
+++ b/clementinelead/processes/tests/samples.py
@@ -0,0 +1,34 @@
+"""Settings and contact keys for tests of processes that open no socket."""
+
+from clementinelead.processes import contact_keys
+from clementinelead.processes import relay_settings
+
+__all__ = ["NoKeys", "settings"]
+
+
+class NoKeys:
+    """A store that can't be asked."""
+
+    async def hold(self, identifier, contact, lease_s):
+        return contact_keys.Failed("none")
+
+    async def find(self):
+        return contact_keys.Failed("none")
+
+
+def settings(identifier):
+    """Returns the settings of a process."""
+    return relay_settings.RelaySettings(
+        id=identifier,
+        cluster="test",
+        region="r",
+        zone="z",
+        address="127.0.0.1",
+        data_port=1,
+        control_port=2,
+        http_port=3,
+        metrics_port=0,
+        seeds=(),
+        stop_s=1.0,
+        heartbeat_s=1.0,
+    )
--- a/clementinelead/processes/tests/test_contact_keys.py
+++ b/clementinelead/processes/tests/test_contact_keys.py
@@ -1,8 +1,8 @@
 import dataclasses
 
 from clementinelead.memberships import records
+from clementinelead.memberships.tests import samples
 from clementinelead.processes import contact_keys
-from clementinelead.processes.tests import test_relay_balancer
 
 
 def _contacts(*sides):
@@ -41,7 +41,7 @@
 def _records(number, role=records.Role.SIDE):
     return [
         dataclasses.replace(
-            test_relay_balancer.SIDE,
+            samples.SIDE,
             id=f"{role.name}{one}",
             role=role,
             address=f"10.0.{role.value}.{one}",
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -3,10 +3,11 @@
 import pytest
 
 from clementinelead.memberships import records
+from clementinelead.memberships.tests import samples as member_samples
 from clementinelead.processes import contact_keys
 from clementinelead.processes import relay_balancer
-from clementinelead.processes import relay_settings
 from clementinelead.processes import route_watch
+from clementinelead.processes.tests import samples
 from clementinelead.relays import completeness
 from clementinelead.relays import frames
 from clementinelead.relays import outcomes
@@ -16,20 +17,7 @@
 ROUTE = routes.Route(
     "r", network.ROUTE_ADDRESS, (routes.Share(network.SERVICE, 1),)
 )
-SIDE = records.Record(
-    id="side0",
-    incarnation=1,
-    sequence=1,
-    role=records.Role.SIDE,
-    state=records.State.READY,
-    region="r",
-    zone="z",
-    address="10.0.0.2",
-    data_port=1,
-    control_port=2,
-    http_port=3,
-    services=(network.SERVICE,),
-)
+SIDE = member_samples.SIDE
 
 
 class NoSource:
@@ -37,32 +25,14 @@
         return route_watch.Unchanged()
 
 
-class NoKeys:
-    async def hold(self, identifier, contact, lease_s):
-        return None
-
-    async def find(self):
-        return ()
-
-
 @pytest.fixture(name="balancer")
 def _balancer():
-    settings = relay_settings.RelaySettings(
-        id="b",
-        cluster="test",
-        region="r",
-        zone="z",
-        address="127.0.0.1",
-        data_port=1,
-        control_port=2,
-        http_port=3,
-        metrics_port=0,
-        seeds=(),
-        stop_s=1.0,
-        heartbeat_s=1.0,
-    )
     balancer = relay_balancer.RelayBalancer(
-        settings, ("127.0.0.1", 4), network.Format(), NoSource(), NoKeys()
+        samples.settings("b"),
+        ("127.0.0.1", 4),
+        network.Format(),
+        NoSource(),
+        samples.NoKeys(),
     )
     balancer.node.adopt(routes.RoutingTable(1, (ROUTE,), 60.0), "test")
     return balancer
--- a/clementinelead/processes/tests/test_relay_side.py
+++ b/clementinelead/processes/tests/test_relay_side.py
@@ -1,41 +1,23 @@
 import pytest
 
 from clementinelead.memberships import records
-from clementinelead.processes import contact_keys
 from clementinelead.processes import relay_node
-from clementinelead.processes import relay_settings
 from clementinelead.processes import relay_side
+from clementinelead.processes.tests import samples
 from clementinelead.relays import announcements
 from clementinelead.relays.tests import network
 
 
-class NoKeys:
-    async def hold(self, identifier, contact, lease_s):
-        return contact_keys.Failed("none")
-
-    async def find(self):
-        return ()
-
-
 @pytest.fixture(name="side")
 def _side():
-    settings = relay_settings.RelaySettings(
-        id="s",
-        cluster="test",
-        region="r",
-        zone="z",
-        address="127.0.0.1",
-        data_port=1,
-        control_port=2,
-        http_port=3,
-        metrics_port=0,
-        seeds=(),
-        stop_s=1.0,
-        heartbeat_s=1.0,
-    )
     address = ("127.0.0.1", 4)
     side = relay_side.RelaySide(
-        settings, network.SERVICE, address, address, network.Format(), NoKeys()
+        samples.settings("s"),
+        network.SERVICE,
+        address,
+        address,
+        network.Format(),
+        samples.NoKeys(),
     )
     side.node.gossiper.announced = True
     return side
