--- a/bench/scenarios/relays.py
+++ b/bench/scenarios/relays.py
@@ -5,7 +5,10 @@
 import typing
 
 from bench import results
+from clementinelead.memberships import members
+from clementinelead.memberships import records
 from clementinelead.platform import packets
+from clementinelead.processes import contact_keys
 from clementinelead.relays import announcements
 from clementinelead.relays import candidates
 from clementinelead.relays import frames
@@ -18,6 +21,9 @@
 
 FLOWS = 5_000
 PACKETS = 100_000
+BALANCERS = 7_300
+SIDES = 44_000
+REPEATS = 10
 SERVICE = "lookups"
 ADDRESS = packets.address_bytes("198.18.0.1", 443)
 SIDE = ("10.0.0.2", 7000)
@@ -87,6 +93,44 @@
     return round((time.process_time() - begun) / repeat * 1e6, 2)
 
 
+def _fleet() -> members.MemberTable:
+    """Returns the records of as many processes as the aim has."""
+    table = members.MemberTable()
+    for number in range(BALANCERS + SIDES):
+        is_side = number >= BALANCERS
+        record = records.Record(
+            id=f"n{number}",
+            incarnation=1,
+            sequence=1,
+            role=records.Role.SIDE if is_side else records.Role.BALANCER,
+            state=records.State.READY,
+            region="r",
+            zone="z",
+            address=f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}",
+            data_port=1,
+            control_port=2,
+            http_port=3,
+            services=(SERVICE,) if is_side else (),
+        )
+        table.merge(record, 0.0)
+    return table
+
+
+def _fleet_figures() -> dict[str, object]:
+    """Returns what a holder of a contact key spends at the aim's size."""
+    table = _fleet()
+    named_us = _microseconds(
+        REPEATS, lambda _: _none(contact_keys.named_sides("n0", table.living()))
+    )
+    census_us = _microseconds(
+        REPEATS, lambda _: _none(members.census(table, 1.0))
+    )
+    return {
+        "named_sides_ms": round(named_us / 1000, 1),
+        "census_ms": round(census_us / 1000, 1),
+    }
+
+
 def relays(seed: int) -> results.Result:
     """Costs of the relays' decisions, without sockets; no bound."""
     packet_format = packets.PlatformFormat(8172)
@@ -116,7 +160,7 @@
         "question_bytes": len(frames.encode(frames.Kind.ASK_LOAD, 0, key)),
         "frame_head_bytes": len(frame) - len(packet),
     }
-    return results.Result(figures, ())
+    return results.Result({**figures, **_fleet_figures()}, ())
 
 
 def _none(_: object) -> None:
