Take another sequence number of an acceptance for a new flow

Cause (found by reading): a target that has started anew may accept a copy of an opening packet before it announces itself. The side process kept the old flow's number, so that packets which acknowledge the old answer went to the new incarnation, which can't take them; the caller waited in vain.

Change: an acceptance with another number replaces the flow; such packets are denied and searched for, as after any loss of a target. Test fails before.

--- a/clementinelead/relays/holding.py
+++ b/clementinelead/relays/holding.py
@@ -387,9 +387,12 @@
         """Notes that the target has answered an opening packet."""
         key = segment.key
         opener = self._opener_by_key.get(key)
-        if flow is not None and flow.closing:
-            self._flows.forget(key, now)
-            flow = None
+        if flow is not None:
+            # Another number means that the target has started anew.
+            anew = flow.sequence not in (None, segment.sequence)
+            if flow.closing or anew:
+                self._flows.forget(key, now)
+                flow = None
         if flow is None:
             sender = opener[0] if opener else None
             flow = self._flows.open(key, segment.sequence, sender, now)
--- a/clementinelead/relays/tests/test_holding.py
+++ b/clementinelead/relays/tests/test_holding.py
@@ -173,6 +173,17 @@
     assert _kind_of_answer(side, key, net.now) is frames.Kind.HELD
 
 
+def test_flow_accepted_by_a_new_incarnation_is_no_longer_the_old_one():
+    # It accepts a copy of the opening packet before it announces itself.
+    net = network.Network(targets=1)
+    key = network.flow_key(1)
+    side = _opened(net, key)
+    again = network.packet(key, packets.ACCEPTS, 900)
+    side.on_target_packet(again, net.now)
+    [denial] = _request(side, key, net.now)  # acknowledges the old one's answer
+    assert frames.decode(denial.data).kind is frames.Kind.NOT_HELD
+
+
 def test_malformed_datagrams_are_counted_and_dropped():
     net = network.Network(targets=1)
     side = _side(net)
