Don't reset flows of side processes that may come back

Cause (found by reading): a balancer that joins while a side process is frozen for so long that it was declared dead never hears of it, since dead strangers are not taken over, and resets its flows 5 s later. Likewise a process that replaced a serving one and fell silent before its target's first heartbeat was taken for one without a target, and its flows were denied.

Change: the death of side processes beside a target, told by a peer when a balancer joins, puts resets off by 20 s as one seen later does; a starting process with a living predecessor is waited for. Three tests, two of which fail before.

--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -183,6 +183,8 @@
         if self.node.joined and not self._settling:
             self._settling = True
             self._completeness.on_joined(now)
+            if self.node.gossiper.lost:
+                self._completeness.on_died(now)
         self._side_count.complete = self._completeness.reached(now)
         if not self._side_count.complete:
             sides = self.node.count_sides(now)
@@ -235,22 +237,28 @@
         by_service: dict[str, list[candidates.Target]] = {
             service: [] for service in services
         }
-        for record in self.node.gossiper.table.by_id.values():
+        table = self.node.gossiper.table
+        for record in table.by_id.values():
             if record.role is not records.Role.SIDE:
                 continue
             if members.ended(record):
                 continue
             for service in by_service.keys() & set(record.services):
-                by_service[service].append(_target(record))
+                predecessor = table.predecessor_by_id.get(record.id)
+                by_service[service].append(_target(record, predecessor))
         for service, targets in by_service.items():
             self.steering.set_targets(service, tuple(targets))
 
 
-def _target(record: records.Record) -> candidates.Target:
+def _target(
+    record: records.Record, predecessor: records.Record | None
+) -> candidates.Target:
+    succeeds = predecessor is not None and not members.ended(predecessor)
     return candidates.Target(
         record.id,
         record.data_address,
         record.zone,
         record.state is records.State.READY,
         record.state is records.State.COLD,
+        succeeds,
     )
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -9,6 +9,7 @@
 from clementinelead.processes import route_watch
 from clementinelead.processes.tests import samples
 from clementinelead.relays import completeness
+from clementinelead.relays import directory
 from clementinelead.relays import frames
 from clementinelead.relays import outcomes
 from clementinelead.relays import routes
@@ -150,3 +151,31 @@
     assert balancer._side_count.publishable(1) == 2
     balancer.on_tick(100.0 + completeness.VIEW_S + 0.1)
     assert balancer._side_count.publishable(1) == 1
+
+
+def test_no_reset_while_one_may_come_back_that_died_before_the_join(balancer):
+    # One that is frozen for long has been declared dead, and has its flows.
+    frozen = _other(records.State.READY, records.Health.DEAD)
+    balancer.node.gossiper.merge((frozen,), 99.0)
+    _joined_with(balancer, 100.0)
+    assert _resets_after_denial(balancer, 110.0) == 0
+    assert _resets_after_denial(balancer, 120.1) == 1
+
+
+def _silent_while_cold(balancer, record):
+    """Lets a side process that has just started fall silent; is it given up?"""
+    _learn(balancer, record, 100.0)
+    known = balancer.steering._directory
+    known.responsive.asked(record.data_address, 100.0)
+    now = 100.1 + directory.ABANDONED_S
+    return known.abandoned(record.data_address, now)
+
+
+def test_silent_process_that_starts_beside_no_target_is_given_up(balancer):
+    assert _silent_while_cold(balancer, _other(records.State.COLD))
+
+
+def test_silent_process_that_replaced_a_serving_one_is_waited_for(balancer):
+    _learn(balancer, _other(records.State.READY), 90.0)
+    again = dataclasses.replace(_other(records.State.COLD), incarnation=2)
+    assert not _silent_while_cold(balancer, again)
--- a/clementinelead/relays/candidates.py
+++ b/clementinelead/relays/candidates.py
@@ -18,6 +18,8 @@
         zone: Its availability zone.
         accepting: Whether it takes new flows, as far as the members know.
         starting: Whether it has not said yet whether it does.
+        succeeds: Whether its side process has just replaced one that served,
+            and whose flows may go on.
     """
 
     id: str
@@ -25,6 +27,7 @@
     zone: str
     accepting: bool
     starting: bool
+    succeeds: bool = False
 
 
 def ranked(
--- a/clementinelead/relays/directory.py
+++ b/clementinelead/relays/directory.py
@@ -57,7 +57,7 @@
             target.address
             for known in self.by_service.values()
             for target in known
-            if target.starting
+            if target.starting and not target.succeeds
         )
 
     def abandoned(self, address: tuple[str, int], now: float) -> bool:
