--- a/bench/scenarios/relays.py
+++ b/bench/scenarios/relays.py
@@ -4,9 +4,12 @@
 import tracemalloc
 import typing
 
+import msgspec
+
 from bench import results
 from clementinelead.memberships import members
 from clementinelead.memberships import records
+from clementinelead.memberships import watchers
 from clementinelead.platform import packets
 from clementinelead.processes import contact_keys
 from clementinelead.relays import announcements
@@ -14,6 +17,7 @@
 from clementinelead.relays import frames
 from clementinelead.relays import holding
 from clementinelead.relays import outcomes
+from clementinelead.relays import route_patches
 from clementinelead.relays import routes
 from clementinelead.relays import steering
 
@@ -23,6 +27,7 @@
 PACKETS = 100_000
 BALANCERS = 7_300
 SIDES = 44_000
+ROUTES = 18_000
 REPEATS = 10
 SERVICE = "lookups"
 ADDRESS = packets.address_bytes("198.18.0.1", 443)
@@ -123,12 +128,51 @@
     named_us = _microseconds(
         REPEATS, lambda _: _none(contact_keys.named_sides("n0", table.living()))
     )
+    own = table.by_id["n0"]
+    balancers = [
+        record
+        for record in table.living()
+        if record.role is records.Role.BALANCER
+    ]
+    watcher_us = _microseconds(
+        REPEATS, lambda _: _none(watchers.is_watcher(own, balancers))
+    )
     census_us = _microseconds(
         REPEATS, lambda _: _none(members.census(table, 1.0))
     )
     return {
         "named_sides_ms": round(named_us / 1000, 1),
         "census_ms": round(census_us / 1000, 1),
+        "is_watcher_ms": round(watcher_us / 1000, 1),
+    }
+
+
+def _route_figures() -> dict[str, object]:
+    """Returns what following one change costs at the aim's size."""
+    several = tuple(
+        routes.Route(
+            f"r{number}",
+            packets.address_bytes(f"10.{number >> 8}.{number & 255}.1", 443),
+            (routes.Share(f"s{number}", 1),),
+        )
+        for number in range(ROUTES)
+    )
+    moved = routes.Route("r0", ADDRESS, several[0].shares)
+    changed = (*several[1:], moved)
+    before = routes.RoutingTable(1, several, 60.0)
+    after = routes.RoutingTable(2, changed, 60.0)
+    history = route_patches.RouteHistory()
+    note_us = _microseconds(REPEATS, lambda _: history.note(before, after))
+    patch = history.since(1, after)
+    assert patch is not None, "the change was noted"
+    follow_us = _microseconds(
+        REPEATS, lambda _: _none(route_patches.patched(before, patch))
+    )
+    return {
+        "routes_kb": round(len(msgspec.json.encode(before)) / 1000),
+        "route_patch_bytes": len(msgspec.json.encode(patch)),
+        "route_note_ms": round(note_us / 1000, 1),
+        "route_follow_ms": round(follow_us / 1000, 1),
     }
 
 
@@ -161,7 +205,9 @@
         "question_bytes": len(frames.encode(frames.Kind.ASK_LOAD, 0, key)),
         "frame_head_bytes": len(frame) - len(packet),
     }
-    return results.Result({**figures, **_fleet_figures()}, ())
+    figures.update(_fleet_figures())
+    figures.update(_route_figures())
+    return results.Result(figures, ())
 
 
 def _none(_: object) -> None:
