Split a service's new flows over several sets of targets by weight

A bucket of the table belongs to one set, so a change of weights is for the side processes what a change of members is: registrations, earlier candidates and searches stay as they are. Buckets are given in exact shares by weighted rendezvous; side processes follow the services that share flows with theirs.

Ruled out: a draw by the flow's hash at the balancer (who registers with whom after a change?), one table for each set and a search in all.

--- a/bench/run.py
+++ b/bench/run.py
@@ -42,6 +42,7 @@
     "race": configs.race,
     "relays": relays.relays,
     "rolling": changes.rolling,
+    "shares": changes.shares,
     "slopes": slopes.slopes,
     "steady": loads.steady,
     "throughput": _throughput,
--- a/bench/scenarios/slopes.py
+++ b/bench/scenarios/slopes.py
@@ -107,7 +107,8 @@
             for index in range(2 + number % 2)
         )
         service = _service(number)
-        forwarder.update(service.name, service, targets, 1)
+        parts = (tables.Part(service.name, 1, targets),)
+        forwarder.update(service.name, service, parts, 1)
     return forwarder
 
 
--- a/clementinelead/configurations/adoption.py
+++ b/clementinelead/configurations/adoption.py
@@ -3,16 +3,14 @@
 import collections
 import collections.abc
 import dataclasses
-import typing
 
 from clementinelead.configurations import models
+from clementinelead.configurations import shares
 
 __all__ = ["Adopted", "Adoption", "Ignored", "Outcome", "Reverted"]
 
 KEPT_PATCHES = 64
 
-_Value = typing.TypeVar("_Value")
-
 
 @dataclasses.dataclass(frozen=True)
 class Adopted:
@@ -59,7 +57,8 @@
         """Starts without a configuration.
 
         Args:
-            names: Services to keep, None for all of them.
+            names: Services to keep, with those that share their flows with
+                them; None for all.
         """
         self.revision = 0
         self.entry_by_name: dict[str, models.Entry] = {}
@@ -86,7 +85,11 @@
             return Reverted(revision, self.revision)
         if revision == self.revision:
             return Ignored()
-        entries = self._kept(entry_by_name)
+        entries = {
+            name: entry
+            for name, entry in entry_by_name.items()
+            if self._concerns(entry.service)
+        }
         self._patches.clear()
         self.entry_by_name = entries
         self.drains = dict(drains)
@@ -109,13 +112,12 @@
         for patch in patches:
             if patch.revision != revision + 1:
                 continue
-            changed = self._kept(patch.entries)
-            names.update(changed)
-            for name, entry in changed.items():
-                if entry is None:
-                    entries.pop(name, None)
-                else:
+            for name, entry in patch.entries.items():
+                if entry is not None and self._concerns(entry.service):
                     entries[name] = entry
+                elif entries.pop(name, None) is None:
+                    continue
+                names.add(name)
             drains = patch.drains
             revision = patch.revision
             taken.append(patch)
@@ -143,13 +145,16 @@
             return None
         return following
 
-    def _kept(
-        self, by_name: collections.abc.Mapping[str, _Value]
-    ) -> dict[str, _Value]:
+    @property
+    def wanted(self) -> frozenset[str]:
+        """Names whose changes this process needs, empty for all.
+
+        A service that no longer shares its flows with the own targets is
+        among them until that is known here.
+        """
         if self._names is None:
-            return dict(by_name)
-        return {
-            name: value
-            for name, value in by_name.items()
-            if name in self._names
-        }
+            return frozenset()
+        return self._names | self.entry_by_name.keys()
+
+    def _concerns(self, service: models.Service) -> bool:
+        return self._names is None or shares.concerns(service, self._names)
--- a/clementinelead/configurations/edits.py
+++ b/clementinelead/configurations/edits.py
@@ -10,6 +10,7 @@
 from clementinelead.configurations import drafts
 from clementinelead.configurations import merges
 from clementinelead.configurations import models
+from clementinelead.configurations import shares
 from clementinelead.configurations import sheets
 
 __all__ = ["drain_edit", "remove_edit", "set_edit", "undrain_edit"]
@@ -52,7 +53,7 @@
             changed = {
                 field: author
                 for field in values
-                if getattr(service, field) != content[field]
+                if getattr(service, field) != getattr(old.service, field)
             }
             entry = models.Entry(
                 service=service, by_hand={**old.by_hand, **changed}
@@ -60,6 +61,7 @@
         draft.entry_by_name[name] = entry
         draft.removed.pop(name, None)
         _check_addresses(name, draft.entry_by_name)
+        _check_shares(draft.entry_by_name)
         return draft
 
     return edit
@@ -79,6 +81,7 @@
             finding = exceptions.Finding(name, "there is no such service")
             raise exceptions.FindingsError((finding,))
         draft.removed[name] = author
+        _check_shares(draft.entry_by_name)
         return draft
 
     return edit
@@ -145,6 +148,20 @@
             raise exceptions.FindingsError((finding,))
 
 
+def _check_shares(entry_by_name: dict[str, models.Entry]) -> None:
+    """Checks that all shares go to services that can take them.
+
+    Raises:
+        exceptions.FindingsError: One does not.
+    """
+    found = shares.findings(
+        (entry.service for entry in entry_by_name.values()),
+        lambda name: f"{name}.shares",
+    )
+    if found:
+        raise exceptions.FindingsError(tuple(found))
+
+
 def unknown_fields(names: collections.abc.Iterable[str]) -> list[str]:
     """Returns the names that are not fields of a service."""
     return [name for name in names if name not in sheets.COLUMNS]
--- a/clementinelead/configurations/merges.py
+++ b/clementinelead/configurations/merges.py
@@ -266,7 +266,7 @@
 
     Raises:
         exceptions.FindingsError: The result would give an address to two
-            services.
+            services, or a share to one that can't take it.
     """
     merge = _Merge(path, configuration, rows, takes)
     merge.run()
@@ -274,7 +274,7 @@
         (number, entry.service)
         for number, entry in enumerate(merge.entries.values())
     ]
-    clashes = sheets.duplicates(f"{path}: after the merge", numbered)
+    clashes = sheets.clashes(f"{path}: after the merge", numbered)
     if clashes:
         raise exceptions.FindingsError(tuple(clashes))
     return Plan(
--- a/clementinelead/configurations/models.py
+++ b/clementinelead/configurations/models.py
@@ -18,12 +18,14 @@
     "Entry",
     "Head",
     "Service",
+    "Share",
 ]
 
 POLICIES = ("hunting", "weighted-hash", "plain-hash")
 """Placement policies: ``hunting`` passes a flow on until a target accepts."""
 
 MAX_PORT = 65_535
+MAX_WEIGHT = 1_000_000
 
 Name = typing.Annotated[
     str, pydantic.StringConstraints(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")
@@ -58,6 +60,35 @@
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
 
+class Share(_Frozen):
+    """Which part of a service's new flows a set of targets gets.
+
+    Attributes:
+        service: Service that the targets announce.
+        weight: Relative share; 0 for new flows only while no other set has
+            targets.
+    """
+
+    service: Name
+    weight: typing.Annotated[int, pydantic.Field(ge=0, le=MAX_WEIGHT)]
+
+    def __str__(self) -> str:
+        return f"{self.service}={self.weight}"
+
+
+def _split_shares(value: object) -> object:
+    """Splits shares that a sheet or a command line gives as one text."""
+    if not isinstance(value, str):
+        return value
+    pairs = (text.partition("=") for text in value.split())
+    return [{"service": name, "weight": weight} for name, _, weight in pairs]
+
+
+Shares = typing.Annotated[
+    tuple[Share, ...], pydantic.BeforeValidator(_split_shares)
+]
+
+
 class Service(_Frozen):
     """A set of targets behind its addresses, and how work is spread.
 
@@ -69,6 +100,9 @@
         protocol: ``tcp`` or ``udp``.
         more_addresses: Further ones that callers use, each ``address:port``,
             with the same protocol; as one text they are separated by spaces.
+        shares: Sets of targets that share the new flows, by weight; as one
+            text ``service=weight``, separated by spaces. Without any, the
+            targets that announce this service get all.
         policy: One of ``POLICIES``.
         candidates: Targets that a new flow may be offered to.
         buckets: Size of the bucket table, a power of two.
@@ -86,6 +120,7 @@
     port: typing.Annotated[int, pydantic.Field(ge=1, le=MAX_PORT)]
     protocol: typing.Literal["tcp", "udp"]
     more_addresses: Endpoints = ()
+    shares: Shares = ()
     policy: typing.Literal["hunting", "weighted-hash", "plain-hash"] = "hunting"
     candidates: typing.Annotated[int, pydantic.Field(ge=1, le=16)] = 7
     buckets: typing.Literal[64, 256, 1024, 4096] = 256
@@ -104,6 +139,20 @@
             raise ValueError("an address stands twice in more_addresses")
         return self
 
+    @pydantic.model_validator(mode="after")
+    def _check_shares(self) -> "Service":
+        names = [share.service for share in self.shares]
+        if len(set(names)) < len(names):
+            raise ValueError("a service stands twice in shares")
+        if names and not any(share.weight for share in self.shares):
+            raise ValueError("all shares are 0")
+        return self
+
+    @property
+    def parts(self) -> tuple[Share, ...]:
+        """The sets of targets with their shares, at least one."""
+        return self.shares or (Share(service=self.name, weight=1),)
+
     @property
     def endpoints(self) -> tuple[str, ...]:
         """All addresses that callers use, each ``address:port``."""
--- a/clementinelead/configurations/sheets.py
+++ b/clementinelead/configurations/sheets.py
@@ -9,6 +9,7 @@
 from clementinelead import exceptions
 from clementinelead import validation
 from clementinelead.configurations import models
+from clementinelead.configurations import shares
 
 __all__ = ["COLUMNS", "Row", "read"]
 
@@ -141,6 +142,22 @@
     return findings
 
 
+def clashes(
+    place: str, numbered: list[tuple[int, models.Service]]
+) -> list[exceptions.Finding]:
+    """Returns findings for rows that don't go together.
+
+    Args:
+        place: File that the findings name.
+        numbered: Row number and service of each row.
+    """
+    row_by_name = {service.name: number for number, service in numbered}
+    return duplicates(place, numbered) + shares.findings(
+        (service for _, service in numbered),
+        lambda name: f"{place}:{row_by_name[name]}:shares",
+    )
+
+
 def read(
     path: pathlib.Path, teams: frozenset[str] = frozenset()
 ) -> dict[str, Row]:
@@ -186,7 +203,7 @@
             rows.append(row)
     findings.extend(_unknown_teams(path, rows, teams))
     findings.extend(
-        duplicates(str(path), [(row.number, row.service) for row in rows])
+        clashes(str(path), [(row.number, row.service) for row in rows])
     )
     if findings:
         raise exceptions.FindingsError(tuple(findings))
--- a/clementinelead/placements/forwarding.py
+++ b/clementinelead/placements/forwarding.py
@@ -29,7 +29,7 @@
 
 def table_of(
     service: models.Service,
-    targets: tuple[tables.Member, ...],
+    parts: tuple[tables.Part, ...],
     revision: int,
     previous: tables.Table | None,
 ) -> tables.Table | None:
@@ -37,7 +37,7 @@
 
     Args:
         service: The service.
-        targets: Its targets.
+        parts: Its sets of targets.
         revision: Configuration revision in force.
         previous: Table of the previous view, if any.
     """
@@ -45,11 +45,18 @@
     if service.policy != "hunting":
         depth = _HASH_ONLY_DEPTH
     if service.policy == "plain-hash":
-        targets = tuple(
-            dataclasses.replace(target, weight=1.0) for target in targets
+        parts = tuple(
+            dataclasses.replace(
+                part,
+                members=tuple(
+                    dataclasses.replace(member, weight=1.0)
+                    for member in part.members
+                ),
+            )
+            for part in parts
         )
-    return tables.build(
-        service.name, revision, targets, service.buckets, depth, previous
+    return tables.build_shared(
+        service.name, revision, parts, service.buckets, depth, previous
     )
 
 
@@ -103,7 +110,7 @@
         self,
         name: str,
         service: models.Service | None,
-        targets: tuple[tables.Member, ...],
+        parts: tuple[tables.Part, ...],
         revision: int,
     ) -> None:
         """Takes over a service's definition or targets.
@@ -111,7 +118,7 @@
         Args:
             name: Name of the service.
             service: Its definition, None if it was removed.
-            targets: Its targets that are not dead or leaving.
+            parts: Its sets of targets that are not dead or leaving.
             revision: Configuration revision in force.
         """
         addresses = frozenset(service.endpoint_by_key if service else ())
@@ -124,7 +131,7 @@
             self._table_by_name.pop(name, None)
             return
         previous = self._table_by_name.get(name)
-        table = table_of(service, targets, revision, previous)
+        table = table_of(service, parts, revision, previous)
         self._addresses_by_name[name] = addresses
         routes = table.routes if table else None
         for address in addresses:
--- a/clementinelead/placements/rendezvous.py
+++ b/clementinelead/placements/rendezvous.py
@@ -6,7 +6,7 @@
 import numpy.typing as npt
 import xxhash
 
-__all__ = ["draws", "ranking"]
+__all__ = ["apportion", "draws", "ranking"]
 
 _DRAW_CACHE_ENTRIES = 512
 _MANTISSA_BITS = 53
@@ -80,3 +80,49 @@
             score = swapped
             current = swapped_index
     return index.T.copy()
+
+
+def apportion(
+    weight_by_name: dict[str, int], buckets: int
+) -> npt.NDArray[np.int32]:
+    """Returns which of some names has each bucket, in exact shares.
+
+    Each name gets its share of the buckets, rounded so that the sum fits. The
+    buckets with the best scores are given away first, so a changed weight
+    moves few buckets more than it must. Costs O(names * buckets * log) time.
+
+    Args:
+        weight_by_name: Weights, not negative and not all 0.
+        buckets: Number of buckets.
+
+    Returns:
+        Array of shape (buckets,) of indices into the sorted names.
+
+    Examples:
+        >>> np.bincount(apportion({"a": 3, "b": 1}, buckets=64)).tolist()
+        [48, 16]
+    """
+    names = sorted(name for name, weight in weight_by_name.items() if weight)
+    places = sorted(weight_by_name)
+    weights = np.array([weight_by_name[name] for name in names], dtype=float)
+    left = _rounded(weights / weights.sum() * buckets, buckets)
+    scores = np.array([draws(name, buckets) for name in names])
+    scores /= weights[:, None]
+    chosen = np.full(buckets, -1, dtype=np.int32)
+    for flat in np.argsort(scores, axis=None, kind="stable").tolist():
+        name, number = divmod(flat, buckets)
+        if chosen[number] < 0 and left[name] > 0:
+            chosen[number] = places.index(names[name])
+            left[name] -= 1
+    return chosen
+
+
+def _rounded(
+    exact: npt.NDArray[np.float64], total: int
+) -> npt.NDArray[np.int64]:
+    """Returns whole numbers near the exact ones, with a given sum."""
+    whole = np.floor(exact).astype(np.int64)
+    missing = total - int(whole.sum())
+    largest = np.argsort(whole - exact, kind="stable")[:missing]
+    whole[largest] += 1
+    return whole
--- a/clementinelead/placements/tables.py
+++ b/clementinelead/placements/tables.py
@@ -9,7 +9,7 @@
 from clementinelead.messages import envelopes
 from clementinelead.placements import rendezvous
 
-__all__ = ["Member", "Table", "bucket", "build"]
+__all__ = ["Member", "Part", "Table", "bucket", "build", "build_shared"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +34,21 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """A set of targets and its share of a service's new flows.
+
+    Attributes:
+        name: Service that the targets announce.
+        weight: Relative share, not negative.
+        members: The targets.
+    """
+
+    name: str
+    weight: int
+    members: tuple[Member, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class Table:
     """The routes of one service under one view.
@@ -103,32 +118,57 @@
     buckets: int,
     depth: int,
     previous: Table | None = None,
+) -> Table | None:
+    """Returns the table of a service that one set of targets serves.
+
+    Args:
+        service: Name of the service.
+        revision: Configuration revision in force.
+        members: All targets that are not dead or leaving.
+        buckets: Number of buckets.
+        depth: Number of candidates of a flow.
+        previous: Table of the previous view.
+    """
+    part = Part(service, 1, members)
+    return build_shared(service, revision, (part,), buckets, depth, previous)
+
+
+def build_shared(
+    service: str,
+    revision: int,
+    parts: tuple[Part, ...],
+    buckets: int,
+    depth: int,
+    previous: Table | None = None,
 ) -> Table | None:
     """Returns the table of a service, or None if it has no targets.
 
-    Routes that are equal share one encoded message.
+    A bucket belongs to one part, whose targets are its candidates. Routes that
+    are equal share one encoded message.
 
     Args:
         service: Name of the service.
         revision: Configuration revision in force.
-        members: All targets that are not dead or leaving.
+        parts: Its sets of targets that are not dead or leaving.
         buckets: Number of buckets.
         depth: Number of candidates of a flow.
         previous: Table of the previous view, whose candidates may still hold
             flows.
     """
-    if not members:
+    member_by_id = {
+        member.id: member for part in parts for member in part.members
+    }
+    if not member_by_id:
         return None
-    ordered = tuple(sorted(members, key=lambda member: member.id))
-    weight_by_id = {member.id: member.weight for member in ordered}
-    ranking = rendezvous.ranking(weight_by_id, buckets, depth)
+    ordered = tuple(member_by_id[name] for name in sorted(member_by_id))
+    ranking = _shared_ranking(parts, ordered, buckets, depth)
     candidates = tuple(member.candidate for member in ordered)
     living = frozenset(candidate.id for candidate in candidates)
     usable = previous if previous and previous.buckets == buckets else None
     route_by_content: dict[tuple[object, ...], envelopes.Route] = {}
     routes = []
     for number, places in enumerate(ranking.tolist()):
-        chosen = tuple(candidates[place] for place in places)
+        chosen = tuple(candidates[place] for place in dict.fromkeys(places))
         old = usable.routes[number] if usable else None
         earlier = _previous_candidates(chosen, old, living)
         content = (chosen, earlier)
@@ -143,3 +183,52 @@
     return Table(
         service, revision, ordered, ranking.astype(np.uint16), tuple(routes)
     )
+
+
+def _shared_ranking(
+    parts: tuple[Part, ...],
+    ordered: tuple[Member, ...],
+    buckets: int,
+    depth: int,
+) -> npt.NDArray[np.int32]:
+    """Returns the best targets of each bucket, best first.
+
+    A part without targets takes no part; one with a weight of 0 only if none
+    with another weight has targets.
+
+    Args:
+        parts: Sets of targets, not all empty.
+        ordered: Their targets, sorted by identifier.
+        buckets: Number of buckets.
+        depth: How many places to fill.
+
+    Returns:
+        Array of shape (buckets, places) of indices into ``ordered``; in rows
+        of a part with fewer targets than places the last one is repeated.
+    """
+    filled = [part for part in parts if part.members]
+    taking = [part for part in filled if part.weight] or filled
+    taking.sort(key=lambda part: part.name)
+    place_by_id = {member.id: place for place, member in enumerate(ordered)}
+    rankings = [_ranking(part, place_by_id, buckets, depth) for part in taking]
+    if len(taking) == 1:
+        return rankings[0]
+    width = max(found.shape[1] for found in rankings)
+    padded = [
+        np.pad(found, ((0, 0), (0, width - found.shape[1])), mode="edge")
+        for found in rankings
+    ]
+    shares = {part.name: part.weight or 1 for part in taking}
+    chosen = rendezvous.apportion(shares, buckets)
+    return np.stack(padded)[chosen, np.arange(buckets)]
+
+
+def _ranking(
+    part: Part, place_by_id: dict[str, int], buckets: int, depth: int
+) -> npt.NDArray[np.int32]:
+    """Returns the best targets of each bucket among those of a part."""
+    weight_by_id = {member.id: member.weight for member in part.members}
+    places = np.array(
+        [place_by_id[name] for name in sorted(weight_by_id)], dtype=np.int32
+    )
+    return places[rendezvous.ranking(weight_by_id, buckets, depth)]
--- a/clementinelead/placements/targets.py
+++ b/clementinelead/placements/targets.py
@@ -1,10 +1,11 @@
 """The targets of each service, kept up to date change by change."""
 
+from clementinelead.configurations import models
 from clementinelead.memberships import members
 from clementinelead.memberships import records
 from clementinelead.placements import tables
 
-__all__ = ["TargetIndex"]
+__all__ = ["ShareIndex", "TargetIndex"]
 
 
 class TargetIndex:
@@ -38,6 +39,15 @@
         """Returns the targets of a service."""
         return tuple(self._member_by_service.get(service, {}).values())
 
+    def parts(self, service: models.Service) -> tuple[tables.Part, ...]:
+        """Returns the sets of targets that serve a service."""
+        return tuple(
+            tables.Part(
+                share.service, share.weight, self.targets(share.service)
+            )
+            for share in service.parts
+        )
+
     def _remove(
         self, record: records.Record | None
     ) -> dict[str, tables.Member]:
@@ -56,3 +66,41 @@
         for name in record.services:
             self._member_by_service.setdefault(name, {})[record.id] = member
         return dict.fromkeys(record.services, member)
+
+
+class ShareIndex:
+    """Which services the targets of a service take flows of."""
+
+    def __init__(self) -> None:
+        self._parts_by_name: dict[str, frozenset[str]] = {}
+        self._names_by_part: dict[str, set[str]] = {}
+
+    def update(self, name: str, service: models.Service | None) -> None:
+        """Takes over a service's shares.
+
+        Args:
+            name: Name of the service.
+            service: Its definition, None if it was removed.
+        """
+        for part in self._parts_by_name.pop(name, frozenset()):
+            names = self._names_by_part[part]
+            names.discard(name)
+            if not names:
+                del self._names_by_part[part]
+        if service is None or not service.shares:
+            return
+        parts = frozenset(share.service for share in service.shares)
+        self._parts_by_name[name] = parts
+        for part in parts:
+            self._names_by_part.setdefault(part, set()).add(name)
+
+    def concerned(self, names: frozenset[str]) -> frozenset[str]:
+        """Returns the services whose tables change with some targets.
+
+        Args:
+            names: Services that the targets announce.
+        """
+        found = set(names)
+        for name in names & self._names_by_part.keys():
+            found |= self._names_by_part[name]
+        return frozenset(found)
--- a/clementinelead/processes/balancer.py
+++ b/clementinelead/processes/balancer.py
@@ -79,6 +79,7 @@
         self.forwarder = forwarding.Forwarder(self._log_routing)
         self._dirty: set[str] = set()
         self._targets = targets.TargetIndex()
+        self._shares = targets.ShareIndex()
         self._rebuild_scheduled = False
         self._stopping = False
         self._synced = False
@@ -202,7 +203,8 @@
     def on_members(self, changes: list[members.Change], now: float) -> None:
         """Rebuilds the tables of the services whose targets changed."""
         for change in changes:
-            self._dirty.update(self._targets.update(change))
+            names = self._targets.update(change)
+            self._dirty.update(self._shares.concerned(names))
         self._schedule_rebuild()
 
     def on_configuration(self, adopted: adoption.Adopted, now: float) -> None:
@@ -211,6 +213,9 @@
         if names is None:
             names = frozenset(self.node.adopted.entry_by_name)
             names |= self.forwarder.names()
+        for name in names:
+            entry = self.node.adopted.entry_by_name.get(name)
+            self._shares.update(name, entry.service if entry else None)
         self._dirty.update(names)
         self._schedule_rebuild()
 
@@ -228,10 +233,11 @@
         for _ in range(min(REBUILD_BATCH, len(self._dirty))):
             name = self._dirty.pop()
             entry = entry_by_name.get(name)
+            service = entry.service if entry else None
             self.forwarder.update(
                 name,
-                entry.service if entry else None,
-                self._targets.targets(name),
+                service,
+                self._targets.parts(service) if service else (),
                 self.node.adopted.revision,
             )
         self._schedule_rebuild()
--- a/clementinelead/processes/node.py
+++ b/clementinelead/processes/node.py
@@ -131,7 +131,6 @@
         )
         self._settings = node
         self._keys = keys
-        self._services = services
         self._subscriber = subscriber
         self._tasks = tasks.Tasks()
         self._runner: web.AppRunner | None = None
@@ -300,9 +299,7 @@
     async def fetch_configuration(self, peer: records.Record) -> None:
         """Takes over a peer's configuration if it is newer."""
         try:
-            outcome = await self.client.configuration(
-                peer, self.adopted, self._services
-            )
+            outcome = await self.client.configuration(peer, self.adopted)
         except exceptions.PeerUnavailableError as error:
             loguru.logger.debug("configuration of {}: {}", peer.id, error)
             return
--- a/clementinelead/processes/peers.py
+++ b/clementinelead/processes/peers.py
@@ -10,6 +10,7 @@
 from clementinelead import exceptions
 from clementinelead.configurations import adoption
 from clementinelead.configurations import models
+from clementinelead.configurations import shares
 from clementinelead.memberships import members
 from clementinelead.memberships import records
 from clementinelead.messages import controls
@@ -77,7 +78,8 @@
     async def _configuration(self, request: web.Request) -> web.Response:
         self.checked(request)
         since = int(request.query["since"])
-        names = [name for name in request.query["names"].split(",") if name]
+        asked = request.query["names"].split(",")
+        names = frozenset(name for name in asked if name)
         patches = self._adopted.patches_since(since)
         if patches is not None and since > 0:
             listed = [_patch(patch, names) for patch in patches]
@@ -85,7 +87,7 @@
         entries = {
             name: entry.model_dump(mode="json")
             for name, entry in self._adopted.entry_by_name.items()
-            if not names or name in names
+            if not names or shares.concerns(entry.service, names)
         }
         drains = {
             target: drain.model_dump(mode="json")
@@ -99,12 +101,13 @@
         return self.response(json.dumps(content).encode())
 
 
-def _patch(patch: models.Patch, names: list[str]) -> dict[str, object]:
+def _patch(patch: models.Patch, names: frozenset[str]) -> dict[str, object]:
     if names:
         kept = {
             name: entry
             for name, entry in patch.entries.items()
             if name in names
+            or (entry is not None and shares.concerns(entry.service, names))
         }
         patch = patch.model_copy(update={"entries": kept})
     content: dict[str, object] = patch.model_dump(mode="json")
@@ -177,22 +180,19 @@
             raise exceptions.PeerUnavailableError(str(error)) from error
 
     async def configuration(
-        self,
-        peer: records.Record,
-        adopted: adoption.Adoption,
-        names: tuple[str, ...],
+        self, peer: records.Record, adopted: adoption.Adoption
     ) -> adoption.Outcome:
         """Takes over a peer's configuration if it is newer.
 
         Args:
             peer: Record of the peer.
             adopted: The configuration in force here.
-            names: Services to ask for, all if empty.
 
         Raises:
             exceptions.PeerUnavailableError: No usable answer came.
         """
-        query = f"since={adopted.revision}&names={','.join(names)}"
+        names = ",".join(sorted(adopted.wanted))
+        query = f"since={adopted.revision}&names={names}"
         body = await self.get(peer, f"/peer/configuration?{query}")
         try:
             content = json.loads(body)
--- a/clementinelead/processes/side.py
+++ b/clementinelead/processes/side.py
@@ -1,6 +1,7 @@
 """The side process: accepts, delivers and passes on beside one target."""
 
 import asyncio
+import collections.abc
 import json
 import socket
 import time
@@ -184,6 +185,7 @@
         self._log_limit = logs.RateLimit(settings.logs.placements_per_s)
         self._refusal_log_limit = logs.RateLimit(settings.logs.placements_per_s)
         self._targets = targets.TargetIndex()
+        self._followed = frozenset(self._services)
         self._names = {self.decider.me.id: node.id}
         self._rebuild_scheduled = False
         self._flush_scheduled = False
@@ -297,13 +299,16 @@
             return
 
     def _colleagues(self) -> list[records.Record]:
-        mine = set(self._services)
         return [
             record
             for record in self.node.gossiper.peers()
-            if record.role is records.Role.SIDE and mine & set(record.services)
+            if record.role is records.Role.SIDE and self._follows(record)
         ]
 
+    def _follows(self, record: records.Record) -> bool:
+        """Tells whether a target may share flows with this one."""
+        return not self._followed.isdisjoint(record.services)
+
     # Timers.
 
     async def _tick_forever(self) -> None:
@@ -426,15 +431,16 @@
 
     def on_members(self, changes: list[members.Change], now: float) -> None:
         """Rebuilds the tables if targets of the own services changed."""
-        mine = set(self._services)
         for change in changes:
-            record = change.new
-            if not mine & set(record.services):
-                continue
-            self._names[envelopes.candidate_id(record.id)] = record.id
-            self._targets.update(change)
-            self._schedule_rebuild()
-            self._note_restart(change)
+            if self._follows(change.new):
+                self._note_target(change)
+                self._schedule_rebuild()
+                self._note_restart(change)
+
+    def _note_target(self, change: members.Change) -> None:
+        name = change.new.id
+        self._names[envelopes.candidate_id(name)] = name
+        self._targets.update(change)
 
     def _note_restart(self, change: members.Change) -> None:
         """Registers again with a process that lost what it was told."""
@@ -451,9 +457,29 @@
                 for name, entry in entries.items()
             }
         )
+        self._follow(
+            {
+                share.service
+                for entry in entries.values()
+                for share in entry.service.parts
+            }
+        )
         self._take_limits()
         self._schedule_rebuild()
 
+    def _follow(self, names: collections.abc.Set[str]) -> None:
+        """Learns the targets of services that share flows with the own ones.
+
+        Those of services that no longer do stay known: they may hold flows.
+        """
+        added = names - self._followed
+        if not added:
+            return
+        self._followed |= names
+        for record in self.node.gossiper.table.by_id.values():
+            if self._follows(record):
+                self._note_target(members.Change(None, record))
+
     def _take_limits(self) -> None:
         """Takes the strictest limits of the services that it serves."""
         services = [
@@ -491,7 +517,7 @@
             previous = self.decider.table(name)
             table = forwarding.table_of(
                 entry.service,
-                self._targets.targets(name),
+                self._targets.parts(entry.service),
                 self.node.adopted.revision,
                 previous,
             )
