--- a/bench/scenarios/changes.py
+++ b/bench/scenarios/changes.py
@@ -72,7 +72,7 @@
 
 
 def drain(seed: int) -> results.Result:
-    """A target drains under feeds of 10 s; another balancer stops."""
+    """A target drains under feeds of 10 s, and comes back; a balancer stops."""
     cluster = _started(seed)
     try:
         cluster.start_callers(_plans(_group(), 20), 16.0, "callers")
@@ -84,17 +84,38 @@
         cluster.wait("callers", 120.0)
         late = _late_work(cluster, "feeds-2", began)
         state = cluster.status("feeds-2").get("state")
+        audit = _audit(cluster)
+        returned = _return(cluster, "feeds-2")
         missed = [] if late <= NEW_WORK_BOUND_S else ["last_new_flow_s"]
         if code != 0:
             missed.append("exit_code")
         if state != "leaving":
             missed.append("state")
+        if not returned:
+            missed.append("returned")
         extra = {"last_new_flow_s": round(late, 2), "state": state}
-        return results.of_audit(_audit(cluster), extra, missed)
+        return results.of_audit(audit, extra, missed)
     finally:
         cluster.close()
 
 
+def _return(cluster: clusters.Cluster, target: str) -> bool:
+    """Takes a target back that has left; tells whether it gets flows again.
+
+    Its callers are not audited: they name their requests as those before did.
+    """
+    began = time.time()
+    cluster.operate("drain", target, "--undo", "--reason=bench")
+    deadline = began + NEW_WORK_BOUND_S
+    while cluster.status(target).get("state") != "ready":
+        if time.time() > deadline:
+            return False
+        time.sleep(0.1)
+    cluster.start_callers(_plans(_group(), 2), 4.0, "callers-again")
+    cluster.wait("callers-again", 120.0)
+    return _late_work(cluster, target, began) > 0.0
+
+
 def rolling(seed: int) -> results.Result:
     """Every side process, balancer and target is replaced under feeds."""
     cluster = _started(seed)
