Split the relays' modules by topic

Placer.open's 'known' is 'may_be_open'. No behaviour is changed; the tests are the same but for the names.

--- a/bench/scenarios/relays.py
+++ b/bench/scenarios/relays.py
@@ -71,7 +71,7 @@
 
 def _side(packet_format: packets.PlatformFormat) -> holding.Holding:
     side = holding.Holding(packet_format, SERVICE, _ignore, 0.0, 0)
-    side.first = True
+    side.beginning.first = True
     announcement = announcements.Announcement(
         "t", 1, 1, SERVICE, 1_000_000, False, 0.0
     )
--- a/clementinelead/processes/contact_keys.py
+++ b/clementinelead/processes/contact_keys.py
@@ -183,7 +183,7 @@
         while True:
             await asyncio.sleep(CHECK_S * (0.5 + 0.5 * self._random.random()))
             now = time.monotonic()
-            if self._node.joined and self._node.is_watcher:
+            if self._node.joining.joined and self._node.is_watcher:
                 await self._hold(now)
 
     async def _hold(self, now: float) -> None:
@@ -256,7 +256,7 @@
 
         After a loss of all, their seeds may be the last to start.
         """
-        while not self._node.joined:
+        while not self._node.joining.joined:
             await asyncio.sleep(JOIN_STEP_S)
         await asyncio.sleep(GREET_AFTER_S)
         self._node.greet({address for one in found for address in one.named})
--- /dev/null
+++ b/clementinelead/processes/joining.py
@@ -0,0 +1,178 @@
+"""How a process that starts learns the members and announces itself."""
+
+import asyncio
+import collections.abc
+import random
+import time
+
+import loguru
+
+from clementinelead.memberships import gossip
+from clementinelead.memberships import members
+from clementinelead.memberships import records
+from clementinelead.processes import peer_exchange
+from clementinelead.processes import route_exchange
+
+__all__ = ["Joining"]
+
+JOIN_RETRY_S = 0.15
+"""Pause between two rounds of asking the seeds, seconds."""
+
+ALONE_S = 2.5
+"""Time after which a process that no seed answers starts alone, seconds."""
+
+RESYNC_PAUSES_S = (0.3, 0.6, 1.2)
+"""Pauses before views are compared again after joining, seconds.
+
+Many processes may start at the same time, and learn of each other only now.
+"""
+
+FIRST_TIMEOUT_S = 0.2
+"""Deadline of the first question to a seed, seconds; it doubles.
+
+A machine without power does not answer, and a connection to it hangs even
+when it has power again.
+"""
+
+PEER_TIMEOUT_S = 1.0
+"""Deadline of a question to a peer, seconds."""
+
+ORIENTED_S = 0.1
+"""Time after joining in which a peer tells of a predecessor, seconds.
+
+Who has joined by a peer's datagram has a question to the seeds under way.
+"""
+
+
+class Joining:
+    """Exchanges views with peers until this process knows the members.
+
+    Attributes:
+        joined: Whether the members are known as a peer knows them.
+        viewed: Whether a peer has told its whole view.
+    """
+
+    def __init__(
+        self,
+        gossiper: gossip.Gossiper,
+        seeds: list[str],
+        http_port: int,
+        generator: random.Random,
+        routes: route_exchange.RouteExchange,
+        take: collections.abc.Callable[[list[members.Change], float], None],
+        announce: collections.abc.Callable[[], None],
+    ):
+        """Prepares to join.
+
+        Args:
+            gossiper: Membership decisions.
+            seeds: IP addresses of processes to ask; more may be added.
+            http_port: TCP port of the peers' sites.
+            generator: Draws peers and pauses.
+            routes: Fetches routes from a peer that was asked.
+            take: Takes over changes of members.
+            announce: Tells the others of this process.
+        """
+        self.joined = False
+        self.viewed = False
+        self._gossiper = gossiper
+        self._seeds = seeds
+        self._http_port = http_port
+        self._random = generator
+        self._routes = routes
+        self._take = take
+        self._announce = announce
+        self._joined_at = float("inf")
+        self._met = asyncio.Event()
+
+    def note_peer(self) -> None:
+        """Notes that a living peer is known."""
+        self._met.set()
+
+    def succeeds(self, now: float) -> bool:
+        """Tells whether another process may have run here until just now.
+
+        After a loss of all nobody knows of one.
+
+        Args:
+            now: Present time, seconds.
+        """
+        if not self.viewed and now < self._joined_at + ORIENTED_S:
+            return True
+        predecessor = self._gossiper.predecessor
+        return predecessor is not None and not members.ended(predecessor)
+
+    async def run(self) -> None:
+        """Waits for a peer, announces this process, and compares views.
+
+        A record of a former process of this name may have a higher
+        incarnation, if the clock has been set back since; so a peer's view
+        comes first.
+        """
+        try:
+            async with asyncio.timeout(ALONE_S):
+                await self._met.wait()
+            self._enter("joined")
+        except TimeoutError:
+            self._enter("no peer answers; starting alone")
+        for pause in RESYNC_PAUSES_S:
+            await asyncio.sleep(pause * (0.5 + self._random.random()))
+            peers = self._gossiper.peers()
+            if peers:
+                await self.sync(self._random.choice(peers).address)
+
+    async def join_through(self, seed: str) -> None:
+        """Exchanges views with a seed, again and again until one has.
+
+        Args:
+            seed: IP address.
+        """
+        timeout_s = FIRST_TIMEOUT_S
+        while not await self.sync(seed, timeout_s):
+            if self._met.is_set() and self._gossiper.peers():
+                break
+            timeout_s = min(PEER_TIMEOUT_S, 2 * timeout_s)
+            await asyncio.sleep(JOIN_RETRY_S * (0.5 + self._random.random()))
+        self._met.set()
+
+    def _enter(self, event: str) -> None:
+        """Announces this process, if it has not been yet."""
+        self.joined = True
+        self._joined_at = time.monotonic()
+        if not self._gossiper.announced:
+            self._announce()
+        loguru.logger.bind(
+            members=len(self._gossiper.table.by_id),
+            version=self._routes.table.version,
+            seeds=len(self._seeds),
+        ).info(event)
+
+    async def sync(self, host: str, timeout_s: float = PEER_TIMEOUT_S) -> bool:
+        """Exchanges members with a peer and takes its routes if newer.
+
+        Args:
+            host: IP address of the peer.
+            timeout_s: Deadline of the exchange, seconds.
+
+        Returns:
+            Whether the peer has answered.
+        """
+        gossiper = self._gossiper
+        own = [gossiper.own] if gossiper.announced else []
+        address = (host, self._http_port)
+        found = await peer_exchange.exchange_members(address, own, timeout_s)
+        if found is None:
+            return False
+        self._raise_incarnation(found)
+        now = time.monotonic()
+        changes = gossiper.merge(found, now)
+        self.viewed = True
+        self._take(changes, now)
+        await self._routes.fetch(host)
+        return True
+
+    def _raise_incarnation(self, found: tuple[records.Record, ...]) -> None:
+        """Outranks the record of a former process of this name."""
+        for record in found:
+            if record.id == self._gossiper.own.id:
+                self._gossiper.outrank(record)
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -94,15 +94,17 @@
             "flows_cached", lambda: self.steering.flows, "Flows in the cache"
         )
         self.metrics.gauge(
-            "routes_version", lambda: self.node.table.version, "Routes in force"
+            "routes_version",
+            lambda: self.node.routes.table.version,
+            "Routes in force",
         )
 
     @property
     def ready(self) -> bool:
         """Whether the fabric should hand packets to this process."""
-        if self._stopping or not self.node.joined or self.node.alone:
+        if self._stopping or not self.node.joining.joined or self.node.alone:
             return False
-        return self.node.table.version > 0
+        return self.node.routes.table.version > 0
 
     def respond_ready(self, _: http_site.Request) -> http_site.Response:
         """Answers the fabric's question."""
@@ -181,7 +183,7 @@
     def on_tick(self, now: float) -> None:
         """Lets time pass for the decisions."""
         self._send(self.steering.on_tick(now))
-        if self.node.joined and not self._settling:
+        if self.node.joining.joined and not self._settling:
             self._settling = True
             self._completeness.on_joined(now)
             if self.node.gossiper.lost:
--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -255,14 +255,14 @@
 
     def _note_predecessor(self, now: float) -> None:
         """Takes over whether a predecessor may have served the target."""
-        first = not self.node.succeeds(now)
-        if first is self.holding.first:
+        first = not self.node.joining.succeeds(now)
+        if first is self.holding.beginning.first:
             return
-        self.holding.first = first
+        self.holding.beginning.first = first
         predecessor = self.node.gossiper.predecessor
         loguru.logger.bind(
             first=first,
-            viewed=self.node.viewed,
+            viewed=self.node.joining.viewed,
             incarnation=predecessor.incarnation if predecessor else None,
             state=predecessor.state.name.lower() if predecessor else None,
             health=predecessor.health.name.lower() if predecessor else None,
--- /dev/null
+++ b/clementinelead/processes/route_exchange.py
@@ -0,0 +1,156 @@
+"""The routes in force in a process, and their way between peers."""
+
+import asyncio
+import collections.abc
+import random
+import time
+
+import loguru
+import msgspec
+
+from clementinelead.memberships import gossip
+from clementinelead.messages import controls
+from clementinelead.processes import http_site
+from clementinelead.processes import peer_exchange
+from clementinelead.relays import route_patches
+from clementinelead.relays import routes
+
+__all__ = ["RouteExchange"]
+
+TIMEOUT_S = 1.0
+"""Deadline of a question to a peer, seconds."""
+
+FOLLOW_RETRY_S = 0.3
+"""Longest pause before routes are asked for again, seconds."""
+
+
+class RouteExchange:
+    """Adopts routes of higher versions, and serves them to peers.
+
+    Attributes:
+        table: Routes in force.
+    """
+
+    def __init__(
+        self,
+        gossiper: gossip.Gossiper,
+        site: http_site.HttpSite,
+        http_port: int,
+        generator: random.Random,
+        send: collections.abc.Callable[[gossip.Send], None],
+        on_routes: collections.abc.Callable[[routes.RoutingTable, float], None],
+    ):
+        """Begins without routes.
+
+        Args:
+            gossiper: Knows the peers.
+            site: Serves the routes.
+            http_port: TCP port of the peers' sites.
+            generator: Draws peers and pauses.
+            send: Sends a control message.
+            on_routes: Called when routes of a higher version are in force.
+        """
+        self.table = routes.EMPTY
+        self._history = route_patches.RouteHistory()
+        self._gossiper = gossiper
+        self._http_port = http_port
+        self._random = generator
+        self._send = send
+        self._on_routes = on_routes
+        self._following = False
+        site.add("GET", peer_exchange.ROUTES_PATH, self._serve_routes)
+        site.add("GET", peer_exchange.PATCH_PATH, self._serve_patch)
+
+    def adopt(self, table: routes.RoutingTable, source: str) -> None:
+        """Takes over routes if their version is higher.
+
+        Args:
+            table: The routes.
+            source: Where they came from, for the log.
+        """
+        before = self.table
+        if table.version <= before.version:
+            return
+        if before.version:
+            self._history.note(before, table)
+        self.table = table
+        loguru.logger.bind(
+            version=table.version,
+            before=before.version,
+            routes=len(table.routes),
+            source=source,
+        ).info("routes adopted")
+        self._on_routes(table, time.monotonic())
+        if before.version:
+            self._push_version()
+
+    def _push_version(self) -> None:
+        """Tells some peers at once that there is a higher version."""
+        others = self._gossiper.peers()
+        count = min(self._gossiper.options.fanout, len(others))
+        for peer in self._random.sample(others, count):
+            self._send(
+                gossip.Send(peer.control_address, (), controls.Nothing())
+            )
+
+    async def fetch(self, host: str) -> None:
+        """Takes over a peer's routes if they are newer.
+
+        Args:
+            host: IP address of the peer.
+        """
+        table = await peer_exchange.fetch_routes(
+            (host, self._http_port), self.table, TIMEOUT_S
+        )
+        if table is not None:
+            self.adopt(table, host)
+
+    def begin_following(self, version: int) -> bool:
+        """Tells whether ``follow`` is to be called for a peer's version.
+
+        Args:
+            version: What the peer has in force.
+        """
+        if self._following or version <= self.table.version:
+            return False
+        self._following = True
+        return True
+
+    async def follow(self, host: str, version: int) -> None:
+        """Fetches routes of a higher version until they are in force.
+
+        Args:
+            host: IP address of a peer that has them.
+            version: Their version.
+        """
+        try:
+            while self.table.version < version:
+                await self.fetch(host)
+                if self.table.version >= version:
+                    return
+                await asyncio.sleep(FOLLOW_RETRY_S * self._random.random())
+                peers = self._gossiper.peers()
+                if peers:
+                    host = self._random.choice(peers).address
+        finally:
+            self._following = False
+
+    def _serve_routes(self, request: http_site.Request) -> http_site.Response:
+        if self.table.version <= _version_in(request):
+            return http_site.Response(http_site.NOT_MODIFIED)
+        return http_site.Response(http_site.OK, msgspec.json.encode(self.table))
+
+    def _serve_patch(self, request: http_site.Request) -> http_site.Response:
+        since = _version_in(request)
+        if self.table.version <= since:
+            return http_site.Response(http_site.NOT_MODIFIED)
+        patch = self._history.since(since, self.table)
+        if patch is None:
+            return http_site.Response(http_site.NOT_FOUND)
+        return http_site.Response(http_site.OK, msgspec.json.encode(patch))
+
+
+def _version_in(request: http_site.Request) -> int:
+    """Returns the version that a peer has, 0 if it does not say."""
+    since = request.query.get("since", "0")
+    return int(since) if since.isdecimal() else 0
--- a/clementinelead/processes/route_watch.py
+++ b/clementinelead/processes/route_watch.py
@@ -73,7 +73,7 @@
             outcome = await self._source.next()
             match outcome:
                 case Found(table):
-                    self._node.adopt(table, "store")
+                    self._node.routes.adopt(table, "store")
                 case Failed(reason, _):
                     self._note_lost(reason)
                     await asyncio.sleep(
@@ -91,13 +91,13 @@
             loguru.logger.bind(
                 dependency="store",
                 reason=reason,
-                version=self._node.table.version,
+                version=self._node.routes.table.version,
             ).warning("dependency lost")
         self._lost = True
 
     def _note_regained(self) -> None:
         if self._lost:
             loguru.logger.bind(
-                dependency="store", version=self._node.table.version
+                dependency="store", version=self._node.routes.table.version
             ).info("dependency regained")
         self._lost = False
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -36,7 +36,7 @@
         NoSource(),
         samples.NoKeys(),
     )
-    balancer.node.adopt(routes.RoutingTable(1, (ROUTE,), 60.0), "test")
+    balancer.node.routes.adopt(routes.RoutingTable(1, (ROUTE,), 60.0), "test")
     return balancer
 
 
@@ -59,7 +59,7 @@
 
 def _joined_with(balancer, now):
     _learn(balancer, SIDE, now)
-    balancer.node.joined = True
+    balancer.node.joining.joined = True
     balancer.on_tick(now)
 
 
@@ -95,12 +95,12 @@
 def test_process_without_routes_is_not_ready(balancer):
     _joined_with(balancer, 100.0)
     assert balancer.ready
-    balancer.node.table = routes.EMPTY
+    balancer.node.routes.table = routes.EMPTY
     assert not balancer.ready
 
 
 def test_process_that_knows_nobody_is_not_ready(balancer):
-    balancer.node.joined = True
+    balancer.node.joining.joined = True
     assert not balancer.ready
 
 
--- a/clementinelead/processes/tests/test_relay_node.py
+++ b/clementinelead/processes/tests/test_relay_node.py
@@ -8,6 +8,7 @@
 from clementinelead.memberships import records
 from clementinelead.processes import contact_keys
 from clementinelead.processes import http_client
+from clementinelead.processes import joining
 from clementinelead.processes import peer_exchange
 from clementinelead.processes import relay_node
 from clementinelead.processes import relay_settings
@@ -116,7 +117,7 @@
         ]
 
         async def check():
-            await _eventually(lambda: nodes[1].joined, JOIN_BOUND_S)
+            await _eventually(lambda: nodes[1].joining.joined, JOIN_BOUND_S)
 
         try:
             await _run(nodes, check)
@@ -138,7 +139,7 @@
         second, _ = _node(3, ports, ("127.0.0.2",))
 
         async def check():
-            await _eventually(lambda: first.joined, JOIN_BOUND_S)
+            await _eventually(lambda: first.joining.joined, JOIN_BOUND_S)
 
         try:
             await _run([first, second], check)
@@ -160,9 +161,11 @@
     async def check():
         await _eventually(lambda: not nodes[2].alone, JOIN_BOUND_S)
         for version in (5, 9, 7):
-            nodes[1].adopt(routes.RoutingTable(version, (), 60.0), "test")
+            nodes[1].routes.adopt(
+                routes.RoutingTable(version, (), 60.0), "test"
+            )
         await _eventually(
-            lambda: all(node.table.version == 9 for node in nodes), 3.0
+            lambda: all(node.routes.table.version == 9 for node in nodes), 3.0
         )
 
     asyncio.run(_run(nodes, check))
@@ -244,7 +247,7 @@
         bound_s = 2 * contact_keys.ALONE_S + contact_keys.CHECK_S
         await _eventually(
             lambda: not first.alone and not second.alone,
-            relay_node.ALONE_S + bound_s,
+            joining.ALONE_S + bound_s,
         )
 
     asyncio.run(_run([first, second], check))
@@ -262,12 +265,12 @@
     finder = contact_keys.ContactFinder(balancer, keys, balancer.random)
 
     async def check():
-        balancer.joined = True
+        balancer.joining.joined = True
         begun = time.monotonic()
         count = contact_keys.SideCount()
         balancer.spawn(finder.count(count, begun + 1.0))
         await _eventually(lambda: not balancer.alone, JOIN_BOUND_S)
-        assert side.joined
+        assert side.joining.joined
 
     asyncio.run(_run([balancer, side], check))
 
@@ -284,11 +287,11 @@
     first.gossiper.merge((before,), time.monotonic())
 
     async def check():
-        assert second.succeeds(time.monotonic())
-        await _eventually(lambda: second.joined, JOIN_BOUND_S)
+        assert second.joining.succeeds(time.monotonic())
+        await _eventually(lambda: second.joining.joined, JOIN_BOUND_S)
         for _ in range(5):
-            await asyncio.sleep(relay_node.ORIENTED_S)
-            assert second.succeeds(time.monotonic())
+            await asyncio.sleep(joining.ORIENTED_S)
+            assert second.joining.succeeds(time.monotonic())
 
     asyncio.run(_run([first, second], check))
 
@@ -299,10 +302,10 @@
     second, _ = _node(3, ports, ("127.0.0.2",), records.Role.SIDE)
 
     async def check():
-        await _eventually(lambda: second.joined, JOIN_BOUND_S)
+        await _eventually(lambda: second.joining.joined, JOIN_BOUND_S)
         await _eventually(
-            lambda: not second.succeeds(time.monotonic()),
-            2 * relay_node.ORIENTED_S,
+            lambda: not second.joining.succeeds(time.monotonic()),
+            2 * joining.ORIENTED_S,
         )
 
     asyncio.run(_run([first, second], check))
@@ -323,8 +326,8 @@
         return await http_client.call(address, "GET", path, b"", 1.0)
 
     async def check():
-        node.adopt(old, "test")
-        node.adopt(new, "test")
+        node.routes.adopt(old, "test")
+        node.routes.adopt(new, "test")
         answer = await fetched(f"{peer_exchange.PATCH_PATH}?since=5")
         patch = msgspec.json.decode(answer.body, type=route_patches.Patch)
         assert patch.changed == (_route(b"c"),)
--- /dev/null
+++ b/clementinelead/relays/beginnings.py
@@ -0,0 +1,67 @@
+"""Whether a side process knows all flows that its target has."""
+
+from clementinelead.relays import announcements
+
+__all__ = ["BORN_MARGIN_MS", "LEARNING_S", "Beginning"]
+
+LEARNING_S = 60.0
+"""Time after a start in which flows of before may still be open, seconds.
+
+Flows older than this, or idle for as long, may be discarded.
+"""
+
+BORN_MARGIN_MS = 1_000
+"""How much older than its side process a target may be to have begun with it.
+
+Machine and target get power at the same time; the process starts later.
+"""
+
+
+class Beginning:
+    """Tells whether the target has flows of before this process began.
+
+    Attributes:
+        first: Whether no process is known to have served the target just
+            before this one.
+    """
+
+    def __init__(self, now: float, started_ms: int):
+        """Begins with a target whose flows are not known.
+
+        Args:
+            now: Present time, seconds.
+            started_ms: Start of this process, milliseconds since 1970.
+        """
+        self.first = False
+        self._started_ms = started_ms
+        self._together = False
+        self._learned_at = now + LEARNING_S
+
+    def on_target(
+        self,
+        announcement: announcements.Announcement,
+        replaced: bool,
+        now: float,
+    ) -> None:
+        """Takes over that an incarnation of the target has announced itself.
+
+        Args:
+            announcement: Its first heartbeat here.
+            replaced: Whether this process has known another one.
+            now: Present time, seconds.
+        """
+        if replaced:
+            self._learned_at = now
+        young = announcement.born >= self._started_ms - BORN_MARGIN_MS
+        self._together = young or announcement.sequence <= 1
+
+    def over(self, now: float) -> bool:
+        """Tells whether the target has no flow that is not known here.
+
+        A target that got power together with this process has none of before;
+        neither has one that started while this process ran.
+
+        Args:
+            now: Present time, seconds.
+        """
+        return (self._together and self.first) or now >= self._learned_at
--- a/clementinelead/relays/holding.py
+++ b/clementinelead/relays/holding.py
@@ -10,6 +10,8 @@
 import collections.abc
 
 from clementinelead.relays import announcements
+from clementinelead.relays import answering
+from clementinelead.relays import beginnings
 from clementinelead.relays import formats
 from clementinelead.relays import frames
 from clementinelead.relays import held_flows
@@ -19,18 +21,6 @@
 
 __all__ = ["Holding"]
 
-LEARNING_S = 60.0
-"""Time after a start in which flows of before may still be open, seconds.
-
-Flows older than this, or idle for as long, may be discarded.
-"""
-
-BORN_MARGIN_MS = 1_000
-"""How much older than this process a target may be to have begun with it.
-
-Machine and target get power at the same time; this process starts later.
-"""
-
 RETURN_S = 0.02
 """Time in which a target returns a packet that is not its own, seconds."""
 
@@ -60,8 +50,7 @@
         counts: Decisions by outcome.
         latencies: Time from request to answer, seconds.
         leaving: Whether this process is about to stop.
-        first: Whether no process is known to have served the target just
-            before this one.
+        beginning: Whether the target may have flows of before.
     """
 
     def __init__(
@@ -86,16 +75,16 @@
         self.counts = counters.CounterSet()
         self.latencies = counters.Histogram(LATENCY_BOUNDS_S)
         self.leaving = False
-        self.first = False
+        self.beginning = beginnings.Beginning(now, started_ms)
         self._format = packet_format
         self._number = frames.service_number(service)
         self._report = report
         self._flows = held_flows.HeldFlows(self.work)
+        self._answering = answering.Answering(
+            self._flows, self.beginning, self.counts
+        )
         self._opener_by_key: dict[bytes, tuple[_Address, float]] = {}
         self._probe_by_key: dict[bytes, tuple[_Address, float]] = {}
-        self._started_ms = started_ms
-        self._learned_at = now + LEARNING_S
-        self._began_together = False
         self._next_expiry = now
 
     @property
@@ -130,20 +119,9 @@
             self.work.configure(announcement.slots, announcement.warmup_s, now)
             if known is not None:
                 self._flows.doubt(now)
-                self._learned_at = now
-            young = announcement.born >= self._started_ms - BORN_MARGIN_MS
-            self._began_together = young or announcement.sequence <= 1
+            self.beginning.on_target(announcement, known is not None, now)
         return verdict
 
-    def _knows_all(self, now: float) -> bool:
-        """Tells whether the target has no flow that is not known here.
-
-        A target that got power together with this process has none of before;
-        neither has one that started while this process ran.
-        """
-        together = self._began_together and self.first
-        return together or now >= self._learned_at
-
     # Datagrams of balancers.
 
     def on_frame(
@@ -161,65 +139,20 @@
             self.counts.add("malformed_frame")
             return []
         if frame.service != self._number:
-            return self._deny(frame, source)
+            return self._answering.deny(frame, source)
         match frame.kind:
             case _Kind.PACKET | _Kind.PROBE:
                 return self._on_packet(frame, source, now)
             case _Kind.PLACE:
                 return self._on_place(frame, source, now)
             case _Kind.ASK_LOAD:
-                return self._on_ask_load(frame, source, now)
+                accepting = self.accepting
+                return [self._answering.load(frame, source, accepting, now)]
             case _Kind.ASK_HELD:
-                return self._on_ask_held(frame, source, now)
+                return self._answering.held(frame, source, now)
         self.counts.add("foreign_frame")
         return []
 
-    def _answer(
-        self,
-        kind: frames.Kind,
-        frame: frames.Frame,
-        source: _Address,
-        payload: bytes = b"",
-        value: int = 0,
-    ) -> outcomes.Outcome:
-        message = frames.encode(kind, frame.service, frame.key, payload, value)
-        return outcomes.ToPeer(source, message)
-
-    def _deny(
-        self, frame: frames.Frame, source: _Address
-    ) -> list[outcomes.Outcome]:
-        """Answers for a service that the target does not serve."""
-        self.counts.add("other_service")
-        match frame.kind:
-            case _Kind.PACKET | _Kind.PROBE:
-                kind, payload = _Kind.NOT_HELD, frame.payload
-            case _Kind.PLACE:
-                kind, payload = _Kind.REFUSED, b""
-            case _Kind.ASK_LOAD:
-                return [
-                    self._answer(
-                        _Kind.LOAD, frame, source, value=frames.NOT_ACCEPTING
-                    )
-                ]
-            case _Kind.ASK_HELD:
-                kind, payload = _Kind.ABSENT, frame.payload
-            case _:
-                return []
-        return [self._answer(kind, frame, source, payload)]
-
-    def _on_ask_load(
-        self, frame: frames.Frame, source: _Address, now: float
-    ) -> list[outcomes.Outcome]:
-        kind = _Kind.LOAD
-        load = frames.NOT_ACCEPTING
-        if frame.key in self._flows.by_key:
-            load = 0
-        elif self.accepting:
-            load = self.work.load_ms(now)
-            if self.work.busy(frame.value, now):
-                kind = _Kind.BUSY
-        return [self._answer(kind, frame, source, value=load)]
-
     def _on_place(
         self, frame: frames.Frame, source: _Address, now: float
     ) -> list[outcomes.Outcome]:
@@ -229,7 +162,7 @@
         if flow is None and not self.accepting:
             self.counts.add("refused")
             self._log("acceptance", "refused", key, now)
-            return [self._answer(_Kind.REFUSED, frame, source)]
+            return [answering.answer(_Kind.REFUSED, frame, source)]
         if flow is not None:
             flow.sender = source
         self._opener_by_key[key] = (source, now + PENDING_S)
@@ -255,7 +188,9 @@
                 self.counts.add("opened_elsewhere")
                 self._log("flow", "opened elsewhere", key, now)
                 return [
-                    self._answer(_Kind.NOT_HELD, frame, source, frame.payload)
+                    answering.answer(
+                        _Kind.NOT_HELD, frame, source, frame.payload
+                    )
                 ]
             flow.settled = True
         flow.sender = source
@@ -276,38 +211,16 @@
         """Handles a packet of a flow that is not known here."""
         if segment.opens:
             return self._on_place(frame, source, now)
-        if self._knows_all(now):
+        if self.beginning.over(now):
             self.counts.add("not_held")
-            return [self._answer(_Kind.NOT_HELD, frame, source, frame.payload)]
+            return [
+                answering.answer(_Kind.NOT_HELD, frame, source, frame.payload)
+            ]
         self._flows.restore(frame.key, source, now)
         self._probe_by_key[frame.key] = (source, now + RETURN_S)
         self.counts.add("probed")
         return [outcomes.ToTarget(frame.payload)]
 
-    def _on_ask_held(
-        self, frame: frames.Frame, source: _Address, now: float
-    ) -> list[outcomes.Outcome]:
-        """Tells which of some flows the target holds."""
-        keys = frames.split_keys(frame.payload, len(frame.key))
-        if keys is None:
-            self.counts.add("malformed_frame")
-            return []
-        keys_by_kind: dict[frames.Kind, list[bytes]] = {}
-        for key in keys:
-            kind = self._belief(key, now)
-            keys_by_kind.setdefault(kind, []).append(key)
-        return [
-            self._answer(kind, frame, source, frames.join_keys(part))
-            for kind, part in keys_by_kind.items()
-        ]
-
-    def _belief(self, key: bytes, now: float) -> frames.Kind:
-        """Returns what to say of a flow that a balancer searches."""
-        flow = self._flows.by_key.get(key)
-        if flow is not None:
-            return _Kind.HELD if flow.confirmed else _Kind.UNSURE
-        return _Kind.ABSENT if self._knows_all(now) else _Kind.UNSURE
-
     # Packets of the target.
 
     def on_target_packet(
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -2,17 +2,16 @@
 
 import collections.abc
 
-import msgspec
-
 from clementinelead.relays import candidates
 from clementinelead.relays import directory
 from clementinelead.relays import formats
 from clementinelead.relays import frames
 from clementinelead.relays import outcomes
+from clementinelead.relays import pending
 from clementinelead.relays import routes
 from clementinelead.telemetry import counters
 
-__all__ = ["Placement", "Placer", "best"]
+__all__ = ["Placer"]
 
 ASKED = 4
 """Targets asked at once for a flow."""
@@ -29,22 +28,6 @@
 ACCEPT_S = 0.08
 """Time that a chosen target has to answer the opening packet, seconds."""
 
-FIRST_HOLD_S = 0.03
-"""Time after which the targets are asked again, seconds."""
-
-OTHER_ZONE_MS = 3
-"""What a target in another availability zone must be quicker, milliseconds.
-
-A round trip between zones.
-"""
-
-EQUAL_SHARE = 0.25
-"""Targets that need this much more than the best count as its equals.
-
-Loads are estimates; the flow's hash spreads flows among equals, so that none
-of them takes all while others idle.
-"""
-
 HOLD_GROWTH = 1.5
 """Factor between one such time and the next.
 
@@ -52,12 +35,6 @@
 free: theirs are the answers that can still be in time.
 """
 
-MAX_AGE_S = 1.2
-"""Time that a flow waits for a target at most, seconds.
-
-Callers give an attempt up after 1.4 s, and can try again if told before.
-"""
-
 COPY_S = 0.2
 """Time after which callers send a copy of an opening packet, seconds.
 
@@ -65,80 +42,6 @@
 """
 
 
-class Placement(msgspec.Struct):
-    """A new flow that no target has accepted yet.
-
-    Attributes:
-        route: Route of the flow.
-        service: Name of the service.
-        number: Number of the service.
-        packet: The opening packet.
-        acknowledgement: Of the opening packet, for a reset.
-        begun: When it arrived, seconds.
-        deadline: When to go on without what is missing, seconds.
-        asked: Targets that have been asked, in the flow's rendezvous order.
-        waiting: Targets that have been asked and may still answer in time.
-        silent: Targets that have not.
-        load_by_address: What the others have answered, milliseconds.
-        tried: Targets that the packet has been sent to.
-        busy: Targets that have answered that a new flow had better wait.
-        may_be_open: Whether the flow may have been opened before.
-        sent: Whether a target has had the packet, and may have answered.
-        chosen: The target that has it now.
-        hold_s: Time until the targets are asked again, seconds.
-    """
-
-    route: routes.Route
-    service: str
-    number: int
-    packet: bytes
-    begun: float
-    deadline: float
-    asked: list[tuple[str, int]]
-    waiting: set[tuple[str, int]]
-    load_by_address: dict[tuple[str, int], int]
-    tried: list[tuple[str, int]]
-    busy: set[tuple[str, int]]
-    may_be_open: bool = False
-    sent: bool = False
-    chosen: tuple[str, int] | None = None
-    hold_s: float = FIRST_HOLD_S
-    silent: set[tuple[str, int]] = msgspec.field(default_factory=set)
-
-    def overdue(self, now: float) -> bool:
-        """Tells whether the caller no longer waits, or soon won't."""
-        waited_s = now - self.begun
-        return waited_s >= min(MAX_AGE_S, self.route.timeout_ms / 1000)
-
-
-def best(
-    placement: Placement, near: frozenset[tuple[str, int]]
-) -> tuple[str, int] | None:
-    """Returns one of the targets soonest done of those that have answered.
-
-    Args:
-        placement: A placement.
-        near: Targets in the balancer's availability zone.
-
-    Returns:
-        Its address, or None if no untried one accepts.
-    """
-    cost_by_address = {
-        address: load + (0 if address in near else OTHER_ZONE_MS)
-        for address, load in placement.load_by_address.items()
-        if load != frames.NOT_ACCEPTING
-        and address not in placement.busy
-        and address not in placement.tried
-    }
-    if not cost_by_address:
-        return None
-    limit = min(cost_by_address.values()) * (1 + EQUAL_SHARE)
-    for address in placement.asked:
-        if cost_by_address.get(address, limit + 1) <= limit:
-            return address
-    raise AssertionError("only targets that were asked have answered")
-
-
 _Kind = frames.Kind
 _Address = tuple[str, int]
 _Search = collections.abc.Callable[
@@ -173,7 +76,7 @@
         self._counts = counts
         self._report = report
         self._search = search
-        self._placement_by_key: dict[bytes, Placement] = {}
+        self._placement_by_key: dict[bytes, pending.Placement] = {}
 
     @property
     def busy(self) -> bool:
@@ -186,7 +89,7 @@
         route: routes.Route,
         data: bytes,
         now: float,
-        known: bool,
+        may_be_open: bool,
     ) -> list[outcomes.Outcome]:
         """Begins to place a new flow.
 
@@ -195,16 +98,15 @@
             route: Route of the flow.
             data: The opening packet.
             now: Present time, seconds.
-            known: Whether the flow may be open: it was placed before, and its
-                target is silent now, or its packet may have waited long.
+            may_be_open: Whether the flow was placed before, and its target is
+                silent now, or its packet may have waited long.
         """
         key = segment.key
-        pending = self._placement_by_key.get(key)
-        if pending is not None:
+        if key in self._placement_by_key:
             self._counts.add("opening_repeated")
             return []
         service = route.service(key)
-        placement = Placement(
+        placement = pending.Placement(
             route=route,
             service=service,
             number=frames.service_number(service),
@@ -216,14 +118,14 @@
             load_by_address={},
             tried=[],
             busy=set(),
-            may_be_open=known or segment.repeated,
+            may_be_open=may_be_open or segment.repeated,
         )
         self._placement_by_key[key] = placement
         asked = self._ask_more(key, placement, now)
         return asked or self._decide_later(key, placement, now)
 
     def _ask_more(
-        self, key: bytes, placement: Placement, now: float
+        self, key: bytes, placement: pending.Placement, now: float
     ) -> list[outcomes.Outcome]:
         """Asks targets that have not been asked yet for this flow."""
         known = placement.waiting | placement.silent
@@ -279,10 +181,10 @@
         return []
 
     def _decide(
-        self, key: bytes, placement: Placement, now: float
+        self, key: bytes, placement: pending.Placement, now: float
     ) -> list[outcomes.Outcome]:
         """Sends the opening packet to the best target that has answered."""
-        address = best(placement, self._directory.near)
+        address = pending.best(placement, self._directory.near)
         if address is None:
             return self._decide_later(key, placement, now)
         placement.chosen = address
@@ -297,7 +199,7 @@
         return [outcomes.ToPeer(address, message)]
 
     def _decide_later(
-        self, key: bytes, placement: Placement, now: float
+        self, key: bytes, placement: pending.Placement, now: float
     ) -> list[outcomes.Outcome]:
         """Goes on where no target that has answered takes the flow now."""
         placement.chosen = None
@@ -319,7 +221,7 @@
         placement.hold_s *= HOLD_GROWTH
         return []
 
-    def _may_come(self, placement: Placement) -> bool:
+    def _may_come(self, placement: pending.Placement) -> bool:
         """Tells whether a target may soon take the flow.
 
         One that starts or has left a packet unanswered may, and so may those
@@ -355,7 +257,7 @@
         return sends
 
     def _overdue(
-        self, key: bytes, placement: Placement, now: float
+        self, key: bytes, placement: pending.Placement, now: float
     ) -> list[outcomes.Outcome]:
         if placement.overdue(now):
             return self._give_up(key, placement, now)
@@ -369,7 +271,7 @@
         return self._decide(key, placement, now)
 
     def _give_up(
-        self, key: bytes, placement: Placement, now: float
+        self, key: bytes, placement: pending.Placement, now: float
     ) -> list[outcomes.Outcome]:
         """Refuses a flow that no target takes; the caller hears at once.
 
@@ -412,7 +314,7 @@
     def _report_decision(
         self,
         key: bytes,
-        placement: Placement,
+        placement: pending.Placement,
         outcome: str,
         now: float,
     ) -> None:
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -9,16 +9,11 @@
 from clementinelead.relays import formats
 from clementinelead.relays import frames
 from clementinelead.relays import outcomes
+from clementinelead.relays import query_rounds
 from clementinelead.telemetry import counters
 
 __all__ = ["Found", "Search", "Searcher"]
 
-QUERY_DELAY_S = 0.002
-"""Shortest time that questions wait, so that flows share datagrams, seconds."""
-
-ANSWER_S = 0.06
-"""Time that the side processes have to answer, seconds."""
-
 PROBE_S = 0.06
 """Time that a target has to return a packet that is not its own, seconds."""
 
@@ -120,10 +115,7 @@
         self._report = report
         self._search_by_key: dict[bytes, Search] = {}
         self._unknown_until: dict[bytes, float] = {}
-        self._queries: dict[tuple[_Address, int], list[bytes]] = {}
-        self._queries_due = float("inf")
-        self._round: set[_Address] = set()
-        self._round_until = 0.0
+        self._rounds = query_rounds.QueryRounds(known)
 
     @property
     def asks_all(self) -> bool:
@@ -133,7 +125,7 @@
     @property
     def busy(self) -> bool:
         """Whether searches are under way."""
-        return bool(self._search_by_key or self._queries)
+        return bool(self._search_by_key) or self._rounds.pending
 
     def find(
         self,
@@ -177,13 +169,7 @@
             complete=complete or segment.opens,
         )
         self._search_by_key[key] = search
-        for owner in owners:
-            self._queries.setdefault(owner, []).append(key)
-        if not self._round or now >= self._round_until:
-            due = now + QUERY_DELAY_S
-            self._queries_due = min(self._queries_due, due)
-        else:
-            self._queries_due = self._round_until
+        self._rounds.add(key, owners, now)
         self._counts.add("searches")
         return []
 
@@ -228,47 +214,11 @@
             asked.append((address, number))
         return asked, waiting
 
-    def _flush_queries(self, now: float) -> list[outcomes.Outcome]:
-        """Asks for all flows whose search has begun since the last round.
-
-        The next round waits for the answers to this one: a balancer that
-        many packets of unknown flows reach, as after a loss of all, would
-        else spend its processor and link on questions alone.
-        """
-        sends: list[outcomes.Outcome] = []
-        for (address, number), keys in self._queries.items():
-            self._directory.responsive.asked(address, now)
-            for start in range(0, len(keys), frames.MAX_KEYS):
-                part = keys[start : start + frames.MAX_KEYS]
-                message = frames.encode(
-                    _Kind.ASK_HELD, number, part[0], frames.join_keys(part)
-                )
-                sends.append(outcomes.ToPeer(address, message))
-            for key in keys:
-                search = self._search_by_key.get(key)
-                if search is not None:
-                    search.deadline = now + ANSWER_S
-        self._round = {
-            address
-            for address, _ in self._queries
-            if not self._directory.abandoned(address, now)
-        }
-        self._round_until = now + ANSWER_S
-        self._queries.clear()
-        self._queries_due = float("inf")
-        return sends
-
-    def _end_round(self, source: _Address, now: float) -> None:
-        """Notes an answer; lets the next round begin after the last one."""
-        self._round.discard(source)
-        if not self._round and self._queries:
-            self._queries_due = now
-
     def on_held(
         self, frame: frames.Frame, source: _Address, now: float
     ) -> list[Found]:
         """Ends searches: a side process holds these flows."""
-        self._end_round(source, now)
+        self._rounds.answered(source, now)
         return [
             self._found(key, frame.service, source, now)
             for key in _keys(frame)
@@ -294,7 +244,7 @@
         self, frame: frames.Frame, source: _Address, now: float
     ) -> list[outcomes.Outcome]:
         """Takes the answer of a side process that knows of no such flow."""
-        self._end_round(source, now)
+        self._rounds.answered(source, now)
         sends: list[outcomes.Outcome] = []
         for key in _keys(frame):
             search = self._search_by_key.get(key)
@@ -380,9 +330,9 @@
 
     def on_tick(self, now: float) -> list[outcomes.Outcome]:
         """Sends questions that are due; goes on without missing answers."""
-        sends: list[outcomes.Outcome] = []
-        if now >= self._queries_due:
-            sends.extend(self._flush_queries(now))
+        sends, asked = self._rounds.flush(now)
+        for key in asked & self._search_by_key.keys():
+            self._search_by_key[key].deadline = now + query_rounds.ANSWER_S
         for key, search in list(self._search_by_key.items()):
             if now >= search.deadline:
                 search.complete = False
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -181,13 +181,17 @@
         return [outcomes.ToPeer(flow.owner(), message)]
 
     def _open(
-        self, segment: formats.Segment, data: bytes, now: float, known: bool
+        self,
+        segment: formats.Segment,
+        data: bytes,
+        now: float,
+        may_be_open: bool,
     ) -> list[outcomes.Outcome]:
         """Places a new flow, or refuses one that no route allows."""
         address = self._format.service_address(segment.key)
         route = self._by_address.get(address)
         if route is not None:
-            return self._placer.open(segment, route, data, now, known)
+            return self._placer.open(segment, route, data, now, may_be_open)
         if self.table.version == 0:
             self.counts.add("no_configuration")
             return []
--- a/clementinelead/relays/tests/network.py
+++ b/clementinelead/relays/tests/network.py
@@ -110,7 +110,7 @@
             self.now,
             self.milliseconds,
         )
-        new.first = first
+        new.beginning.first = first
         return new
 
     @property
--- a/clementinelead/relays/tests/test_placing.py
+++ b/clementinelead/relays/tests/test_placing.py
@@ -1,5 +1,5 @@
 from clementinelead.relays import frames
-from clementinelead.relays import placing
+from clementinelead.relays import pending
 from clementinelead.relays import routes
 from clementinelead.relays.tests import network
 from clementinelead.replays import packets
@@ -10,7 +10,7 @@
 
 def _placement(load_by_address, **fields):
     route = routes.Route("r", b"a", (routes.Share("s", 1),))
-    return placing.Placement(
+    return pending.Placement(
         route=route,
         service="s",
         number=1,
@@ -27,7 +27,7 @@
 
 def _best(load_by_address, **fields):
     placement = _placement(load_by_address, **fields)
-    return placing.best(placement, frozenset({NEAR}))
+    return pending.best(placement, frozenset({NEAR}))
 
 
 def test_soonest_done_is_chosen():
--- a/clementinelead/relays/tests/test_relaying.py
+++ b/clementinelead/relays/tests/test_relaying.py
@@ -5,8 +5,8 @@
 import pytest
 
 from clementinelead.relays import announcements
+from clementinelead.relays import beginnings
 from clementinelead.relays import frames
-from clementinelead.relays import holding
 from clementinelead.relays import searching
 from clementinelead.relays import steering
 from clementinelead.relays.tests import network
@@ -311,7 +311,7 @@
     net = network.Network(targets=1)
     net.restart_side(0, first=True)
     side = net.side_by_address[("side0", 1)]
-    born = side._started_ms - holding.BORN_MARGIN_MS + 1
+    born = net.milliseconds - beginnings.BORN_MARGIN_MS + 1
     side.heartbeat(
         announcements.Announcement(
             "new", born, 5, network.SERVICE, 2, False, 0.0
--- a/clementinelead/relays/tests/test_searching.py
+++ b/clementinelead/relays/tests/test_searching.py
@@ -7,7 +7,7 @@
 from clementinelead.relays import directory
 from clementinelead.relays import frames
 from clementinelead.relays import outcomes
-from clementinelead.relays import searching
+from clementinelead.relays import query_rounds
 from clementinelead.relays.tests import network
 
 BEGIN = 100.0
@@ -57,7 +57,7 @@
     _search(balancer, 1, BEGIN)
     _questions(balancer, BEGIN + 0.004)
     _search(balancer, 2, BEGIN + 0.005)
-    late = BEGIN + 0.004 + searching.ANSWER_S
+    late = BEGIN + 0.004 + query_rounds.ANSWER_S
     assert len(_questions(balancer, late)) == 3
 
 
@@ -66,9 +66,9 @@
     _search(balancer, 1, BEGIN)
     asked = _questions(balancer, BEGIN + 0.004)
     key = _search(balancer, 2, BEGIN + 0.005)
-    begun = BEGIN + 0.004 + searching.ANSWER_S
+    begun = BEGIN + 0.004 + query_rounds.ANSWER_S
     assert len(_questions(balancer, begun)) == 3
-    now = begun + 0.9 * searching.ANSWER_S
+    now = begun + 0.9 * query_rounds.ANSWER_S
     _questions(balancer, now)
     for address in asked[:-1]:
         _deny(balancer, key, address, now)
--- a/clementinelead/replays/relayed.py
+++ b/clementinelead/replays/relayed.py
@@ -64,7 +64,7 @@
         self.holding = holding.Holding(
             packets.Format(), SERVICE, _ignore, now, started_ms=0
         )
-        self.holding.first = True
+        self.holding.beginning.first = True
         self.announce(now)
 
     def announce(self, now: float) -> None:
