--- a/clementinelead/placements/tests/test_forwarding.py
+++ b/clementinelead/placements/tests/test_forwarding.py
@@ -2,25 +2,14 @@
 
 import socket
 
-from clementinelead.configurations import models
 from clementinelead.packets import headers
 from clementinelead.placements import forwarding
 from clementinelead.placements import tables
+from clementinelead.placements.tests import samples
 
 MOVED = "198.18.0.9:80"
 
 
-def _service(name, number, **fields):
-    return models.Service(
-        name=name,
-        team="consortium",
-        address=f"10.9.0.{number}",
-        port=43,
-        protocol="tcp",
-        **fields,
-    )
-
-
 def _packet(endpoint):
     """Returns an opening packet for an address."""
     address, port = endpoint.split(":")
@@ -44,16 +33,16 @@
 
 def test_all_addresses_of_a_service_lead_to_its_targets():
     forwarder = forwarding.Forwarder(lambda _: None)
-    service = _service("a", 1, more_addresses=MOVED)
+    service = samples.service("a", 1, more_addresses=MOVED)
     forwarder.update("a", service, _part(1), 1)
     assert [_side_of(forwarder, one) for one in service.endpoints] == [1, 1]
 
 
 def test_address_that_was_taken_away_leads_nowhere():
     forwarder = forwarding.Forwarder(lambda _: None)
-    service = _service("a", 1, more_addresses=MOVED)
+    service = samples.service("a", 1, more_addresses=MOVED)
     forwarder.update("a", service, _part(1), 1)
-    forwarder.update("a", _service("a", 1), _part(1), 2)
+    forwarder.update("a", samples.service("a", 1), _part(1), 2)
     assert _side_of(forwarder, MOVED) is None
     forwarder.update("a", None, (), 3)
     assert _side_of(forwarder, service.endpoints[0]) is None
@@ -63,12 +52,12 @@
 def test_address_moves_in_whatever_order_its_services_are_updated():
     for order in ("ab", "ba"):
         forwarder = forwarding.Forwarder(lambda _: None)
-        first = _service("a", 1, more_addresses=MOVED)
+        first = samples.service("a", 1, more_addresses=MOVED)
         forwarder.update("a", first, _part(1), 1)
-        forwarder.update("b", _service("b", 2), _part(2), 1)
+        forwarder.update("b", samples.service("b", 2), _part(2), 1)
         changed = {
-            "a": (_service("a", 1), _part(1)),
-            "b": (_service("b", 2, more_addresses=MOVED), _part(2)),
+            "a": (samples.service("a", 1), _part(1)),
+            "b": (samples.service("b", 2, more_addresses=MOVED), _part(2)),
         }
         for name in order:
             forwarder.update(name, *changed[name], 2)
--- a/clementinelead/placements/tests/test_shares.py
+++ b/clementinelead/placements/tests/test_shares.py
@@ -6,10 +6,10 @@
 from hypothesis import strategies
 import numpy as np
 
-from clementinelead.configurations.tests import fakes
 from clementinelead.placements import rendezvous
 from clementinelead.placements import tables
 from clementinelead.placements import targets
+from clementinelead.placements.tests import samples
 
 BUCKETS = 256
 DEPTH = 3
@@ -101,10 +101,10 @@
 
 def test_table_changes_with_the_targets_of_each_part():
     index = targets.ShareIndex()
-    split = fakes.service("a", 1, shares="a=1 b=1")
+    split = samples.service("a", 1, shares="a=1 b=1")
     index.update("a", split)
     assert index.concerned(frozenset({"b", "x"})) == {"a", "b", "x"}
-    index.update("a", fakes.service("a", 1))
+    index.update("a", samples.service("a", 1))
     assert index.concerned(frozenset({"b"})) == {"b"}
     index.update("a", split)
     index.update("a", None)
