--- a/bench/gossip_network.py
+++ b/bench/gossip_network.py
@@ -12,8 +12,10 @@
 
 from clementinelead.memberships import gossip
 from clementinelead.memberships import members
+from clementinelead.memberships import options
 from clementinelead.memberships import records
 from clementinelead.memberships import repairs
+from clementinelead.memberships import sends
 from clementinelead.messages import controls
 
 __all__ = ["GossipNetwork", "Link"]
@@ -62,7 +64,7 @@
         self.dead_seen: list[tuple[str, str]] = []
         self._zones = zones
         self._random = random.Random(seed)
-        self._options = gossip.Options(bytes_per_s=bytes_per_s)
+        self._options = options.Options(bytes_per_s=bytes_per_s)
         self._id_by_address: dict[tuple[str, int], str] = {}
         self._counter = itertools.count()
         self._queue: list[tuple[float, int, str, str, bytes]] = []
@@ -113,16 +115,16 @@
         if not known:
             others = [other for other in self.nodes if other != identifier]
             self._sync(identifier, self._random.choice(others))
-        sends, _ = node.announce(self.now)
-        self._post_all(identifier, sends)
+        messages, _ = node.announce(self.now)
+        self._post_all(identifier, messages)
         return identifier
 
     def leave(self, identifier: str) -> None:
         """Makes a node announce that it leaves."""
-        sends, _ = self.nodes[identifier].announce(
+        messages, _ = self.nodes[identifier].announce(
             self.now, state=records.State.LEAVING
         )
-        self._post_all(identifier, sends)
+        self._post_all(identifier, messages)
 
     def kill(self, identifier: str) -> None:
         """Ends a node without a word."""
@@ -143,9 +145,9 @@
         for identifier, node in list(self.nodes.items()):
             if identifier in self.paused:
                 continue
-            sends, changes = node.on_tick(self.now)
+            messages, changes = node.on_tick(self.now)
             self._note(identifier, changes)
-            self._post_all(identifier, sends)
+            self._post_all(identifier, messages)
 
     # Questions.
 
@@ -186,9 +188,9 @@
             node.forget_news()
         self._queue.clear()
 
-    def _post_all(self, sender: str, sends: list[gossip.Send]) -> None:
+    def _post_all(self, sender: str, messages: list[sends.Send]) -> None:
         node = self.nodes[sender]
-        for message in sends:
+        for message in messages:
             control = controls.Control(
                 sender=sender,
                 incarnation=node.own.incarnation,
@@ -222,9 +224,9 @@
         control = controls.decode(data)
         source = self.nodes.get(sender)
         address = source.own.control_address if source else ("", 0)
-        sends, changes = node.on_control(control, address, at)
+        messages, changes = node.on_control(control, address, at)
         self._note(receiver, changes)
-        self._post_all(receiver, sends)
+        self._post_all(receiver, messages)
         differs = control.digest != node.table.digest
         if self._repairs[receiver].due(differs, at) and source is not None:
             self.repairs += 1
--- a/bench/scenarios/slopes.py
+++ b/bench/scenarios/slopes.py
@@ -23,6 +23,7 @@
 from clementinelead.flows import registrations
 from clementinelead.flows import tables as flow_tables
 from clementinelead.memberships import gossip
+from clementinelead.memberships import options
 from clementinelead.memberships import records
 from clementinelead.messages import controls
 from clementinelead.placements import forwarding
@@ -146,7 +147,7 @@
 
 def _gossiper(count: int) -> gossip.Gossiper:
     node = gossip.Gossiper(
-        _record(10**6), (), gossip.Options(), random.Random(1), 0.0
+        _record(10**6), (), options.Options(), random.Random(1), 0.0
     )
     node.merge(tuple(_record(number) for number in range(count)), 0.0)
     return node
--- /dev/null
+++ b/clementinelead/memberships/former.py
@@ -0,0 +1,48 @@
+"""What peers tell of processes that are gone."""
+
+from clementinelead.memberships import records
+
+__all__ = ["Former"]
+
+
+class Former:
+    """Former processes that this one must reckon with.
+
+    Attributes:
+        predecessor: Last record known of the process that had this one's
+            identifier before, None if peers have told of none.
+        lost: Identifiers of side processes beside a target that peers had
+            declared dead before this one knew them. They may come back with
+            their flows.
+    """
+
+    def __init__(self) -> None:
+        self.predecessor: records.Record | None = None
+        self.lost: set[str] = set()
+
+    def note_predecessor(
+        self, record: records.Record, own: records.Record
+    ) -> None:
+        """Keeps the newest record of a former process of this name.
+
+        Args:
+            record: A record with the own identifier.
+            own: Record of this process.
+        """
+        if record.incarnation == own.incarnation:
+            return
+        if records.supersedes(record, self.predecessor):
+            self.predecessor = record
+
+    def note_ended(self, record: records.Record) -> None:
+        """Keeps whether a process that is not known here may come back.
+
+        Args:
+            record: Record of a process that has ended.
+        """
+        beside_target = record.state in (
+            records.State.READY,
+            records.State.DRAINING,
+        )
+        if record.role is records.Role.SIDE and beside_target:
+            self.lost.add(record.id)
--- /dev/null
+++ b/clementinelead/memberships/sends.py
@@ -0,0 +1,23 @@
+"""What the gossip decides to send."""
+
+import msgspec
+
+from clementinelead.memberships import records
+from clementinelead.messages import controls
+
+__all__ = ["UNTRACKED", "Send"]
+
+UNTRACKED = 0
+"""Number of a ping whose acknowledgement nobody waits for.
+
+Its sender knows nobody, or hopes for a sign of life; the answer carries the
+record of who answers.
+"""
+
+
+class Send(msgspec.Struct, frozen=True):
+    """A control message to send."""
+
+    address: tuple[str, int]
+    records: tuple[records.Record, ...]
+    body: controls.Body
--- a/clementinelead/memberships/tests/test_gossip.py
+++ b/clementinelead/memberships/tests/test_gossip.py
@@ -9,6 +9,7 @@
 from bench import gossip_network
 from clementinelead.memberships import gossip
 from clementinelead.memberships import members
+from clementinelead.memberships import options
 from clementinelead.memberships import records
 from clementinelead.memberships.tests import samples
 from clementinelead.memberships.tests import test_authentication
@@ -138,7 +139,7 @@
     restarted = gossip.Gossiper(
         dataclasses.replace(net.nodes["node-1"].own, incarnation=10**6),
         (seed.own.control_address,),
-        gossip.Options(),
+        options.Options(),
         random.Random(1),
         net.now,
     )
@@ -158,7 +159,7 @@
     restarted = gossip.Gossiper(
         dataclasses.replace(net.nodes["node-1"].own, incarnation=10**6),
         (seed.own.control_address,),
-        gossip.Options(),
+        options.Options(),
         random.Random(1),
         net.now,
     )
@@ -181,7 +182,7 @@
     starting = gossip.Gossiper(
         dataclasses.replace(net.nodes["node-1"].own, incarnation=10**6),
         (seed.control_address,),
-        gossip.Options(),
+        options.Options(),
         random.Random(1),
         net.now,
     )
@@ -198,7 +199,7 @@
     return gossip.Gossiper(
         dataclasses.replace(net.nodes[name].own, incarnation=10**6),
         (),
-        gossip.Options(),
+        options.Options(),
         random.Random(1),
         net.now,
     )
@@ -210,7 +211,7 @@
     starting = _restarted(net, "node-1")
     view = net.nodes["node-2"].table.by_id.values()
     starting.merge(tuple(view), net.now)
-    assert starting.predecessor == before
+    assert starting.former.predecessor == before
 
 
 def test_a_peer_that_knows_the_new_process_still_tells_of_the_old_one():
@@ -221,7 +222,7 @@
     table.merge(starting.own, net.now)
     told = (*table.by_id.values(), *table.predecessor_by_id.values())
     starting.merge(told, net.now)
-    assert starting.predecessor == before
+    assert starting.former.predecessor == before
     table.forget(net.now + members.RETURN_S)
     assert not table.predecessor_by_id
 
@@ -234,4 +235,4 @@
     idle = dataclasses.replace(dead, id="idle", state=records.State.COLD)
     left = dataclasses.replace(dead, id="left", state=records.State.LEAVING)
     starting.merge((dead, idle, left), 0.0)
-    assert starting.lost == {"gone"}
+    assert starting.former.lost == {"gone"}
--- a/clementinelead/processes/control_channel.py
+++ b/clementinelead/processes/control_channel.py
@@ -12,6 +12,7 @@
 from clementinelead.memberships import authentication
 from clementinelead.memberships import budgets
 from clementinelead.memberships import gossip
+from clementinelead.memberships import sends
 from clementinelead.messages import controls
 from clementinelead.telemetry import counters
 
@@ -82,7 +83,7 @@
         if self._transport is not None:
             self._transport.close()
 
-    def send(self, message: gossip.Send) -> None:
+    def send(self, message: sends.Send) -> None:
         """Seals and sends a message."""
         assert self._transport is not None, "the channel is not open"
         own = self._gossiper.own
--- a/clementinelead/processes/joining.py
+++ b/clementinelead/processes/joining.py
@@ -99,7 +99,7 @@
         """
         if not self.viewed and now < self._joined_at + ORIENTED_S:
             return True
-        predecessor = self._gossiper.predecessor
+        predecessor = self._gossiper.former.predecessor
         return predecessor is not None and not members.ended(predecessor)
 
     async def run(self) -> None:
--- a/clementinelead/processes/node.py
+++ b/clementinelead/processes/node.py
@@ -14,8 +14,10 @@
 from clementinelead.memberships import authentication
 from clementinelead.memberships import gossip
 from clementinelead.memberships import members
+from clementinelead.memberships import options
 from clementinelead.memberships import records
 from clementinelead.memberships import repairs
+from clementinelead.memberships import sends
 from clementinelead.messages import controls
 from clementinelead.processes import control_channel
 from clementinelead.processes import peers
@@ -90,7 +92,7 @@
         self.gossiper = gossip.Gossiper(
             own,
             _seeds(node, cluster),
-            gossip.Options(bytes_per_s=cluster.bytes_per_s),
+            options.Options(bytes_per_s=cluster.bytes_per_s),
             self.random,
             now,
         )
@@ -190,14 +192,14 @@
     def announce(self, **fields: object) -> None:
         """Raises the own record and pushes it to others."""
         now = time.monotonic()
-        sends, change = self.gossiper.announce(now, **fields)
-        self.send_all(sends)
+        messages, change = self.gossiper.announce(now, **fields)
+        self.send_all(messages)
         if change is not None:
             self._subscriber.on_members([change], now)
 
-    def send_all(self, sends: collections.abc.Iterable[gossip.Send]) -> None:
+    def send_all(self, messages: collections.abc.Iterable[sends.Send]) -> None:
         """Sends control messages."""
-        for message in sends:
+        for message in messages:
             self.channel.send(message)
 
     def balancers(self) -> list[records.Record]:
@@ -245,8 +247,8 @@
             self._tick(time.monotonic())
 
     def _tick(self, now: float) -> None:
-        sends, changes = self.gossiper.on_tick(now)
-        self.send_all(sends)
+        messages, changes = self.gossiper.on_tick(now)
+        self.send_all(messages)
         if changes:
             self._subscriber.on_members(changes, now)
         if self.gossiper.duplicate_identifier:
@@ -261,8 +263,8 @@
         self, control: controls.Control, source: tuple[str, int]
     ) -> None:
         now = time.monotonic()
-        sends, changes = self.gossiper.on_control(control, source, now)
-        self.send_all(sends)
+        messages, changes = self.gossiper.on_control(control, source, now)
+        self.send_all(messages)
         if changes:
             self._subscriber.on_members(changes, now)
         if control.revision > self.adopted.revision and not self._following:
@@ -318,7 +320,7 @@
         others = self.gossiper.peers()
         count = min(self.gossiper.options.fanout, len(others))
         self.send_all(
-            gossip.Send(peer.control_address, (), controls.Nothing())
+            sends.Send(peer.control_address, (), controls.Nothing())
             for peer in self.random.sample(others, count)
         )
 
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -186,7 +186,7 @@
         if self.node.joining.joined and not self._settling:
             self._settling = True
             self._completeness.on_joined(now)
-            if self.node.gossiper.lost:
+            if self.node.gossiper.former.lost:
                 self._completeness.on_died(now)
         count = self._side_count
         count.complete = self._completeness.reached(now)
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -12,8 +12,10 @@
 from clementinelead.memberships import authentication
 from clementinelead.memberships import gossip
 from clementinelead.memberships import members
+from clementinelead.memberships import options
 from clementinelead.memberships import records
 from clementinelead.memberships import repairs
+from clementinelead.memberships import sends
 from clementinelead.memberships import watchers
 from clementinelead.messages import controls
 from clementinelead.processes import control_channel
@@ -99,7 +101,7 @@
         self.gossiper = gossip.Gossiper(
             own,
             tuple((seed, settings.control_port) for seed in others),
-            gossip.Options(),
+            options.Options(),
             self.random,
             now,
         )
@@ -175,8 +177,8 @@
     def announce(self, **fields: object) -> None:
         """Raises the own record and pushes it to others."""
         now = time.monotonic()
-        sends, change = self.gossiper.announce(now, **fields)
-        for message in sends:
+        messages, change = self.gossiper.announce(now, **fields)
+        for message in messages:
             self._channel.send(message)
         if len(self.gossiper.table.by_id) <= DIRECT_MEMBERS:
             for peer in self.gossiper.peers():
@@ -188,7 +190,7 @@
     def _tell(self, peer: records.Record) -> None:
         """Sends the own record to a peer."""
         self._channel.send(
-            gossip.Send(
+            sends.Send(
                 peer.control_address,
                 (self.gossiper.own,),
                 controls.Nothing(),
@@ -303,8 +305,8 @@
         while True:
             await asyncio.sleep(TICK_S)
             now = time.monotonic()
-            sends, changes = self.gossiper.on_tick(now)
-            for message in sends:
+            messages, changes = self.gossiper.on_tick(now)
+            for message in messages:
                 self._channel.send(message)
             self._take(changes, now)
             if self.gossiper.duplicate_identifier:
@@ -316,8 +318,8 @@
         self, control: controls.Control, source: tuple[str, int]
     ) -> None:
         now = time.monotonic()
-        sends, changes = self.gossiper.on_control(control, source, now)
-        for message in sends:
+        messages, changes = self.gossiper.on_control(control, source, now)
+        for message in messages:
             self._channel.send(message)
         self._take(changes, now)
         if self.routes.begin_following(control.revision):
--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -259,7 +259,7 @@
         if first is self.holding.beginning.first:
             return
         self.holding.beginning.first = first
-        predecessor = self.node.gossiper.predecessor
+        predecessor = self.node.gossiper.former.predecessor
         loguru.logger.bind(
             first=first,
             viewed=self.node.joining.viewed,
--- a/clementinelead/processes/route_exchange.py
+++ b/clementinelead/processes/route_exchange.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from clementinelead.memberships import gossip
+from clementinelead.memberships import sends
 from clementinelead.messages import controls
 from clementinelead.processes import http_site
 from clementinelead.processes import peer_exchange
@@ -37,7 +38,7 @@
         site: http_site.HttpSite,
         http_port: int,
         generator: random.Random,
-        send: collections.abc.Callable[[gossip.Send], None],
+        send: collections.abc.Callable[[sends.Send], None],
         on_routes: collections.abc.Callable[[routes.RoutingTable, float], None],
     ):
         """Begins without routes.
@@ -89,9 +90,7 @@
         others = self._gossiper.peers()
         count = min(self._gossiper.options.fanout, len(others))
         for peer in self._random.sample(others, count):
-            self._send(
-                gossip.Send(peer.control_address, (), controls.Nothing())
-            )
+            self._send(sends.Send(peer.control_address, (), controls.Nothing()))
 
     async def fetch(self, host: str) -> None:
         """Takes over a peer's routes if they are newer.
