Specify the relays' searches and resets, with three faulty variants

A bounded model of restarts, freezes, deaths and searches with two side processes and a balancer: a flow is not reset while its target holds it (12 steps). A variant that ends a search without all answers is found too.

--- a/tests/test_specifications.py
+++ b/tests/test_specifications.py
@@ -5,6 +5,7 @@
 from specs import bounded
 from specs import head
 from specs import ownership
+from specs import relays
 
 DEPTH = 10
 
@@ -31,3 +32,15 @@
 def test_ownership_without_one_of_its_rules_fails(rule):
     broken = ownership.specification(**{rule: False})
     assert bounded.counterexample(broken, 14) is not None
+
+
+def test_an_open_flow_before_targets_that_answer_is_never_reset():
+    assert bounded.counterexample(relays.specification(), 12) is None
+
+
+@pytest.mark.parametrize(
+    "rule", ["asks_predecessor", "minds_the_dead", "waits_for_all"]
+)
+def test_relays_without_one_of_their_rules_reset_an_open_flow(rule):
+    broken = relays.specification(**{rule: False})
+    assert bounded.counterexample(broken, 12) is not None
