Let a removed service's open flows go on, and refuse new ones

Now its entry stays in the store with the time at which it may go (its drain_bound_s after the removal), until the first change after that; processes forward and deliver its flows, and its targets refuse new ones. It ends at once if its name or address is given away.

--- a/bench/run.py
+++ b/bench/run.py
@@ -14,6 +14,7 @@
 from bench.scenarios import loads
 from bench.scenarios import memberships
 from bench.scenarios import relays
+from bench.scenarios import services
 from bench.scenarios import slopes
 
 __all__ = ["SCENARIOS", "main"]
@@ -41,8 +42,9 @@
     "pause": changes.pause,
     "race": configs.race,
     "relays": relays.relays,
+    "removal": services.removal,
     "rolling": changes.rolling,
-    "shares": changes.shares,
+    "shares": services.shares,
     "slopes": slopes.slopes,
     "steady": loads.steady,
     "throughput": _throughput,
--- a/bench/scenarios/changes.py
+++ b/bench/scenarios/changes.py
@@ -1,7 +1,6 @@
 """Planned changes and failures under long flows."""
 
 import dataclasses
-import math
 import signal
 import time
 
@@ -11,12 +10,12 @@
 from bench.scenarios import loads
 
 __all__ = [
+    "NEW_WORK_BOUND_S",
     "crash",
     "drain",
     "liars",
     "pause",
     "rolling",
-    "shares",
     "udp",
     "uneven",
 ]
@@ -24,17 +23,15 @@
 SPEEDS = (1.0, 1.0, 2.0, 2.0)
 NEW_WORK_BOUND_S = 2.0
 PAUSE_S = 30.0
-_SHARE = 0.25
-_SHARE_SIGMAS = 3.0
 
 
-def _group() -> clusters.Group:
+def group() -> clusters.Group:
     return clusters.Group(
         "feeds", "10.9.0.3", 443, SPEEDS, slots=4, slot_hold_s=1.0
     )
 
 
-def _plans(
+def plans(
     service: clusters.Group, parts: int, rate: float = 6.0
 ) -> list[dict[str, object]]:
     """Returns long feeds and short requests to the same service."""
@@ -46,7 +43,7 @@
 
 
 def _started(seed: int, balancers: int = 3) -> clusters.Cluster:
-    cluster = clusters.Cluster([_group()], balancers, seed)
+    cluster = clusters.Cluster([group()], balancers, seed)
     try:
         cluster.start()
         time.sleep(1.0)
@@ -75,7 +72,7 @@
     """A target drains under feeds of 10 s, and comes back; a balancer stops."""
     cluster = _started(seed)
     try:
-        cluster.start_callers(_plans(_group(), 20), 16.0, "callers")
+        cluster.start_callers(plans(group(), 20), 16.0, "callers")
         time.sleep(4.0)
         began = time.time()
         cluster.operate("drain", "feeds-2", "--bound=120", "--reason=bench")
@@ -111,7 +108,7 @@
         if time.time() > deadline:
             return False
         time.sleep(0.1)
-    cluster.start_callers(_plans(_group(), 2), 4.0, "callers-again")
+    cluster.start_callers(plans(group(), 2), 4.0, "callers-again")
     cluster.wait("callers-again", 120.0)
     return _late_work(cluster, target, began) > 0.0
 
@@ -120,7 +117,7 @@
     """Every side process, balancer and target is replaced under feeds."""
     cluster = _started(seed)
     try:
-        cluster.start_callers(_plans(_group(), 30), 40.0, "callers")
+        cluster.start_callers(plans(group(), 30), 40.0, "callers")
         time.sleep(2.0)
         for target in cluster.targets:
             cluster.stop(target.id)
@@ -158,66 +155,6 @@
     return True
 
 
-def shares(seed: int) -> results.Result:
-    """A second set of targets takes a share of a service, then all of it."""
-    old = _group()
-    new = dataclasses.replace(old, service="feeds-next", address="10.9.0.4")
-    cluster = clusters.Cluster([old, new], 3, seed)
-    try:
-        cluster.start()
-        time.sleep(1.0)
-        cluster.start_callers(_plans(old, 20), 24.0, "callers")
-        time.sleep(4.0)
-        split_at = _share(cluster, "feeds=3 feeds-next=1")
-        time.sleep(8.0)
-        moved_at = _share(cluster, "feeds=0 feeds-next=1")
-        cluster.wait("callers", 120.0)
-        opened = _openings(cluster)
-        settled_at = split_at + NEW_WORK_BOUND_S
-        between = [name for name, at in opened if settled_at <= at < moved_at]
-        share = between.count(new.service) / max(1, len(between))
-        margin = _SHARE_SIGMAS * math.sqrt(
-            _SHARE * (1 - _SHARE) / max(1, len(between))
-        )
-        late = max(
-            [0.0, *(at - moved_at for name, at in opened if name == "feeds")]
-        )
-        missed = [] if late <= NEW_WORK_BOUND_S else ["last_new_flow_s"]
-        if abs(share - _SHARE) > margin:
-            missed.append("share")
-        extra = {
-            "share": round(share, 3),
-            "share_of_flows": len(between),
-            "last_new_flow_s": round(late, 2),
-        }
-        parts = {old.service: frozenset({new.service})}
-        found = audits.audit(cluster.folder, loads.speeds(cluster), parts)
-        return results.of_audit(found, extra, missed)
-    finally:
-        cluster.close()
-
-
-def _share(cluster: clusters.Cluster, text: str) -> float:
-    """Changes the shares of the feeds; returns when that was accepted."""
-    done = cluster.operate("change", "feeds", f"shares={text}", "--reason=b")
-    if done.returncode != 0:
-        raise RuntimeError(f"change: {done.stdout}{done.stderr}")
-    return time.time()
-
-
-def _openings(cluster: clusters.Cluster) -> list[tuple[str, float]]:
-    """Returns the service of the target, and the time, of each new flow."""
-    service_by_target = {one.id: one.service for one in cluster.targets}
-    return [
-        (service_by_target[target], line["time"])
-        for target in service_by_target
-        for line in audits.read_lines(
-            [cluster.folder / f"target-{target}.jsonl"]
-        )
-        if line["event"] == "open"
-    ]
-
-
 def uneven(seed: int) -> results.Result:
     """A balancer is several views behind, then hears of all at once."""
     cluster = _started(seed)
@@ -226,7 +163,7 @@
         for number in (4, 5, 6)
     ]
     try:
-        cluster.start_callers(_plans(_group(), 24), 24.0, "callers")
+        cluster.start_callers(plans(group(), 24), 24.0, "callers")
         time.sleep(3.0)
         for target in added:
             cluster.signal("balancer-0", signal.SIGSTOP)
@@ -249,7 +186,7 @@
     """A side process is paused for 30 s and resumed."""
     cluster = _started(seed)
     try:
-        cluster.start_callers(_plans(_group(), 30, rate=3.0), 10.0, "callers")
+        cluster.start_callers(plans(group(), 30, rate=3.0), 10.0, "callers")
         time.sleep(6.0)
         cluster.signal("feeds-3", signal.SIGSTOP)
         time.sleep(PAUSE_S)
@@ -264,7 +201,7 @@
     """A side process, a balancer and a target with its side process die."""
     cluster = _started(seed)
     try:
-        cluster.start_callers(_plans(_group(), 16), 16.0, "callers")
+        cluster.start_callers(plans(group(), 16), 16.0, "callers")
         time.sleep(4.0)
         cluster.kill("feeds-1")
         cluster.start_side(cluster.targets[1])
--- a/clementinelead/administration/api.py
+++ b/clementinelead/administration/api.py
@@ -251,7 +251,10 @@
 
 def _shown(entry: models.Entry) -> dict[str, typing.Any]:
     content = entry.service.model_dump(mode="json")
-    return {**content, "by_hand": sorted(entry.by_hand)}
+    shown = {**content, "by_hand": sorted(entry.by_hand)}
+    if entry.ends_at is not None:
+        shown["ends_at"] = entry.ends_at
+    return shown
 
 
 def _error(
--- a/clementinelead/configurations/drafts.py
+++ b/clementinelead/configurations/drafts.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from clementinelead.configurations import chunks
+from clementinelead.configurations import endings
 from clementinelead.configurations import models
 
 __all__ = ["Draft", "Write", "edited", "written"]
@@ -145,9 +146,11 @@
     old = configuration.index
     revision = configuration.revision + 1
     contents: dict[str, bytes] = {}
+    ending = endings.ending(configuration, draft.entry_by_name, author)
+    stored = {**ending, **draft.entry_by_name}
     chunk_digests = _chunk_digests(
-        draft.entry_by_name,
-        configuration.entry_by_name,
+        stored,
+        configuration.stored_by_name,
         old.chunks,
         revision,
         contents,
@@ -164,9 +167,7 @@
     patch = models.Patch(
         revision=revision,
         previous=configuration.head.patch,
-        entries=_changed_entries(
-            draft.entry_by_name, configuration.entry_by_name
-        ),
+        entries=_changed_entries(stored, configuration.stored_by_name),
         drains=draft.drains,
         author=author,
     )
--- a/clementinelead/configurations/models.py
+++ b/clementinelead/configurations/models.py
@@ -188,16 +188,19 @@
 
 
 class Entry(_Frozen):
-    """A service in force, and which fields were changed by hand.
+    """A service, and which fields were changed by hand.
 
     Attributes:
         service: The service.
+        ends_at: Time after which a removed service's open flows may be cut,
+            seconds since 1970; None while it is in force.
         by_hand: Author by field changed since the last sheet; the field
             ``*`` stands for a service that was added by hand.
     """
 
     service: Service
     by_hand: dict[str, Author] = {}
+    ends_at: float | None = None
 
 
 class Drain(_Frozen):
@@ -265,7 +268,7 @@
     """Where everything is.
 
     Attributes:
-        chunks: Digest by chunk number of the entries in force.
+        chunks: Digest by chunk number of the entries in force or ending.
         sheet: Digest by chunk number of the sheet last applied.
         drains: Targets that are leaving, by identifier.
         removed: Author by name of the services removed by hand since the last
@@ -318,15 +321,22 @@
     Attributes:
         head: Its head.
         index: Its index.
-        entry_by_name: Its services.
+        entry_by_name: Its services in force.
+        ending_by_name: Removed services whose open flows go on.
         sheet_by_name: The services of the sheet last applied.
     """
 
     head: Head = Head()
     index: Index = Index()
     entry_by_name: dict[str, Entry] = {}
+    ending_by_name: dict[str, Entry] = {}
     sheet_by_name: dict[str, Entry] = {}
 
+    @property
+    def stored_by_name(self) -> dict[str, Entry]:
+        """All services that the store holds."""
+        return {**self.ending_by_name, **self.entry_by_name}
+
     @property
     def revision(self) -> int:
         """Its revision."""
--- a/clementinelead/configurations/repositories.py
+++ b/clementinelead/configurations/repositories.py
@@ -153,10 +153,20 @@
         if not head.index:
             return models.Configuration(head=head), modification
         index = await self._value(head.index, models.Index)
+        stored = await self._entries(index.chunks)
         whole = models.Configuration(
             head=head,
             index=index,
-            entry_by_name=await self._entries(index.chunks),
+            entry_by_name={
+                name: entry
+                for name, entry in stored.items()
+                if entry.ends_at is None
+            },
+            ending_by_name={
+                name: entry
+                for name, entry in stored.items()
+                if entry.ends_at is not None
+            },
             sheet_by_name=await self._entries(index.sheet),
         )
         return whole, modification
--- a/clementinelead/flows/decisions.py
+++ b/clementinelead/flows/decisions.py
@@ -79,6 +79,7 @@
         self._beliefs = beliefs.LoadBeliefs()
         self._view_by_service: dict[str, views.ServiceView] = {}
         self._service_by_address: dict[bytes, str] = {}
+        self._ending: frozenset[str] = frozenset()
         self._name_by_id: dict[int, str] = {}
         self._distrust_until = 0.0
         self._dead_owners: frozenset[str] = frozenset()
@@ -357,11 +358,11 @@
         self, request: requests.Request, now: float
     ) -> outcomes.Outcome:
         """Accepts a new flow if there is room, else passes it on."""
-        acceptance = self._acceptance(now, last_resort=False)
+        acceptance = self._acceptance(request, now, last_resort=False)
         if acceptance.allowed:
             return self._open(request, acceptance, now)
         request = request.passed_over(self.me.id, acceptance.reason)
-        completion = self._completion_ms(now)
+        completion = self._completion_ms(request, now)
         if request.envelope.position == 0:
             request = self._arranged(request, now)
             least = self._beliefs.least(request.route, completion, now)
@@ -401,21 +402,25 @@
 
     def _final(self, request: requests.Request, now: float) -> outcomes.Outcome:
         """Accepts or refuses as the last one asked."""
-        acceptance = self._acceptance(now, last_resort=True)
+        acceptance = self._acceptance(request, now, last_resort=True)
         if acceptance.allowed:
             return self._open(request, acceptance, now)
         return self._refuse(request, acceptance.reason)
 
-    def _acceptance(self, now: float, last_resort: bool) -> loads.Acceptance:
+    def _acceptance(
+        self, request: requests.Request, now: float, last_resort: bool
+    ) -> loads.Acceptance:
         if self.recovering:
             return loads.Acceptance(False, "recovering")
         if self.state not in _ACCEPTING_STATES:
             return loads.Acceptance(False, self.state)
+        if request.route.service in self._ending:
+            return loads.Acceptance(False, "service removed")
         return self.load.acceptance(now, last_resort)
 
-    def _completion_ms(self, now: float) -> int:
+    def _completion_ms(self, request: requests.Request, now: float) -> int:
         """Returns the expected completion of a new flow, if one may come."""
-        if not self._acceptance(now, last_resort=True).allowed:
+        if not self._acceptance(request, now, last_resort=True).allowed:
             return loads.NO_LOAD_MS
         return self.load.completion_ms(now)
 
@@ -478,13 +483,16 @@
         addresses_by_service: collections.abc.Mapping[
             str, collections.abc.Set[bytes]
         ],
+        ending: frozenset[str] = frozenset(),
     ) -> None:
         """Takes over the addresses of the services that the target serves.
 
         Args:
             addresses_by_service: ``headers.service_key`` of each address of
                 each service.
+            ending: Those that were removed: they take no new flow.
         """
+        self._ending = ending
         self._service_by_address = {
             address: name
             for name, addresses in addresses_by_service.items()
--- a/clementinelead/flows/tests/test_decisions.py
+++ b/clementinelead/flows/tests/test_decisions.py
@@ -316,3 +316,17 @@
     assert side.decider.flows.by_key[key_of(2000)].state == "closing"
     assert side.decider.load.held == 0
     assert side.decider.load.working == 0
+
+
+def test_removed_service_keeps_its_flows_and_refuses_new_ones(net):
+    owner = opened(net, 2000)
+    address = headers.service_key(network.ADDRESS, network.PORT, "tcp")
+    for side in net.side_by_name.values():
+        side.decider.on_services(
+            {network.SERVICE: {address}}, frozenset({network.SERVICE})
+        )
+    assert delivered_to(net, 2000) == [owner]
+    net.send(network.packet(2001))
+    net.run()
+    assert not net.owners(key_of(2001))
+    assert len(net.refused) == 1
--- a/clementinelead/processes/config_watch.py
+++ b/clementinelead/processes/config_watch.py
@@ -68,6 +68,6 @@
                 return
         whole, _ = await self._repository.configuration()
         taken = adopted.offer_whole(
-            whole.revision, whole.entry_by_name, whole.index.drains
+            whole.revision, whole.stored_by_name, whole.index.drains
         )
         self._node.adopt(taken, "store")
--- a/clementinelead/processes/operator.py
+++ b/clementinelead/processes/operator.py
@@ -384,6 +384,10 @@
                 name: author.model_dump(mode="json")
                 for name, author in configuration.index.removed.items()
             },
+            "ending": {
+                name: entry.ends_at
+                for name, entry in configuration.ending_by_name.items()
+            },
             "draining": {
                 name: drain.model_dump(mode="json")
                 for name, drain in configuration.index.drains.items()
--- a/clementinelead/processes/operator_output.py
+++ b/clementinelead/processes/operator_output.py
@@ -72,6 +72,12 @@
         for name, author in sorted(configuration.index.removed.items())
     ]
     print("\n".join(lines) or "  nothing")
+    print("Ending, no new flows:")
+    ending = [
+        f"  {name} until {entry.ends_at:.0f} s or the next change after that"
+        for name, entry in sorted(configuration.ending_by_name.items())
+    ]
+    print("\n".join(ending) or "  nothing")
     print("Draining:")
     drains = [
         f"  {name}, keeps flows for {_bound_text(drain)}"
--- a/clementinelead/processes/side.py
+++ b/clementinelead/processes/side.py
@@ -285,7 +285,12 @@
             {
                 name: entry.service.endpoint_by_key.keys()
                 for name, entry in entries.items()
-            }
+            },
+            frozenset(
+                name
+                for name, entry in entries.items()
+                if entry.ends_at is not None
+            ),
         )
         self._follow(
             {
