--- a/bench/clusters.py
+++ b/bench/clusters.py
@@ -9,62 +9,20 @@
 import sys
 import tempfile
 import time
-import urllib.error
-import urllib.request
 
+from bench import groups
+from bench import pages
 from bench import ports
 
-__all__ = ["Cluster", "Group", "TargetSpec"]
+__all__ = ["Cluster"]
 
 CALLER_ADDRESSES = ("127.20.0.1", "127.20.0.2", "127.20.0.3", "127.20.0.4")
 ZONES = ("north-a", "north-b", "north-c", "north-d")
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 40.0
-HTTP_TIMEOUT_S = 2.0
 START_MARGIN_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True)
-class TargetSpec:
-    """One target and its side process."""
-
-    id: str
-    service: str
-    speed: float
-    slots: int
-    weight: float
-
-
-@dataclasses.dataclass(frozen=True)
-class Group:
-    """A service and its targets."""
-
-    service: str
-    address: str
-    port: int
-    speeds: tuple[float, ...]
-    slots: int = 2
-    protocol: str = "tcp"
-    policy: str = "hunting"
-    candidates: int = 7
-    max_wait_s: float = 5.0
-    slot_hold_s: float = 0.0
-    known_speeds: bool = True
-
-    def targets(self) -> list[TargetSpec]:
-        """Returns the targets of the service."""
-        return [
-            TargetSpec(
-                f"{self.service}-{number}",
-                self.service,
-                speed,
-                self.slots,
-                speed if self.known_speeds else 1.0,
-            )
-            for number, speed in enumerate(self.speeds)
-        ]
-
-
 @dataclasses.dataclass
 class _Process:
     process: subprocess.Popen[bytes]
@@ -76,13 +34,13 @@
 
     def __init__(
         self,
-        groups: list[Group],
+        services: list[groups.Group],
         balancers: int,
         seed: int,
         cold_start_s: float = 0.0,
     ):
         self.address = ports.loopback()
-        self.groups = groups
+        self.groups = services
         self.seed = seed
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="clementinelead-"))
         self.balancers = [f"balancer-{number}" for number in range(balancers)]
@@ -103,7 +61,7 @@
             self._assign(identifier)
 
     @property
-    def targets(self) -> list[TargetSpec]:
+    def targets(self) -> list[groups.TargetSpec]:
         """All targets."""
         return [target for group in self.groups for target in group.targets()]
 
@@ -184,7 +142,7 @@
             str(self._settings_by_id[identifier]),
         )
 
-    def start_target(self, target: TargetSpec) -> None:
+    def start_target(self, target: groups.TargetSpec) -> None:
         """Starts a stand-in target."""
         if target.id not in self._target_port_by_id:
             self._target_port_by_id[target.id] = (
@@ -206,7 +164,7 @@
             f"--speed={target.speed}",
         )
 
-    def start_side(self, target: TargetSpec) -> None:
+    def start_side(self, target: groups.TargetSpec) -> None:
         """Starts the side process of a target."""
         if target.id not in self._settings_by_id:
             self._assign(target.id)
@@ -220,7 +178,7 @@
     def shed(self, identifier: str, **report: object) -> None:
         """Makes a target's load report say what is given."""
         _, http_port = self._target_port_by_id[identifier]
-        _put_json(f"http://{self.address}:{http_port}/shedding", report)
+        pages.put_json(f"http://{self.address}:{http_port}/shedding", report)
 
     def start_callers(
         self, plans: list[dict[str, object]], seconds: float, name: str
@@ -277,17 +235,17 @@
 
     def set_faults(self, **faults: object) -> None:
         """Switches the store's faults."""
-        _put_json(f"{self.store_url}/faults", faults)
+        pages.put_json(f"{self.store_url}/faults", faults)
 
     def store_calls(self) -> dict[str, int]:
         """Returns the store's calls by kind."""
-        calls = _get_json(f"{self.store_url}/calls")
+        calls = pages.get_json(f"{self.store_url}/calls")
         return {kind: int(str(number)) for kind, number in calls.items()}
 
     def status(self, identifier: str) -> dict[str, object]:
         """Returns what a process says of itself, empty if nothing."""
         port = self.http_port_by_id[identifier]
-        return _get_json(f"http://{self.address}:{port}/status")
+        return pages.get_json(f"http://{self.address}:{port}/status")
 
     def settings_path(self, identifier: str) -> pathlib.Path:
         """Returns the settings file of a process."""
@@ -310,7 +268,9 @@
             self._check_alive()
             for identifier in list(waiting):
                 status = self.status(identifier)
-                if status.get("ready") and expected <= _ready_targets(status):
+                if status.get("ready") and expected <= pages.ready_targets(
+                    status
+                ):
                     waiting.discard(identifier)
             if time.monotonic() > deadline:
                 raise RuntimeError(f"not serving: {sorted(waiting)}")
@@ -411,7 +371,7 @@
         text += "[forwarding]\nstop_delay_s = 1\n"
         self._write(identifier, text)
 
-    def _write_side(self, target: TargetSpec) -> None:
+    def _write_side(self, target: groups.TargetSpec) -> None:
         port, http_port = self._target_port_by_id[target.id]
         text = self._common(target.id)
         text += (
@@ -437,45 +397,7 @@
 
     def _wait_http(self, url: str) -> None:
         deadline = time.monotonic() + READY_TIMEOUT_S
-        while not _answers(url):
+        while not pages.answers(url):
             if time.monotonic() > deadline:
                 raise RuntimeError(f"no answer from {url}")
             time.sleep(0.05)
-
-
-def _answers(url: str) -> bool:
-    try:
-        with urllib.request.urlopen(url, timeout=HTTP_TIMEOUT_S):
-            return True
-    except (urllib.error.URLError, OSError):
-        return False
-
-
-def _put_json(url: str, content: dict[str, object]) -> None:
-    request = urllib.request.Request(
-        url,
-        data=json.dumps(content).encode(),
-        method="PUT",
-        headers={"Content-Type": "application/json"},
-    )
-    with urllib.request.urlopen(request, timeout=HTTP_TIMEOUT_S):
-        pass
-
-
-def _get_json(url: str) -> dict[str, object]:
-    try:
-        with urllib.request.urlopen(url, timeout=HTTP_TIMEOUT_S) as response:
-            content: dict[str, object] = json.loads(response.read())
-            return content
-    except (urllib.error.URLError, OSError, ValueError):
-        return {}
-
-
-def _ready_targets(status: dict[str, object]) -> set[str]:
-    members = status.get("members", [])
-    assert isinstance(members, list), "a status lists its members"
-    return {
-        str(member["id"])
-        for member in members
-        if member["role"] == "side" and member["state"] in ("cold", "ready")
-    }
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -10,21 +10,22 @@
 
 from bench import audits
 from bench import clusters
+from bench import groups
 
 SECONDS = 10.0
 SEED = 1
 
 GROUPS = [
-    clusters.Group(
+    groups.Group(
         "lookups", "10.9.0.1", 43, (1.0, 1.0, 1.0, 2.0, 2.0, 4.0, 4.0)
     ),
-    clusters.Group(
+    groups.Group(
         "exports", "10.9.0.2", 80, (1.0, 1.0, 2.0, 2.0), slot_hold_s=1.0
     ),
 ]
 
 
-def plan(group: clusters.Group, **fields: object) -> dict[str, object]:
+def plan(group: groups.Group, **fields: object) -> dict[str, object]:
     """Returns a callers' plan for a service, with defaults."""
     base: dict[str, object] = {
         "service": group.service,
--- a/bench/scenarios/changes.py
+++ b/bench/scenarios/changes.py
@@ -6,6 +6,7 @@
 
 from bench import audits
 from bench import clusters
+from bench import groups
 from bench import results
 from bench.scenarios import loads
 
@@ -25,14 +26,14 @@
 PAUSE_S = 30.0
 
 
-def group() -> clusters.Group:
-    return clusters.Group(
+def group() -> groups.Group:
+    return groups.Group(
         "feeds", "10.9.0.3", 443, SPEEDS, slots=4, slot_hold_s=1.0
     )
 
 
 def plans(
-    service: clusters.Group, parts: int, rate: float = 6.0
+    service: groups.Group, parts: int, rate: float = 6.0
 ) -> list[dict[str, object]]:
     """Returns long feeds and short requests to the same service."""
     feeds = loads.plan(
@@ -138,7 +139,7 @@
 
 
 def _replace_target(
-    cluster: clusters.Cluster, target: clusters.TargetSpec
+    cluster: clusters.Cluster, target: groups.TargetSpec
 ) -> bool:
     """Drains a target until it is empty, then replaces it."""
     cluster.operate("drain", target.id, "--bound=300", "--reason=replace")
@@ -159,7 +160,7 @@
     """A balancer is several views behind, then hears of all at once."""
     cluster = _started(seed)
     added = [
-        clusters.TargetSpec(f"feeds-{number}", "feeds", 2.0, 4, 2.0)
+        groups.TargetSpec(f"feeds-{number}", "feeds", 2.0, 4, 2.0)
         for number in (4, 5, 6)
     ]
     try:
@@ -251,7 +252,7 @@
 
 def udp(seed: int) -> results.Result:
     """UDP requests, retransmitted by their callers, while a target drains."""
-    service = clusters.Group(
+    service = groups.Group(
         "records", "10.9.0.4", 5300, SPEEDS, slots=4, protocol="udp"
     )
     cluster = clusters.Cluster([service], 3, seed)
--- a/bench/scenarios/configs.py
+++ b/bench/scenarios/configs.py
@@ -11,6 +11,7 @@
 
 from bench import audits
 from bench import clusters
+from bench import groups
 from bench import results
 from bench.scenarios import loads
 from clementinelead.configurations import edits
@@ -31,8 +32,8 @@
 POLL_S = 0.02
 
 
-def _group() -> clusters.Group:
-    return clusters.Group("lookups", "10.9.0.1", 43, (1.0, 2.0))
+def _group() -> groups.Group:
+    return groups.Group("lookups", "10.9.0.1", 43, (1.0, 2.0))
 
 
 def _revisions(cluster: clusters.Cluster) -> list[int]:
--- a/bench/scenarios/loads.py
+++ b/bench/scenarios/loads.py
@@ -6,6 +6,7 @@
 
 from bench import audits
 from bench import clusters
+from bench import groups
 from bench import results
 from clementinelead.flows import views
 
@@ -22,9 +23,9 @@
 POLICIES = ("hunting", "weighted-hash", "plain-hash", "oracle")
 
 
-def group(policy: str, slots: int = 2, **fields: object) -> clusters.Group:
+def group(policy: str, slots: int = 2, **fields: object) -> groups.Group:
     """Returns the lookup service with a policy."""
-    base = clusters.Group(
+    base = groups.Group(
         "lookups", "10.9.0.1", 43, SPEEDS, slots=slots, max_wait_s=60.0
     )
     if policy != "oracle":
@@ -33,7 +34,7 @@
 
 
 def plan(
-    service: clusters.Group, share: float, **fields: object
+    service: groups.Group, share: float, **fields: object
 ) -> dict[str, object]:
     """Returns callers that offer a share of a service's capacity."""
     capacity = sum(service.speeds) * service.slots
@@ -61,7 +62,7 @@
 
 
 def run_policy(
-    service: clusters.Group, policy: str, share: float, seed: int
+    service: groups.Group, policy: str, share: float, seed: int
 ) -> audits.Audit:
     """Runs one policy at a load; returns its audit."""
     balancers = 1 if policy == "oracle" else 3
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -17,6 +17,7 @@
 import time
 
 from bench import clusters
+from bench import groups
 from bench import ports
 from clementinelead.messages import envelopes
 from standins import segments
@@ -62,7 +63,7 @@
 
 
 def caller_packet(
-    number: int, flags: int, group: clusters.Group, size: int = PACKET_BYTES
+    number: int, flags: int, group: groups.Group, size: int = PACKET_BYTES
 ) -> bytes:
     """Returns a caller's TCP packet of a numbered flow."""
     payload = b"" if flags & segments.SYN else b"x" * (size - 40)
@@ -192,7 +193,7 @@
 
 def _open_flows(
     address: tuple[str, int],
-    group: clusters.Group,
+    group: groups.Group,
     route: bytes,
     numbers: range,
 ) -> float:
@@ -216,7 +217,7 @@
     Args:
         seed: Seed of the stand-ins.
     """
-    group = clusters.Group("lookups", "10.9.0.1", 43, (1.0,))
+    group = groups.Group("lookups", "10.9.0.1", 43, (1.0,))
     cluster = clusters.Cluster([group], balancers=1, seed=seed)
     picker = ports.Ports()
     relay_port = picker.pick(cluster.address)
@@ -244,7 +245,7 @@
 
 def _figures(
     cluster: clusters.Cluster,
-    group: clusters.Group,
+    group: groups.Group,
     relay: subprocess.Popen[bytes],
     relay_port: int,
     sink: socket.socket,
@@ -304,7 +305,7 @@
 
 def _new_flows(
     cluster: clusters.Cluster,
-    group: clusters.Group,
+    group: groups.Group,
     route: bytes,
     side: str,
     side_address: tuple[str, int],
--- a/clementinelead/configurations/models.py
+++ b/clementinelead/configurations/models.py
@@ -75,6 +75,8 @@
     def __str__(self) -> str:
         return f"{self.service}={self.weight}"
 
+    __repr__ = __str__
+
 
 def _split_shares(value: object) -> object:
     """Splits shares that a sheet or a command line gives as one text."""
--- a/clementinelead/flows/requests.py
+++ b/clementinelead/flows/requests.py
@@ -46,6 +46,21 @@
         number = self.envelope.origin
         return holders[number] if number < len(holders) else None
 
+    def has_asked(self, address: tuple[str, int]) -> bool:
+        """Tells whether a target has had the flow and passed it on.
+
+        Args:
+            address: IP address and UDP port of its side process.
+        """
+        asked = self.route.candidates
+        if self.envelope.phase is envelopes.Phase.ACCEPT:
+            asked = asked[: self.envelope.position]
+        elif self.envelope.phase is not envelopes.Phase.FINAL:
+            return False
+        if self.origin is not None:
+            asked = (*asked, self.origin)
+        return any(candidate.address == address for candidate in asked)
+
     def changed(self, **fields: typing.Any) -> "Request":
         """Returns the request with other fields in its envelope."""
         return dataclasses.replace(
--- a/clementinelead/flows/tests/network.py
+++ b/clementinelead/flows/tests/network.py
@@ -73,8 +73,8 @@
         self.decider.on_services(
             {SERVICE: {headers.service_key(ADDRESS, PORT, "tcp")}}
         )
-        self.decider.state = self.state
-        self.decider.recovering = False
+        self.decider.acceptor.state = self.state
+        self.decider.acceptor.recovering = False
 
     @property
     def member(self):
--- a/clementinelead/flows/tests/test_decisions.py
+++ b/clementinelead/flows/tests/test_decisions.py
@@ -141,7 +141,7 @@
 
 def test_draining_target_takes_nothing_new_and_keeps_its_flows(net):
     owner = opened(net, 2000)
-    net.side_by_name[owner].decider.state = "draining"
+    net.side_by_name[owner].decider.acceptor.state = "draining"
     for port in range(3000, 3030):
         net.send(network.packet(port))
         net.run()
@@ -152,7 +152,7 @@
 def test_addresses_and_ports_used_again_are_a_new_flow(net):
     owner = opened(net, 2000)
     delivered_to(net, 2000, FIN | ACK, b"")
-    net.side_by_name[owner].decider.state = "draining"
+    net.side_by_name[owner].decider.acceptor.state = "draining"
     net.send(network.packet(2000, SYN, 9000))
     net.run()
     (second,) = net.owners(key_of(2000))
@@ -200,7 +200,7 @@
     net.settle(1)
     side = net.side_by_name[owner]
     side.start(net.now)
-    side.decider.recovering = True
+    side.decider.acceptor.recovering = True
     side.decider.on_table(net_service(), net.table, net.now)
     assert delivered_to(net, 2000) == [owner]
 
--- a/clementinelead/flows/tests/test_stateful.py
+++ b/clementinelead/flows/tests/test_stateful.py
@@ -113,7 +113,7 @@
         ready = self.ready()
         if len(ready) > 2:
             side = self.net.side_by_name[ready[index % len(ready)]]
-            side.state = side.decider.state = "draining"
+            side.state = side.decider.acceptor.state = "draining"
 
     @stateful.rule()
     def leave(self):
--- a/clementinelead/processes/operator.py
+++ b/clementinelead/processes/operator.py
@@ -1,15 +1,11 @@
 """The operators' command."""
 
 import asyncio
-import collections.abc
 import dataclasses
 import json
 import pathlib
-import random
 import sys
-import time
 import typing
-import uuid
 
 import aiohttp
 import rich.console
@@ -22,10 +18,9 @@
 from clementinelead.configurations import models
 from clementinelead.configurations import repositories
 from clementinelead.configurations import sheets
+from clementinelead.processes import operator_context
 from clementinelead.processes import operator_output
 from clementinelead.processes import runtime
-from clementinelead.settings import models as settings_models
-from clementinelead.stores import consul
 
 __all__ = ["main"]
 
@@ -41,26 +36,9 @@
 )
 application.add_typer(sheet_application, name="sheet")
 
-Settings = typing.Annotated[
-    pathlib.Path,
-    typer.Option(
-        "--settings",
-        envvar="CLEMENTINELEAD_SETTINGS",
-        help="Settings file (INI).",
-    ),
-]
-Json = typing.Annotated[bool, typer.Option("--json", help="Print JSON.")]
-Reason = typing.Annotated[str, typer.Option(help="Why; for the next shift.")]
-ChangeId = typing.Annotated[
-    str,
-    typer.Option(
-        "--id",
-        help="Identifier of the change; the same one is made only once.",
-    ),
-]
-Timeout = typing.Annotated[
-    float, typer.Option(help="Seconds after which the outcome is unknown.")
-]
+STATUS_TIMEOUT_S = 2.0
+"""Time that an instance has to show its status, seconds."""
+
 Takes = typing.Annotated[
     list[str],
     typer.Option(
@@ -70,99 +48,6 @@
     ),
 ]
 
-DEFAULT_TIMEOUT_S = 10.0
-STATUS_TIMEOUT_S = 2.0
-
-Result = typing.TypeVar("Result")
-
-
-@dataclasses.dataclass(frozen=True)
-class _Context:
-    settings: settings_models.OperatorSettings
-    repository: repositories.Repository
-    session: aiohttp.ClientSession
-
-
-def _run(
-    path: pathlib.Path,
-    work: collections.abc.Callable[
-        [_Context], collections.abc.Coroutine[None, None, Result]
-    ],
-) -> Result:
-    settings = runtime.load_settings(
-        path, settings_models.OperatorSettings, False
-    )
-
-    async def supervised() -> Result:
-        async with aiohttp.ClientSession() as session:
-            store = consul.ConsulStore(
-                session, settings.store.url, settings.store.timeout_s
-            )
-            repository = repositories.Repository(
-                store, settings.store.prefix, random.Random()
-            )
-            return await work(_Context(settings, repository, session))
-
-    try:
-        return asyncio.run(supervised())
-    except exceptions.StoreUnavailableError as error:
-        print(f"the store is away: {error}", file=sys.stderr)
-        raise typer.Exit(runtime.ExitCode.FAILED) from error
-    except exceptions.FindingsError as error:
-        operator_output.print_findings(error.findings)
-        raise typer.Exit(runtime.ExitCode.FAILED) from error
-
-
-def _author(context: _Context, change: str, reason: str) -> models.Author:
-    return models.Author(
-        change=change or str(uuid.uuid4()),
-        operator=context.settings.operator.name,
-        shift=context.settings.operator.shift,
-        time=time.time(),
-        reason=reason,
-    )
-
-
-def _report(
-    outcome: repositories.ChangeOutcome, settings: pathlib.Path, as_json: bool
-) -> None:
-    """Prints the outcome of a change and ends with its exit code."""
-    content: dict[str, object]
-    match outcome:
-        case repositories.Accepted(revision):
-            text = f"accepted, revision {revision}"
-            content = {"outcome": "accepted", "revision": revision}
-            code = runtime.ExitCode.STOPPED
-        case repositories.Rejected(findings):
-            text = "rejected, nothing was changed"
-            places = [dataclasses.asdict(finding) for finding in findings]
-            content = {"outcome": "rejected", "findings": places}
-            code = runtime.ExitCode.FAILED
-            if not as_json:
-                operator_output.print_findings(findings)
-        case repositories.Unknown(change):
-            command = f"clementinelead settle {change} --settings {settings}"
-            text = f"unknown; this tells it later: {command}"
-            content = {"outcome": "unknown", "settle": command}
-            code = runtime.ExitCode.UNKNOWN_OUTCOME
-    print(json.dumps(content) if as_json else text)
-    raise typer.Exit(code)
-
-
-def _change(
-    settings: pathlib.Path,
-    edit: collections.abc.Callable[[models.Author], repositories.Edit],
-    change: str,
-    reason: str,
-    timeout_s: float,
-    as_json: bool,
-) -> None:
-    async def work(context: _Context) -> repositories.ChangeOutcome:
-        author = _author(context, change, reason)
-        return await context.repository.change(edit(author), author, timeout_s)
-
-    _report(_run(settings, work), settings, as_json)
-
 
 def _parsed_takes(
     texts: list[str],
@@ -192,19 +77,19 @@
 @sheet_application.command("plan")
 def sheet_plan(
     file: typing.Annotated[pathlib.Path, typer.Argument(help="CSV file.")],
-    settings: Settings,
+    settings: operator_context.Settings,
     take: Takes = [],  # noqa: B006
-    as_json: Json = False,
+    as_json: operator_context.Json = False,
 ) -> None:
     """Shows what applying a sheet would do; changes nothing."""
     rows = _rows(file)
     takes = _parsed_takes(take)
 
-    async def work(context: _Context) -> merges.Plan:
+    async def work(context: operator_context.Context) -> merges.Plan:
         configuration, _ = await context.repository.configuration()
         return merges.plan(str(file), configuration, rows, takes)
 
-    made = _run(settings, work)
+    made = operator_context.run(settings, work)
     if as_json:
         content = {
             "revision": made.revision,
@@ -214,7 +99,7 @@
                 dataclasses.asdict(item.finding()) for item in made.conflicts
             ],
         }
-        print(json.dumps(content))
+        print(json.dumps(content, default=str))
     else:
         operator_output.print_plan(made)
     if made.conflicts:
@@ -224,17 +109,19 @@
 @sheet_application.command("apply")
 def sheet_apply(
     file: typing.Annotated[pathlib.Path, typer.Argument(help="CSV file.")],
-    settings: Settings,
+    settings: operator_context.Settings,
     take: Takes = [],  # noqa: B006
-    reason: Reason = "sheet",
-    change_id: ChangeId = "",
-    timeout: Timeout = DEFAULT_TIMEOUT_S,
-    as_json: Json = False,
+    reason: operator_context.Reason = "sheet",
+    change_id: operator_context.ChangeId = "",
+    timeout: operator_context.Timeout = operator_context.DEFAULT_TIMEOUT_S,
+    as_json: operator_context.Json = False,
 ) -> None:
     """Applies a sheet as one change, if nothing is in conflict."""
     rows = _rows(file)
     edit = merges.sheet_edit(str(file), rows, _parsed_takes(take))
-    _change(settings, lambda _: edit, change_id, reason, timeout, as_json)
+    operator_context.change(
+        settings, lambda _: edit, change_id, reason, timeout, as_json
+    )
 
 
 @application.command("change")
@@ -243,11 +130,11 @@
     values: typing.Annotated[
         list[str], typer.Argument(help="FIELD=VALUE, one or more.")
     ],
-    settings: Settings,
-    reason: Reason = "",
-    change_id: ChangeId = "",
-    timeout: Timeout = DEFAULT_TIMEOUT_S,
-    as_json: Json = False,
+    settings: operator_context.Settings,
+    reason: operator_context.Reason = "",
+    change_id: operator_context.ChangeId = "",
+    timeout: operator_context.Timeout = operator_context.DEFAULT_TIMEOUT_S,
+    as_json: operator_context.Json = False,
 ) -> None:
     """Sets fields of a service by hand, or adds it."""
     pairs: dict[str, object] = {}
@@ -258,7 +145,7 @@
             print(f"{text}: must be FIELD=VALUE ({allowed})", file=sys.stderr)
             raise typer.Exit(runtime.ExitCode.SETTINGS)
         pairs[field] = value
-    _change(
+    operator_context.change(
         settings,
         lambda author: edits.set_edit(service, pairs, author),
         change_id,
@@ -271,14 +158,14 @@
 @application.command("remove")
 def remove_service(
     service: typing.Annotated[str, typer.Argument(help="Name.")],
-    settings: Settings,
-    reason: Reason = "",
-    change_id: ChangeId = "",
-    timeout: Timeout = DEFAULT_TIMEOUT_S,
-    as_json: Json = False,
+    settings: operator_context.Settings,
+    reason: operator_context.Reason = "",
+    change_id: operator_context.ChangeId = "",
+    timeout: operator_context.Timeout = operator_context.DEFAULT_TIMEOUT_S,
+    as_json: operator_context.Json = False,
 ) -> None:
     """Removes a service by hand."""
-    _change(
+    operator_context.change(
         settings,
         lambda author: edits.remove_edit(service, author),
         change_id,
@@ -291,7 +178,7 @@
 @application.command("drain")
 def drain_target(
     target: typing.Annotated[str, typer.Argument(help="Identifier.")],
-    settings: Settings,
+    settings: operator_context.Settings,
     bound: typing.Annotated[
         float | None,
         typer.Option(
@@ -302,10 +189,10 @@
     undo: typing.Annotated[
         bool, typer.Option("--undo", help="Take it back into service.")
     ] = False,
-    reason: Reason = "",
-    change_id: ChangeId = "",
-    timeout: Timeout = DEFAULT_TIMEOUT_S,
-    as_json: Json = False,
+    reason: operator_context.Reason = "",
+    change_id: operator_context.ChangeId = "",
+    timeout: operator_context.Timeout = operator_context.DEFAULT_TIMEOUT_S,
+    as_json: operator_context.Json = False,
 ) -> None:
     """Stops new work at a target; its flows go on to their end."""
 
@@ -314,32 +201,38 @@
             return edits.undrain_edit(target)
         return edits.drain_edit(target, bound, author)
 
-    _change(settings, edit, change_id, reason, timeout, as_json)
+    operator_context.change(settings, edit, change_id, reason, timeout, as_json)
 
 
 @application.command("settle")
 def settle(
     change: typing.Annotated[str, typer.Argument(help="Identifier.")],
-    settings: Settings,
-    as_json: Json = False,
+    settings: operator_context.Settings,
+    as_json: operator_context.Json = False,
 ) -> None:
     """Tells whether a change with an unknown outcome was made."""
 
-    async def work(context: _Context) -> repositories.ChangeOutcome:
+    async def work(
+        context: operator_context.Context,
+    ) -> repositories.ChangeOutcome:
         return await context.repository.settle(change)
 
-    _report(_run(settings, work), settings, as_json)
+    operator_context.report(
+        operator_context.run(settings, work), settings, as_json
+    )
 
 
 @application.command("show")
-def show(settings: Settings, as_json: Json = False) -> None:
+def show(
+    settings: operator_context.Settings, as_json: operator_context.Json = False
+) -> None:
     """Shows the services in force and what was changed by hand."""
 
-    async def work(context: _Context) -> models.Configuration:
+    async def work(context: operator_context.Context) -> models.Configuration:
         configuration, _ = await context.repository.configuration()
         return configuration
 
-    configuration = _run(settings, work)
+    configuration = operator_context.run(settings, work)
     if as_json:
         print(configuration.model_dump_json())
         return
@@ -361,14 +254,16 @@
 
 
 @application.command("handover")
-def handover(settings: Settings, as_json: Json = False) -> None:
+def handover(
+    settings: operator_context.Settings, as_json: operator_context.Json = False
+) -> None:
     """Tells the incoming shift what differs from the sheet, and why."""
 
-    async def work(context: _Context) -> models.Configuration:
+    async def work(context: operator_context.Context) -> models.Configuration:
         configuration, _ = await context.repository.configuration()
         return configuration
 
-    configuration = _run(settings, work)
+    configuration = operator_context.run(settings, work)
     if as_json:
         content = {
             "revision": configuration.revision,
@@ -404,18 +299,20 @@
         list[str],
         typer.Argument(help="address:http_port of each process to ask."),
     ],
-    settings: Settings,
-    as_json: Json = False,
+    settings: operator_context.Settings,
+    as_json: operator_context.Json = False,
 ) -> None:
     """Shows which revision each process runs, and what it holds."""
 
-    async def work(context: _Context) -> list[dict[str, object]]:
+    async def work(
+        context: operator_context.Context,
+    ) -> list[dict[str, object]]:
         head, _ = await context.repository.head()
         asked = [_status(context.session, node) for node in nodes]
         found = list(await asyncio.gather(*asked))
         return [{"id": "store", "revision": head.revision}, *found]
 
-    rows = _run(settings, work)
+    rows = operator_context.run(settings, work)
     if as_json:
         print(json.dumps(rows))
         return
--- a/clementinelead/processes/side.py
+++ b/clementinelead/processes/side.py
@@ -163,7 +163,7 @@
         """Learns view, configuration and own flows, then announces itself."""
         await self._meet_balancer()
         await self._messages.recall(self._colleagues())
-        self.decider.recovering = False
+        self.decider.acceptor.recovering = False
         self._announce_state()
         self._rebuild()
         loguru.logger.info(
@@ -243,7 +243,7 @@
         return drain.effective_bound_s(entry.service for entry in entries)
 
     def _announce_state(self) -> None:
-        self.decider.state = self.life.state
+        self.decider.acceptor.state = self.life.state
         self.node.announce(state=target_life.STATE_BY_NAME[self.life.state])
         loguru.logger.info("state={}", self.life.state)
 
@@ -252,7 +252,7 @@
     def load(self) -> controls.TargetLoad:
         """Returns the target's load; the longest if it takes nothing."""
         now = time.monotonic()
-        if self.decider.state not in ("cold", "ready"):
+        if self.decider.acceptor.state not in ("cold", "ready"):
             return controls.TargetLoad(0, loads.NO_LOAD_MS)
         if not self.estimate.acceptance(now, last_resort=True).allowed:
             return controls.TargetLoad(0, loads.NO_LOAD_MS)
@@ -363,7 +363,7 @@
     ) -> None:
         """Handles the messages of flow owners and holders."""
         if control.load is not None:
-            self.decider.on_load(control.sender, control.load, now)
+            self.decider.acceptor.on_load(control.sender, control.load, now)
         self._messages.on_control(control, now)
 
 
