--- a/bench/clusters.py
+++ b/bench/clusters.py
@@ -101,7 +101,7 @@
             )
         self._python(identifier, "bench.oracle", *arguments)
         http_port = self.http_port_by_id[identifier]
-        self._wait_http(f"http://{self.address}:{http_port}/ready")
+        pages.wait(f"http://{self.address}:{http_port}/ready")
         self.start_fabric()
         time.sleep(START_MARGIN_S)
 
@@ -114,7 +114,7 @@
             f"--port={self._store_port}",
             f"--seed={self.seed}",
         )
-        self._wait_http(f"{self.store_url}/calls")
+        pages.wait(f"{self.store_url}/calls")
 
     def start_fabric(self) -> None:
         """Starts the stand-in fabric."""
@@ -394,10 +394,3 @@
         path = self.folder / f"{identifier}.ini"
         path.write_text(text, "utf-8")
         self._settings_by_id[identifier] = path
-
-    def _wait_http(self, url: str) -> None:
-        deadline = time.monotonic() + READY_TIMEOUT_S
-        while not pages.answers(url):
-            if time.monotonic() > deadline:
-                raise RuntimeError(f"no answer from {url}")
-            time.sleep(0.05)
--- a/bench/pages.py
+++ b/bench/pages.py
@@ -1,12 +1,15 @@
 """Pages that the processes of a run serve."""
 
 import json
+import time
 import urllib.error
 import urllib.request
 
-__all__ = ["answers", "get_json", "put_json", "ready_targets"]
+__all__ = ["answers", "get_json", "put_json", "ready_targets", "wait"]
 
 HTTP_TIMEOUT_S = 2.0
+READY_TIMEOUT_S = 30.0
+POLL_S = 0.05
 
 
 def answers(url: str) -> bool:
@@ -49,3 +52,16 @@
         for member in members
         if member["role"] == "side" and member["state"] in ("cold", "ready")
     }
+
+
+def wait(url: str) -> None:
+    """Waits until a page is served.
+
+    Raises:
+        RuntimeError: It is not in time.
+    """
+    deadline = time.monotonic() + READY_TIMEOUT_S
+    while not answers(url):
+        if time.monotonic() > deadline:
+            raise RuntimeError(f"no answer from {url}")
+        time.sleep(POLL_S)
