Let seeds of a large fleet tell of a few members; compare views by digests

Change: above 200 members a seed answers with 16 living members and what it knows of the asker; one of them is asked for the whole view. Processes that have a view ask for the digest buckets in which it differs. Small fleets exchange whole views as before. The exchange is a module of its own; peer_exchange, which has routes only now, is route_questions.

--- a/clementinelead/memberships/members.py
+++ b/clementinelead/memberships/members.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "DIGEST_BUCKETS",
+    "SMALL_FLEET",
     "Census",
     "Change",
     "MemberTable",
@@ -20,6 +21,12 @@
 DIGEST_BUCKETS = 256
 TOMBSTONE_S = 7_200.0
 
+SMALL_FLEET = 200
+"""Members up to which each may tell, ask and be told of all others itself.
+
+Above it what a process does must not grow with the fleet.
+"""
+
 RETURN_S = 20.0
 """Time in which a process that was declared dead may come back, seconds.
 
--- a/clementinelead/processes/http_site.py
+++ b/clementinelead/processes/http_site.py
@@ -19,6 +19,7 @@
     "NOT_FOUND",
     "NOT_MODIFIED",
     "OK",
+    "PARTIAL_CONTENT",
     "UNAVAILABLE",
     "HttpSite",
     "Request",
@@ -28,6 +29,7 @@
 # Status codes (RFC 9110). The standard library's enumeration takes longer to
 # import than a process beside a target can spare.
 OK = 200
+PARTIAL_CONTENT = 206
 NOT_MODIFIED = 304
 BAD_REQUEST = 400
 NOT_FOUND = 404
--- a/clementinelead/processes/joining.py
+++ b/clementinelead/processes/joining.py
@@ -10,7 +10,7 @@
 from clementinelead.memberships import gossip
 from clementinelead.memberships import members
 from clementinelead.memberships import records
-from clementinelead.processes import peer_exchange
+from clementinelead.processes import member_exchange
 from clementinelead.processes import route_exchange
 
 __all__ = ["Joining"]
@@ -56,7 +56,7 @@
         self,
         gossiper: gossip.Gossiper,
         seeds: list[str],
-        http_port: int,
+        exchange: member_exchange.Exchange,
         generator: random.Random,
         routes: route_exchange.RouteExchange,
         take: collections.abc.Callable[[list[members.Change], float], None],
@@ -67,7 +67,7 @@
         Args:
             gossiper: Membership decisions.
             seeds: IP addresses of processes to ask; more may be added.
-            http_port: TCP port of the peers' sites.
+            exchange: Asks peers for their views.
             generator: Draws peers and pauses.
             routes: Fetches routes from a peer that was asked.
             take: Takes over changes of members.
@@ -77,7 +77,7 @@
         self.viewed = False
         self._gossiper = gossiper
         self._seeds = seeds
-        self._http_port = http_port
+        self._exchange = exchange
         self._random = generator
         self._routes = routes
         self._take = take
@@ -128,7 +128,7 @@
             seed: IP address.
         """
         timeout_s = FIRST_TIMEOUT_S
-        while not await self.sync(seed, timeout_s):
+        while not await self._ask_seed(seed, timeout_s):
             if self._met.is_set() and self._gossiper.peers():
                 break
             timeout_s = min(PEER_TIMEOUT_S, 2 * timeout_s)
@@ -147,30 +147,51 @@
             seeds=len(self._seeds),
         ).info(event)
 
-    async def sync(self, host: str, timeout_s: float = PEER_TIMEOUT_S) -> bool:
+    async def sync(self, host: str) -> bool:
         """Exchanges members with a peer and takes its routes if newer.
 
         Args:
             host: IP address of the peer.
-            timeout_s: Deadline of the exchange, seconds.
 
         Returns:
             Whether the peer has answered.
         """
-        gossiper = self._gossiper
-        own = [gossiper.own] if gossiper.announced else []
-        address = (host, self._http_port)
-        found = await peer_exchange.exchange_members(address, own, timeout_s)
-        if found is None:
+        view = await self._exchange.ask(host, PEER_TIMEOUT_S, whole=True)
+        if view is None:
             return False
-        self._raise_incarnation(found)
-        now = time.monotonic()
-        changes = gossiper.merge(found, now)
-        self.viewed = True
-        self._take(changes, now)
+        self._merge(view)
         await self._routes.fetch(host)
         return True
 
+    async def _ask_seed(self, seed: str, timeout_s: float) -> bool:
+        """Learns the members through a seed, or through whom it names.
+
+        Returns:
+            Whether the whole view of a peer is known.
+        """
+        view = await self._exchange.ask(seed, timeout_s, whole=False)
+        if view is None:
+            return False
+        self._merge(view)
+        if not view.whole:
+            own = self._gossiper.own.address
+            others = [
+                record.address
+                for record in view.records
+                if record.address != own and not members.ended(record)
+            ]
+            return await self.sync(self._random.choice(others or [seed]))
+        await self._routes.fetch(seed)
+        return True
+
+    def _merge(self, view: member_exchange.View) -> None:
+        """Takes over what a peer has told."""
+        self._raise_incarnation(view.records)
+        now = time.monotonic()
+        changes = self._gossiper.merge(view.records, now)
+        self.viewed = self.viewed or view.whole
+        self._take(changes, now)
+
     def _raise_incarnation(self, found: tuple[records.Record, ...]) -> None:
         """Outranks the record of a former process of this name."""
         for record in found:
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -8,7 +8,6 @@
 
 import loguru
 
-from clementinelead import exceptions
 from clementinelead.memberships import authentication
 from clementinelead.memberships import gossip
 from clementinelead.memberships import members
@@ -21,7 +20,7 @@
 from clementinelead.processes import control_channel
 from clementinelead.processes import http_site
 from clementinelead.processes import joining
-from clementinelead.processes import peer_exchange
+from clementinelead.processes import member_exchange
 from clementinelead.processes import relay_settings
 from clementinelead.processes import route_exchange
 from clementinelead.processes import tasks
@@ -32,13 +31,6 @@
 TICK_S = 0.05
 """Interval of the gossip's timer, seconds."""
 
-DIRECT_MEMBERS = 200
-"""Members up to which all balancers hear and look for news themselves.
-
-Up to it a process tells all of them what is new, and each watches the routes
-in the store. Above it gossip carries both, at a cost that does not grow.
-"""
-
 MAX_GREETED = 64
 """Processes that a balancer greets at most; gossip reaches the others.
 
@@ -116,7 +108,6 @@
             lambda: None,
         )
         self._site = http_site.HttpSite()
-        self._site.add("POST", peer_exchange.MEMBERS_PATH, self._serve_members)
         self.routes = route_exchange.RouteExchange(
             self.gossiper,
             self._site,
@@ -125,10 +116,17 @@
             self._channel.send,
             subscriber.on_routes,
         )
+        exchange = member_exchange.Exchange(
+            self.gossiper,
+            self._site,
+            settings.http_port,
+            self.random,
+            self._take,
+        )
         self.joining = joining.Joining(
             self.gossiper,
             self._seeds,
-            settings.http_port,
+            exchange,
             self.random,
             self.routes,
             self._take,
@@ -180,7 +178,7 @@
         messages, change = self.gossiper.announce(now, **fields)
         for message in messages:
             self._channel.send(message)
-        if len(self.gossiper.table.by_id) <= DIRECT_MEMBERS:
+        if len(self.gossiper.table.by_id) <= members.SMALL_FLEET:
             for peer in self.gossiper.peers():
                 if peer.role is records.Role.BALANCER:
                     self._tell(peer)
@@ -207,7 +205,7 @@
         if not self.alone:
             self.joining.note_peer()
         self._subscriber.on_members(changes, now)
-        few = len(self.gossiper.table.by_id) <= DIRECT_MEMBERS
+        few = len(self.gossiper.table.by_id) <= members.SMALL_FLEET
         if not few or not self.gossiper.announced:
             return
         for change in changes:
@@ -268,7 +266,7 @@
 
         The others hear of a new version from it by gossip.
         """
-        few = len(self.gossiper.table.by_id) <= DIRECT_MEMBERS
+        few = len(self.gossiper.table.by_id) <= members.SMALL_FLEET
         return few or self.is_watcher
 
     def count_sides(self, now: float) -> members.Census:
@@ -280,25 +278,6 @@
         """Whether no other process is known to live."""
         return not self.gossiper.peers()
 
-    # Members.
-
-    def _serve_members(self, request: http_site.Request) -> http_site.Response:
-        try:
-            told = controls.decode_records(request.body)
-        except exceptions.MalformedMessageError as error:
-            loguru.logger.warning("members told by a peer: {}", error)
-            return http_site.Response(http_site.BAD_REQUEST)
-        now = time.monotonic()
-        changes = self.gossiper.merge(told, now)
-        self._take(changes, now)
-        table = self.gossiper.table
-        # Who has restarted learns of its predecessor from the last ones.
-        several = [*table.by_id.values(), *table.predecessor_by_id.values()]
-        body = controls.encode_records(several)
-        return http_site.Response(
-            http_site.OK, body, "application/octet-stream"
-        )
-
     # Gossip.
 
     async def _tick_forever(self) -> None:
--- a/clementinelead/processes/route_exchange.py
+++ b/clementinelead/processes/route_exchange.py
@@ -12,7 +12,7 @@
 from clementinelead.memberships import sends
 from clementinelead.messages import controls
 from clementinelead.processes import http_site
-from clementinelead.processes import peer_exchange
+from clementinelead.processes import route_questions
 from clementinelead.relays import route_patches
 from clementinelead.relays import routes
 
@@ -59,8 +59,8 @@
         self._send = send
         self._on_routes = on_routes
         self._following = False
-        site.add("GET", peer_exchange.ROUTES_PATH, self._serve_routes)
-        site.add("GET", peer_exchange.PATCH_PATH, self._serve_patch)
+        site.add("GET", route_questions.ROUTES_PATH, self._serve_routes)
+        site.add("GET", route_questions.PATCH_PATH, self._serve_patch)
 
     def adopt(self, table: routes.RoutingTable, source: str) -> None:
         """Takes over routes if their version is higher.
@@ -98,7 +98,7 @@
         Args:
             host: IP address of the peer.
         """
-        table = await peer_exchange.fetch_routes(
+        table = await route_questions.fetch_routes(
             (host, self._http_port), self.table, TIMEOUT_S
         )
         if table is not None:
--- a/clementinelead/processes/peer_exchange.py
+++ b/clementinelead/processes/route_questions.py
@@ -1,63 +1,27 @@
-"""Questions between relaying processes: members and routes over HTTP."""
+"""Routes over HTTP, between relaying processes."""
 
 import typing
 
 import loguru
 import msgspec
 
-from clementinelead import exceptions
-from clementinelead.memberships import records
-from clementinelead.messages import controls
 from clementinelead.processes import http_client
 from clementinelead.processes import http_site
 from clementinelead.relays import route_patches
 from clementinelead.relays import routes
 
 __all__ = [
-    "MEMBERS_PATH",
     "PATCH_PATH",
     "ROUTES_PATH",
-    "exchange_members",
     "fetch_routes",
 ]
 
-MEMBERS_PATH = "/peer/members"
 PATCH_PATH = "/peer/route-patch"
 ROUTES_PATH = "/peer/routes"
 
 _T = typing.TypeVar("_T")
 
 
-async def exchange_members(
-    address: tuple[str, int], own: list[records.Record], timeout_s: float
-) -> tuple[records.Record, ...] | None:
-    """Tells a peer records and returns those that it knows.
-
-    Args:
-        address: IP address and port of the peer.
-        own: Records to tell.
-        timeout_s: Deadline, seconds.
-
-    Returns:
-        The peer's records, None if it did not answer usefully.
-    """
-    body = controls.encode_records(own)
-    answer = await http_client.call(
-        address, "POST", MEMBERS_PATH, body, timeout_s
-    )
-    if (
-        not isinstance(answer, http_client.Answer)
-        or answer.status != http_site.OK
-    ):
-        loguru.logger.debug("members of {}: {}", address, answer)
-        return None
-    try:
-        return controls.decode_records(answer.body)
-    except exceptions.MalformedMessageError as error:
-        loguru.logger.warning("members of {}: {}", address, error)
-        return None
-
-
 async def fetch_routes(
     address: tuple[str, int], table: routes.RoutingTable, timeout_s: float
 ) -> routes.RoutingTable | None:
--- a/clementinelead/processes/tests/test_relay_node.py
+++ b/clementinelead/processes/tests/test_relay_node.py
@@ -5,13 +5,17 @@
 
 import msgspec
 
+from clementinelead.memberships import members
 from clementinelead.memberships import records
+from clementinelead.messages import controls
 from clementinelead.processes import contact_keys
 from clementinelead.processes import http_client
+from clementinelead.processes import http_site
 from clementinelead.processes import joining
-from clementinelead.processes import peer_exchange
+from clementinelead.processes import member_exchange
 from clementinelead.processes import relay_node
 from clementinelead.processes import relay_settings
+from clementinelead.processes import route_questions
 from clementinelead.processes import route_watch
 from clementinelead.relays import route_patches
 from clementinelead.relays import routes
@@ -328,16 +332,16 @@
     async def check():
         node.routes.adopt(old, "test")
         node.routes.adopt(new, "test")
-        answer = await fetched(f"{peer_exchange.PATCH_PATH}?since=5")
+        answer = await fetched(f"{route_questions.PATCH_PATH}?since=5")
         patch = msgspec.json.decode(answer.body, type=route_patches.Patch)
         assert patch.changed == (_route(b"c"),)
         assert patch.removed == (b"b",)
-        found = await peer_exchange.fetch_routes(address, old, 1.0)
+        found = await route_questions.fetch_routes(address, old, 1.0)
         assert found.by_address == new.by_address
-        assert await peer_exchange.fetch_routes(address, new, 1.0) is None
+        assert await route_questions.fetch_routes(address, new, 1.0) is None
         unknown = routes.RoutingTable(7, (), 60.0)
-        assert await peer_exchange.fetch_routes(address, unknown, 1.0) == new
-        assert await peer_exchange.fetch_routes(address, routes.EMPTY, 1.0)
+        assert await route_questions.fetch_routes(address, unknown, 1.0) == new
+        assert await route_questions.fetch_routes(address, routes.EMPTY, 1.0)
 
     asyncio.run(_run([node], check))
 
@@ -353,7 +357,7 @@
 
 def test_in_a_large_fleet_two_balancers_of_a_zone_watch_the_store():
     node, _ = _node(2, (1, 2, 3), ())
-    _crowd(node, "other", relay_node.DIRECT_MEMBERS + 1)
+    _crowd(node, "other", members.SMALL_FLEET + 1)
     assert node.watches_routes
     _crowd(node, "z", 50)
     assert not node.watches_routes
@@ -362,7 +366,7 @@
 def test_balancer_that_does_not_watch_asks_the_store_for_nothing(monkeypatch):
     monkeypatch.setattr(route_watch, "IDLE_S", 0.01)
     node, _ = _node(2, (1, 2, 3), ())
-    _crowd(node, "z", relay_node.DIRECT_MEMBERS + 1)
+    _crowd(node, "z", members.SMALL_FLEET + 1)
     asked = []
 
     class Source:
@@ -380,3 +384,79 @@
         task.cancel()
 
     asyncio.run(check())
+
+
+def test_process_that_joins_a_large_fleet_learns_all_members(monkeypatch):
+    monkeypatch.setattr(members, "SMALL_FLEET", 2)
+    ports = _free_ports()
+    seed = ("127.0.0.2",)
+    nodes = [_node(2, ports, ())[0]]
+    nodes += [_node(number, ports, seed)[0] for number in range(3, 9)]
+    starting, _ = _node(9, ports, seed, records.Role.SIDE)
+
+    async def check():
+        await _eventually(
+            lambda: all(len(node.gossiper.peers()) == 6 for node in nodes),
+            JOIN_BOUND_S + 1.5 * sum(joining.RESYNC_PAUSES_S),
+        )
+        await starting.start(asyncio.Event())
+        await _eventually(
+            lambda: (
+                starting.joining.viewed
+                and len(starting.gossiper.peers()) == len(nodes)
+            ),
+            JOIN_BOUND_S,
+        )
+        await starting.stop()
+
+    asyncio.run(_run(nodes, check))
+
+
+def _exchange_page(node, query):
+    request = http_site.Request(
+        "POST",
+        member_exchange.MEMBERS_PATH,
+        query,
+        controls.encode_records([]),
+    )
+    response = node.joining._exchange._serve_members(request)
+    return response.status, controls.decode_records(response.body)
+
+
+def test_seed_of_a_large_fleet_tells_of_a_few_members_and_the_asker(
+    monkeypatch,
+):
+    monkeypatch.setattr(members, "SMALL_FLEET", 5)
+    node, _ = _node(2, (1, 2, 3), ())
+    _crowd(node, "z", 60)
+    status, several = _exchange_page(node, {"id": "z59"})
+    assert status == http_site.PARTIAL_CONTENT
+    assert len(several) <= member_exchange.SAMPLE_MEMBERS + 2
+    assert "z59" in {record.id for record in several}
+    status, several = _exchange_page(node, {"id": "x", "whole": "1"})
+    assert (status, len(several)) == (http_site.OK, 60)
+
+
+def test_views_of_a_large_fleet_are_compared_by_digests(monkeypatch):
+    monkeypatch.setattr(members, "SMALL_FLEET", 5)
+    ports = _free_ports()
+    first, _ = _node(2, ports, ())
+    second, _ = _node(3, ports, ())
+    _crowd(first, "z", 60)
+    second.gossiper.merge(tuple(first.gossiper.table.by_id.values()), 0.0)
+    missing = dataclasses.replace(first.gossiper.own, id="new")
+    first.gossiper.merge((missing,), 0.0)
+
+    async def check():
+        exchange = second.joining._exchange
+        view = await exchange.ask("127.0.0.2", 1.0, whole=True)
+        assert view.whole
+        told = {record.id for record in view.records}
+        assert "new" in told
+        assert len(told) < 10
+        second.gossiper.merge(view.records, 0.0)
+        first.gossiper.merge((second.gossiper.own,), 0.0)
+        view = await exchange.ask("127.0.0.2", 1.0, whole=True)
+        assert len(view.records) <= 2
+
+    asyncio.run(_run([first, second], check))
