Tell all balancers of a start in fleets up to 1,000 members

Above 200 members the news of a start or of a target's first heartbeat went by gossip alone, whose budget of 2 kB a second lets 165 new records through in tens of seconds; balancers knew few targets meanwhile and loaded those.

Change: news goes straight to all balancers up to 1,000 members: 220 bytes for each balancer and announcement, once. Not mended: 30 s until serving after all were killed at 300 (0.5 s at 30 and 100).

--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -31,6 +31,14 @@
 TICK_S = 0.05
 """Interval of the gossip's timer, seconds."""
 
+DIRECT_MEMBERS = 1_000
+"""Members up to which news of a process goes straight to all balancers.
+
+After a loss of all the gossip's budget would let their records through for
+tens of seconds. A start costs 220 bytes for each balancer and announcement,
+once; above this number gossip alone carries the news.
+"""
+
 MAX_GREETED = 64
 """Processes that a balancer greets at most; gossip reaches the others.
 
@@ -178,7 +186,7 @@
         messages, change = self.gossiper.announce(now, **fields)
         for message in messages:
             self._channel.send(message)
-        if len(self.gossiper.table.by_id) <= members.SMALL_FLEET:
+        if len(self.gossiper.table.by_id) <= DIRECT_MEMBERS:
             for peer in self.gossiper.peers():
                 if peer.role is records.Role.BALANCER:
                     self._tell(peer)
@@ -205,7 +213,7 @@
         if not self.alone:
             self.joining.note_peer()
         self._subscriber.on_members(changes, now)
-        few = len(self.gossiper.table.by_id) <= members.SMALL_FLEET
+        few = len(self.gossiper.table.by_id) <= DIRECT_MEMBERS
         if not few or not self.gossiper.announced:
             return
         for change in changes:
