Give up the buckets led in by least when shares are exact

Ruled out: a wrong bound. Buckets were given away in the order of their scores, so that one name that filled up pushed others around.

The test is the same, with that case and more examples; it is derandomized so that its verdict is the same every run.

--- a/clementinelead/placements/rendezvous.py
+++ b/clementinelead/placements/rendezvous.py
@@ -87,9 +87,10 @@
 ) -> npt.NDArray[np.int32]:
     """Returns which of some names has each bucket, in exact shares.
 
-    Each name gets its share of the buckets, rounded so that the sum fits. The
-    buckets with the best scores are given away first, so a changed weight
-    moves few buckets more than it must. Costs O(names * buckets * log) time.
+    Each bucket goes to the name with the best score. Names that have more
+    than their share, rounded so that the sum fits, then give up the buckets
+    that they lead in by least; so a changed weight moves few buckets more than
+    it must. Costs O(names * buckets) time for each bucket that is given up.
 
     Args:
         weight_by_name: Weights, not negative and not all 0.
@@ -102,19 +103,44 @@
         >>> np.bincount(apportion({"a": 3, "b": 1}, buckets=64)).tolist()
         [48, 16]
     """
-    names = sorted(name for name, weight in weight_by_name.items() if weight)
     places = sorted(weight_by_name)
+    names = [name for name in places if weight_by_name[name]]
     weights = np.array([weight_by_name[name] for name in names], dtype=float)
-    left = _rounded(weights / weights.sum() * buckets, buckets)
+    share = _rounded(weights / weights.sum() * buckets, buckets)
     scores = np.array([draws(name, buckets) for name in names])
     scores /= weights[:, None]
-    chosen = np.full(buckets, -1, dtype=np.int32)
-    for flat in np.argsort(scores, axis=None, kind="stable").tolist():
-        name, number = divmod(flat, buckets)
-        if chosen[number] < 0 and left[name] > 0:
-            chosen[number] = places.index(names[name])
-            left[name] -= 1
-    return chosen
+    chosen = scores.argmin(axis=0)
+    counts = np.bincount(chosen, minlength=len(names))
+    while (counts > share).any():
+        name, number = _cheapest_move(scores, chosen, counts - share)
+        counts[chosen[number]] -= 1
+        counts[name] += 1
+        chosen[number] = name
+    place_by_name = np.array([places.index(name) for name in names])
+    return place_by_name[chosen].astype(np.int32)
+
+
+def _cheapest_move(
+    scores: npt.NDArray[np.float64],
+    chosen: npt.NDArray[np.intp],
+    excess: npt.NDArray[np.int64],
+) -> tuple[int, int]:
+    """Returns to whom to give which bucket of a name that has too many.
+
+    Args:
+        scores: Array of shape (names, buckets), least is best.
+        chosen: Array of shape (buckets,), the name that has each bucket.
+        excess: Array of shape (names,), buckets above the share.
+
+    Returns:
+        Indices of the name and the bucket.
+    """
+    held = scores[chosen, np.arange(scores.shape[1])]
+    loss = scores / held
+    loss[excess >= 0] = np.inf
+    loss[:, excess[chosen] <= 0] = np.inf
+    name, number = np.unravel_index(loss.argmin(), loss.shape)
+    return int(name), int(number)
 
 
 def _rounded(
--- a/clementinelead/placements/tests/test_shares.py
+++ b/clementinelead/placements/tests/test_shares.py
@@ -50,7 +50,9 @@
         assert abs(count - weights[name] / total * BUCKETS) < 1.0
 
 
+@hypothesis.settings(derandomize=True, max_examples=500)
 @hypothesis.given(WEIGHTS, strategies.sampled_from("abcde"))
+@hypothesis.example({"a": 15, "b": 89, "d": 18, "e": 7}, "d")
 def test_changed_weight_moves_few_buckets_more_than_it_must(weights, name):
     hypothesis.assume(name in weights)
     changed = {**weights, name: weights[name] + 20}
