--- a/clementinelead/relays/tests/test_relaying.py
+++ b/clementinelead/relays/tests/test_relaying.py
@@ -108,6 +108,34 @@
     assert not _resets(net)
 
 
+@pytest.mark.xfail(strict=True, reason="listed in KNOWN-RED.txt")
+def test_restart_beside_the_target_not_chosen_does_not_swallow_packets():
+    # Two balancers have opened copies at two targets; the caller took the
+    # answer of the second one, and the process beside the first one restarts.
+    net = network.Network(balancers=2, targets=2)
+    first, second = net.target_by_address.values()
+    key = network.flow_key(1)
+    second.full = True
+    net.send(network.packet(key, packets.OPENS), 1)
+    net.run(0.1)
+    second.full = False
+    net.silent.add(("side0", 1))
+    net.send(network.packet(key, packets.OPENS), 0)
+    net.run(0.1)
+    net.silent.clear()
+    chosen = second.sequence_by_key[key]
+    assert key in first.sequence_by_key
+    net.send(network.packet(key, acknowledgement=chosen + 1), 0)
+    net.run(0.1)
+    net.restart_side(0)
+    before = len(second.delivered)
+    net.send(
+        network.packet(key, acknowledgement=chosen + 1, length=10), balancer=1
+    )
+    net.run(1.0)
+    assert len(second.delivered) > before
+
+
 def test_silent_side_process_does_not_keep_a_new_flow_waiting():
     net = network.Network(targets=2)
     net.silent.add(("side0", 1))
