Ask only the targets that a route has or had for a flow's owner, at any size

Cause: three constants switched what processes do with the size of the fleet. Ruled out: asking all at any size (44,000 questions a search at the aim); registering flows with chosen balancers (each flow would pay for a rare search). Change: a search asks the targets of the services that the flow's address has or had; peers tell who starts of former services with the routes. Only after a loss of all, when nobody knows, are all asked. Joins take a sample from a seed and the whole from one of the sample; later views are compared by digests (one call if they are equal). Two balancers a zone watch the store. The census is counted as records change, the sides named in a key are chosen anew only after a change. Routes and patches travel as one message.

--- a/bench/scenarios/relays.py
+++ b/bench/scenarios/relays.py
@@ -14,6 +14,7 @@
 from clementinelead.processes import contact_keys
 from clementinelead.relays import announcements
 from clementinelead.relays import candidates
+from clementinelead.relays import former_services
 from clementinelead.relays import frames
 from clementinelead.relays import holding
 from clementinelead.relays import outcomes
@@ -61,9 +62,12 @@
 
 
 def _balancer(packet_format: packets.PlatformFormat) -> steering.Steering:
-    balancer = steering.Steering(packet_format, _ignore, "z")
+    former = former_services.FormerServices(first_start=True)
+    balancer = steering.Steering(packet_format, _ignore, "z", former)
     route = routes.Route("r", ADDRESS, (routes.Share(SERVICE, 1),))
-    balancer.set_routes(routes.RoutingTable(1, (route,), 60.0), 0.0)
+    table = routes.RoutingTable(1, (route,), 60.0)
+    former.note_change(routes.EMPTY, table, 0.0)
+    balancer.set_routes(table)
     target = candidates.Target("side", SIDE, "z", True, False)
     balancer.set_targets(SERVICE, (target,))
     return balancer
@@ -163,8 +167,7 @@
     after = routes.RoutingTable(2, changed, 60.0)
     history = route_patches.RouteHistory()
     note_us = _microseconds(REPEATS, lambda _: history.note(before, after))
-    patch = history.since(1, after)
-    assert patch is not None, "the change was noted"
+    patch = history.since(1, after, ())
     follow_us = _microseconds(
         REPEATS, lambda _: _none(route_patches.patched(before, patch))
     )
--- a/clementinelead/memberships/members.py
+++ b/clementinelead/memberships/members.py
@@ -1,5 +1,6 @@
 """The membership records that a process knows."""
 
+import collections
 import collections.abc
 
 import msgspec
@@ -9,7 +10,6 @@
 
 __all__ = [
     "DIGEST_BUCKETS",
-    "SMALL_FLEET",
     "Census",
     "Change",
     "MemberTable",
@@ -21,12 +21,6 @@
 DIGEST_BUCKETS = 256
 TOMBSTONE_S = 7_200.0
 
-SMALL_FLEET = 200
-"""Members up to which each may tell, ask and be told of all others itself.
-
-Above it what a process does must not grow with the fleet.
-"""
-
 RETURN_S = 20.0
 """Time in which a process that was declared dead may come back, seconds.
 
@@ -73,6 +67,9 @@
         self.predecessor_by_id: dict[str, records.Record] = {}
         self._ended_by_id: dict[str, float] = {}
         self._restarted_by_id: dict[str, float] = {}
+        self._sides: collections.Counter[
+            tuple[records.State, records.Health]
+        ] = collections.Counter()
 
     def merge(self, record: records.Record, now: float) -> Change | None:
         """Takes over a record if it is newer than the one known.
@@ -89,10 +86,12 @@
             return None
         if old is not None:
             self._toggle(old)
+            self._count(old, -1)
             if old.incarnation != record.incarnation:
                 self.predecessor_by_id[record.id] = old
                 self._restarted_by_id[record.id] = now
         self._toggle(record)
+        self._count(record, 1)
         self.by_id[record.id] = record
         if ended(record):
             self._ended_by_id[record.id] = now
@@ -111,6 +110,7 @@
                 continue
             record = self.by_id.pop(identifier)
             self._toggle(record)
+            self._count(record, -1)
             del self._ended_by_id[identifier]
 
     def _toggle(self, record: records.Record) -> None:
@@ -121,6 +121,20 @@
         self.digest ^= _mixed(bucket, self.digests[bucket])
         self.generation += 1
 
+    def _count(self, record: records.Record, change: int) -> None:
+        """Keeps the number of side processes by state and health."""
+        if record.role is records.Role.SIDE:
+            self._sides[record.state, record.health] += change
+
+    def sides(
+        self,
+    ) -> collections.abc.Iterable[tuple[records.State, records.Health, int]]:
+        """Returns how many side processes have which state and health."""
+        return (
+            (state, health, number)
+            for (state, health), number in self._sides.items()
+        )
+
     def living(self) -> collections.abc.Iterator[records.Record]:
         """Returns the records of processes that are not dead or leaving."""
         return (record for record in self.by_id.values() if not ended(record))
@@ -175,19 +189,20 @@
         table: Records of all roles.
         now: Present time, seconds.
     """
-    recent = table.recently_dead(now, RETURN_S)
     serving = missing = expected = 0
-    for record in table.by_id.values():
-        if record.role is not records.Role.SIDE:
-            continue
-        if record.state is records.State.LEAVING:
+    for state, health, number in table.sides():
+        if state is records.State.LEAVING:
             continue
-        if record.health is records.Health.DEAD:
-            missing += record.state is not records.State.COLD
-            expected += record.id in recent
+        settled = number if state is not records.State.COLD else 0
+        if health is records.Health.DEAD:
+            missing += settled
         else:
-            serving += record.state is not records.State.COLD
-            expected += 1
+            serving += settled
+            expected += number
+    for identifier in table.recently_dead(now, RETURN_S):
+        record = table.by_id[identifier]
+        is_side = record.role is records.Role.SIDE
+        expected += is_side and record.state is not records.State.LEAVING
     return Census(serving, missing, expected)
 
 
--- a/clementinelead/platform/settings.py
+++ b/clementinelead/platform/settings.py
@@ -49,6 +49,7 @@
     app: str = ""  # UDP and TCP; the target on this machine
     service: str = ""
     heartbeat_ms: float = 1000.0
+    bootstrap: bool = False  # the whole system starts for the first time
 
 
 @dataclasses.dataclass(frozen=True)
@@ -122,6 +123,7 @@
         seeds=tuple(_endpoint(seed)[0] for seed in file.seeds),
         stop_s=file.bounds.grace_s,
         heartbeat_s=file.heartbeat_ms / _MS_PER_S,
+        first_start=file.bootstrap,
     )
     return NodeSettings(
         relay=relay,
--- a/clementinelead/processes/contact_keys.py
+++ b/clementinelead/processes/contact_keys.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import heapq
 import random
 import time
 import typing
@@ -101,7 +102,7 @@
         return int(xxhash.xxh3_64_intdigest(f"{holder} {record.id}".encode()))
 
     sides = [record for record in living if record.role is records.Role.SIDE]
-    chosen = sorted(sides, key=rank)[:NAMED_SIDES]
+    chosen = heapq.nsmallest(NAMED_SIDES, sides, key=rank)
     return tuple(sorted(record.control_address for record in chosen))
 
 
@@ -128,15 +129,11 @@
         before: How many the keys have named since this process began, 0 if
             that is not known.
         complete: Whether this process has known all of them since then.
-        useful: Whether there are so few that flows of unknown owners are
-            asked for everywhere. Only then are count and names worth their
-            processor time.
     """
 
     def __init__(self) -> None:
         self.before = 0
         self.complete = False
-        self.useful = True
 
     def told(self, contacts: tuple[Contact, ...]) -> None:
         """Takes over what the keys say.
@@ -177,6 +174,8 @@
         self._random = generator
         self._held: Contact | None = None
         self._renew_at = 0.0
+        self._named_sides: tuple[tuple[str, int], ...] = ()
+        self._named_generation = -1
 
     async def run(self) -> None:
         """Takes, changes and renews the key until cancelled."""
@@ -206,14 +205,19 @@
     def _contact(self, now: float) -> Contact:
         """Returns what the key is to say."""
         own = self._node.gossiper.own
-        sides = 0
-        if self._count.useful:
-            expected = self._node.count_sides(now).expected
-            sides = self._count.publishable(expected)
-        named: tuple[tuple[str, int], ...] = ()
-        if sides:
-            named = named_sides(own.id, self._node.gossiper.table.living())
-        return Contact(own.address, sides, named)
+        expected = self._node.count_sides(now).expected
+        sides = self._count.publishable(expected)
+        return Contact(own.address, sides, self._named() if sides else ())
+
+    def _named(self) -> tuple[tuple[str, int], ...]:
+        """Returns the side processes to name, chosen anew after a change."""
+        table = self._node.gossiper.table
+        if table.generation != self._named_generation:
+            self._named_generation = table.generation
+            self._named_sides = named_sides(
+                self._node.gossiper.own.id, table.living()
+            )
+        return self._named_sides
 
 
 class ContactFinder:
--- a/clementinelead/processes/joining.py
+++ b/clementinelead/processes/joining.py
@@ -156,7 +156,10 @@
         Returns:
             Whether the peer has answered.
         """
-        view = await self._exchange.ask(host, PEER_TIMEOUT_S, whole=True)
+        scope = member_exchange.Scope.WHOLE
+        if self.viewed:
+            scope = member_exchange.Scope.DIFFERENCE
+        view = await self._exchange.ask(host, PEER_TIMEOUT_S, scope)
         if view is None:
             return False
         self._merge(view)
@@ -169,7 +172,9 @@
         Returns:
             Whether the whole view of a peer is known.
         """
-        view = await self._exchange.ask(seed, timeout_s, whole=False)
+        view = await self._exchange.ask(
+            seed, timeout_s, member_exchange.Scope.SAMPLE
+        )
         if view is None:
             return False
         self._merge(view)
--- a/clementinelead/processes/member_exchange.py
+++ b/clementinelead/processes/member_exchange.py
@@ -1,13 +1,14 @@
-"""Membership views over HTTP: the whole of it, a part, or a few members.
+"""Membership views over HTTP: a few members, all, or what differs.
 
-In a small fleet each answer has all members. In a large one a process that
-starts gets a few from a seed, and the whole view from one of those, so that
-the seeds need not tell everything to everybody. Views are compared by digests
-there.
+A process that starts gets a few members from a seed, and the whole view from
+one of those, so that the seeds need not tell everything to everybody. Later
+views are compared by digests.
 """
 
 import collections.abc
+import enum
 import random
+import struct
 import time
 
 import loguru
@@ -21,18 +22,26 @@
 from clementinelead.processes import http_client
 from clementinelead.processes import http_site
 
-__all__ = ["DIGESTS_PATH", "MEMBERS_PATH", "Exchange", "View"]
+__all__ = ["DIGESTS_PATH", "MEMBERS_PATH", "Exchange", "Scope", "View"]
 
 MEMBERS_PATH = "/peer/members"
 DIGESTS_PATH = "/peer/digests"
 
 SAMPLE_MEMBERS = 16
-"""Members that a seed tells of in a large fleet."""
+"""Members that a seed tells of."""
 
-_NO_BUCKET = "none"
+_DIGESTS = struct.Struct(f"<{members.DIGEST_BUCKETS}Q")
 _CONTENT_TYPE = "application/octet-stream"
 
 
+class Scope(enum.Enum):
+    """What a peer is asked for."""
+
+    SAMPLE = "sample"  # a few members
+    WHOLE = "whole"  # all members
+    DIFFERENCE = "difference"  # the members whose digests differ
+
+
 class View(msgspec.Struct, frozen=True):
     """What a peer has told.
 
@@ -75,27 +84,30 @@
     # Asking.
 
     async def ask(
-        self, host: str, timeout_s: float, whole: bool
+        self, host: str, timeout_s: float, scope: Scope
     ) -> View | None:
         """Tells a peer of this process and returns the peer's view.
 
         Args:
             host: IP address of the peer.
             timeout_s: Deadline of each of up to two calls, seconds.
-            whole: Whether a peer of a large fleet is to tell all members.
+            scope: What to ask for.
 
         Returns:
             The view, None if the peer did not answer usefully.
         """
         gossiper = self._gossiper
         query = f"id={gossiper.own.id}"
-        if whole and len(gossiper.table.by_id) > members.SMALL_FLEET:
-            buckets = await self._differing(host, timeout_s)
-            if buckets is None:
-                return None
-            query += f"&buckets={','.join(map(str, buckets)) or _NO_BUCKET}"
-        elif whole:
-            query += "&whole=1"
+        match scope:
+            case Scope.WHOLE:
+                query += "&whole=1"
+            case Scope.DIFFERENCE:
+                buckets = await self._differing(host, timeout_s)
+                if buckets is None:
+                    return None
+                if not buckets:
+                    return View((), True)
+                query += f"&buckets={','.join(map(str, buckets))}"
         own = [gossiper.own] if gossiper.announced else []
         answer = await http_client.call(
             (host, self._http_port),
@@ -120,31 +132,37 @@
 
     async def _differing(self, host: str, timeout_s: float) -> list[int] | None:
         """Returns the digest buckets in which a peer's view differs."""
+        table = self._gossiper.table
+        path = f"{DIGESTS_PATH}?digest={table.digest}"
         answer = await http_client.call(
-            (host, self._http_port), "GET", DIGESTS_PATH, b"", timeout_s
+            (host, self._http_port), "GET", path, b"", timeout_s
         )
-        if (
-            isinstance(answer, http_client.NoAnswer)
-            or answer.status != http_site.OK
-        ):
-            loguru.logger.debug("digests of {}: {}", host, answer)
-            return None
-        try:
-            theirs = msgspec.json.decode(answer.body, type=list[int])
-        except msgspec.DecodeError as error:
-            loguru.logger.warning("digests of {}: {}", host, error)
-            return None
-        ours = self._gossiper.table.digests
-        pairs = zip(theirs, ours, strict=False)
-        return [
-            number for number, (one, other) in enumerate(pairs) if one != other
-        ]
+        if isinstance(answer, http_client.Answer):
+            if answer.status == http_site.NOT_MODIFIED:
+                return []
+            if (
+                answer.status == http_site.OK
+                and len(answer.body) == _DIGESTS.size
+            ):
+                pairs = zip(
+                    _DIGESTS.unpack(answer.body), table.digests, strict=True
+                )
+                return [
+                    number
+                    for number, (one, other) in enumerate(pairs)
+                    if one != other
+                ]
+        loguru.logger.debug("digests of {}: {}", host, answer)
+        return None
 
     # Serving.
 
-    def _serve_digests(self, _: http_site.Request) -> http_site.Response:
-        body = msgspec.json.encode(self._gossiper.table.digests)
-        return http_site.Response(http_site.OK, body)
+    def _serve_digests(self, request: http_site.Request) -> http_site.Response:
+        table = self._gossiper.table
+        if request.query.get("digest") == str(table.digest):
+            return http_site.Response(http_site.NOT_MODIFIED)
+        body = _DIGESTS.pack(*table.digests)
+        return http_site.Response(http_site.OK, body, _CONTENT_TYPE)
 
     def _serve_members(self, request: http_site.Request) -> http_site.Response:
         try:
@@ -156,9 +174,8 @@
         changes = self._gossiper.merge(told, now)
         self._take(changes, now)
         table = self._gossiper.table
-        few = len(table.by_id) <= members.SMALL_FLEET
         status = http_site.OK
-        if few or "whole" in request.query:
+        if "whole" in request.query:
             several = list(table.by_id.values())
         elif "buckets" in request.query:
             several = table.in_buckets(_numbers(request.query["buckets"]))
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -69,7 +69,10 @@
         )
         log = decision_log.DecisionLog(packet_format)
         self.steering = steering.Steering(
-            packet_format, log.report, settings.zone
+            packet_format,
+            log.report,
+            settings.zone,
+            self.node.routes.former,
         )
         self._watch = route_watch.RouteWatch(self.node, source)
         generator = self.node.random
@@ -190,8 +193,7 @@
                 self._completeness.on_died(now)
         count = self._side_count
         count.complete = self._completeness.reached(now)
-        count.useful = self.steering.asks_all
-        if count.useful and not count.complete:
+        if not count.complete:
             sides = self.node.count_sides(now)
             self._completeness.compare(
                 sides.serving, sides.missing, count.before, now
@@ -200,7 +202,7 @@
 
     def on_routes(self, table: routes.RoutingTable, now: float) -> None:
         """Puts new routes in force."""
-        self.steering.set_routes(table, now)
+        self.steering.set_routes(table)
 
     def on_members(self, changes: list[members.Change], now: float) -> None:
         """Takes over the targets of the services that changed."""
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -123,6 +123,7 @@
             self.random,
             self._channel.send,
             subscriber.on_routes,
+            settings.first_start,
         )
         exchange = member_exchange.Exchange(
             self.gossiper,
@@ -258,7 +259,10 @@
 
     @property
     def is_watcher(self) -> bool:
-        """Whether this balancer holds and watches keys for its zone."""
+        """Whether this balancer holds and watches keys for its zone.
+
+        The others hear of new routes from it by gossip.
+        """
         return watchers.is_watcher(
             self.gossiper.own,
             [
@@ -268,15 +272,6 @@
             ],
         )
 
-    @property
-    def watches_routes(self) -> bool:
-        """Whether this balancer follows the routes in the store itself.
-
-        The others hear of a new version from it by gossip.
-        """
-        few = len(self.gossiper.table.by_id) <= members.SMALL_FLEET
-        return few or self.is_watcher
-
     def count_sides(self, now: float) -> members.Census:
         """Returns how many side processes are known."""
         return members.census(self.gossiper.table, now)
--- a/clementinelead/processes/relay_settings.py
+++ b/clementinelead/processes/relay_settings.py
@@ -21,6 +21,7 @@
         seeds: IP addresses of processes to join through.
         stop_s: Time that a stop may take, seconds.
         heartbeat_s: Interval of the target's heartbeats, seconds.
+        first_start: Whether the whole system starts for the first time.
     """
 
     id: str
@@ -35,3 +36,4 @@
     seeds: tuple[str, ...]
     stop_s: float
     heartbeat_s: float
+    first_start: bool = False
--- a/clementinelead/processes/route_exchange.py
+++ b/clementinelead/processes/route_exchange.py
@@ -13,6 +13,7 @@
 from clementinelead.messages import controls
 from clementinelead.processes import http_site
 from clementinelead.processes import route_questions
+from clementinelead.relays import former_services
 from clementinelead.relays import route_patches
 from clementinelead.relays import routes
 
@@ -30,6 +31,7 @@
 
     Attributes:
         table: Routes in force.
+        former: Services that they no longer name.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         generator: random.Random,
         send: collections.abc.Callable[[sends.Send], None],
         on_routes: collections.abc.Callable[[routes.RoutingTable, float], None],
+        first_start: bool,
     ):
         """Begins without routes.
 
@@ -50,8 +53,10 @@
             generator: Draws peers and pauses.
             send: Sends a control message.
             on_routes: Called when routes of a higher version are in force.
+            first_start: Whether the whole system starts for the first time.
         """
         self.table = routes.EMPTY
+        self.former = former_services.FormerServices(first_start)
         self._history = route_patches.RouteHistory()
         self._gossiper = gossiper
         self._http_port = http_port
@@ -59,7 +64,6 @@
         self._send = send
         self._on_routes = on_routes
         self._following = False
-        site.add("GET", route_questions.ROUTES_PATH, self._serve_routes)
         site.add("GET", route_questions.PATCH_PATH, self._serve_patch)
 
     def adopt(self, table: routes.RoutingTable, source: str) -> None:
@@ -72,6 +76,8 @@
         before = self.table
         if table.version <= before.version:
             return
+        now = time.monotonic()
+        self.former.note_change(before, table, now)
         if before.version:
             self._history.note(before, table)
         self.table = table
@@ -81,7 +87,7 @@
             routes=len(table.routes),
             source=source,
         ).info("routes adopted")
-        self._on_routes(table, time.monotonic())
+        self._on_routes(table, now)
         if before.version:
             self._push_version()
 
@@ -98,11 +104,17 @@
         Args:
             host: IP address of the peer.
         """
-        table = await route_questions.fetch_routes(
-            (host, self._http_port), self.table, TIMEOUT_S
+        with_former = self.former.known(time.monotonic()) is None
+        patch = await route_questions.fetch_patch(
+            (host, self._http_port), self.table.version, with_former, TIMEOUT_S
         )
+        if patch is None:
+            return
+        table = route_patches.patched(self.table, patch)
         if table is not None:
             self.adopt(table, host)
+        if patch.former is not None and patch.version == self.table.version:
+            self.former.learn(patch.former, time.monotonic())
 
     def begin_following(self, version: int) -> bool:
         """Tells whether ``follow`` is to be called for a peer's version.
@@ -134,18 +146,14 @@
         finally:
             self._following = False
 
-    def _serve_routes(self, request: http_site.Request) -> http_site.Response:
-        if self.table.version <= _version_in(request):
-            return http_site.Response(http_site.NOT_MODIFIED)
-        return http_site.Response(http_site.OK, msgspec.json.encode(self.table))
-
     def _serve_patch(self, request: http_site.Request) -> http_site.Response:
         since = _version_in(request)
-        if self.table.version <= since:
+        former = self.former.known(time.monotonic())
+        wanted = "former" in request.query and former is not None
+        same = self.table.version == since
+        if self.table.version < since or (same and not wanted):
             return http_site.Response(http_site.NOT_MODIFIED)
-        patch = self._history.since(since, self.table)
-        if patch is None:
-            return http_site.Response(http_site.NOT_FOUND)
+        patch = self._history.since(since, self.table, former)
         return http_site.Response(http_site.OK, msgspec.json.encode(patch))
 
 
--- a/clementinelead/processes/route_watch.py
+++ b/clementinelead/processes/route_watch.py
@@ -67,7 +67,7 @@
         """Follows the source until cancelled."""
         pause = MIN_RETRY_S
         while True:
-            if not self._node.watches_routes:
+            if not self._node.is_watcher:
                 await asyncio.sleep(IDLE_S)
                 continue
             outcome = await self._source.next()
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -13,7 +13,6 @@
 from clementinelead.relays import frames
 from clementinelead.relays import outcomes
 from clementinelead.relays import routes
-from clementinelead.relays import searching
 from clementinelead.relays.tests import network
 
 ROUTE = routes.Route(
@@ -182,13 +181,14 @@
     assert not _silent_while_cold(balancer, again)
 
 
-def test_count_is_not_made_where_no_flow_is_reset(balancer):
-    many = searching.MAX_ASKED + 1
+def test_count_is_made_in_a_fleet_of_any_size(balancer):
+    many = 300
     for number in range(many):
         side = dataclasses.replace(SIDE, id=f"s{number}")
-        balancer.node.gossiper.table.merge(side, 100.0)
+        balancer.node.gossiper.merge((side,), 100.0)
     _joined_with(balancer, 100.0)
     _keys_say(balancer, many + 1)
     balancer.on_tick(100.0 + completeness.VIEW_S + 0.1)
-    assert balancer._holder._contact(110.0).sides == 0
-    assert balancer._holder._contact(110.0).named == ()
+    contact = balancer._holder._contact(110.0)
+    assert contact.sides == many + 1  # with the one of the fixture
+    assert len(contact.named) == contact_keys.NAMED_SIDES
--- a/clementinelead/processes/tests/test_relay_node.py
+++ b/clementinelead/processes/tests/test_relay_node.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from clementinelead.memberships import members
 from clementinelead.memberships import records
 from clementinelead.messages import controls
 from clementinelead.processes import contact_keys
@@ -315,6 +314,14 @@
     asyncio.run(_run([first, second], check))
 
 
+async def _fetched(address, table):
+    """Returns the routes that a peer leads to, None if it has no others."""
+    patch = await route_questions.fetch_patch(
+        address, table.version, with_former=False, timeout_s=1.0
+    )
+    return patch and route_patches.patched(table, patch)
+
+
 def _route(address):
     return routes.Route("r", address, (routes.Share("s", 1),))
 
@@ -336,16 +343,35 @@
         patch = msgspec.json.decode(answer.body, type=route_patches.Patch)
         assert patch.changed == (_route(b"c"),)
         assert patch.removed == (b"b",)
-        found = await route_questions.fetch_routes(address, old, 1.0)
+        found = await _fetched(address, old)
         assert found.by_address == new.by_address
-        assert await route_questions.fetch_routes(address, new, 1.0) is None
-        unknown = routes.RoutingTable(7, (), 60.0)
-        assert await route_questions.fetch_routes(address, unknown, 1.0) == new
-        assert await route_questions.fetch_routes(address, routes.EMPTY, 1.0)
+        assert await _fetched(address, new) is None
+        assert await _fetched(address, routes.RoutingTable(7, (), 60.0)) == new
+        assert await _fetched(address, routes.EMPTY) == new
 
     asyncio.run(_run([node], check))
 
 
+def test_process_that_starts_learns_of_former_services_from_a_peer():
+    ports = _free_ports()
+    first, _ = _node(2, ports, ())
+    second, _ = _node(3, ports, ("127.0.0.2",))
+    now = time.monotonic()
+    first.routes.former.complete_from = now
+    first.routes.adopt(routes.RoutingTable(5, (_route(b"a"),), 60.0), "test")
+    first.routes.adopt(routes.RoutingTable(9, (), 60.0), "test")
+    # The store has told the newest routes before the peer answers.
+    second.routes.adopt(routes.RoutingTable(9, (), 60.0), "test")
+
+    async def check():
+        await _eventually(
+            lambda: second.routes.former.known(time.monotonic()), JOIN_BOUND_S
+        )
+        assert second.routes.former.services(b"a") == {"s"}
+
+    asyncio.run(_run([first, second], check))
+
+
 def _crowd(node, zone, count):
     """Lets a node know of balancers, more than look for news themselves."""
     for number in range(count):
@@ -355,18 +381,18 @@
         node.gossiper.merge((other,), 0.0)
 
 
-def test_in_a_large_fleet_two_balancers_of_a_zone_watch_the_store():
+def test_two_balancers_of_a_zone_watch_the_store():
     node, _ = _node(2, (1, 2, 3), ())
-    _crowd(node, "other", members.SMALL_FLEET + 1)
-    assert node.watches_routes
+    _crowd(node, "other", 50)
+    assert node.is_watcher
     _crowd(node, "z", 50)
-    assert not node.watches_routes
+    assert not node.is_watcher
 
 
 def test_balancer_that_does_not_watch_asks_the_store_for_nothing(monkeypatch):
     monkeypatch.setattr(route_watch, "IDLE_S", 0.01)
     node, _ = _node(2, (1, 2, 3), ())
-    _crowd(node, "z", members.SMALL_FLEET + 1)
+    _crowd(node, "z", 50)
     asked = []
 
     class Source:
@@ -379,15 +405,19 @@
         task = asyncio.create_task(route_watch.RouteWatch(node, Source()).run())
         await asyncio.sleep(0.05)
         assert not asked
-        node.gossiper.table.by_id.clear()
+        for other in node.gossiper.peers():
+            left = dataclasses.replace(
+                other, sequence=9, state=records.State.LEAVING
+            )
+            node.gossiper.merge((left,), 1.0)
         await _eventually(lambda: asked, 1.0)
         task.cancel()
 
     asyncio.run(check())
 
 
-def test_process_that_joins_a_large_fleet_learns_all_members(monkeypatch):
-    monkeypatch.setattr(members, "SMALL_FLEET", 2)
+def test_process_that_joins_learns_all_members(monkeypatch):
+    monkeypatch.setattr(member_exchange, "SAMPLE_MEMBERS", 2)
     ports = _free_ports()
     seed = ("127.0.0.2",)
     nodes = [_node(2, ports, ())[0]]
@@ -423,10 +453,7 @@
     return response.status, controls.decode_records(response.body)
 
 
-def test_seed_of_a_large_fleet_tells_of_a_few_members_and_the_asker(
-    monkeypatch,
-):
-    monkeypatch.setattr(members, "SMALL_FLEET", 5)
+def test_seed_tells_of_a_few_members_and_the_asker():
     node, _ = _node(2, (1, 2, 3), ())
     _crowd(node, "z", 60)
     status, several = _exchange_page(node, {"id": "z59"})
@@ -437,8 +464,7 @@
     assert (status, len(several)) == (http_site.OK, 60)
 
 
-def test_views_of_a_large_fleet_are_compared_by_digests(monkeypatch):
-    monkeypatch.setattr(members, "SMALL_FLEET", 5)
+def test_views_are_compared_by_digests():
     ports = _free_ports()
     first, _ = _node(2, ports, ())
     second, _ = _node(3, ports, ())
@@ -449,14 +475,15 @@
 
     async def check():
         exchange = second.joining._exchange
-        view = await exchange.ask("127.0.0.2", 1.0, whole=True)
+        difference = member_exchange.Scope.DIFFERENCE
+        view = await exchange.ask("127.0.0.2", 1.0, difference)
         assert view.whole
         told = {record.id for record in view.records}
         assert "new" in told
         assert len(told) < 10
         second.gossiper.merge(view.records, 0.0)
         first.gossiper.merge((second.gossiper.own,), 0.0)
-        view = await exchange.ask("127.0.0.2", 1.0, whole=True)
+        view = await exchange.ask("127.0.0.2", 1.0, difference)
         assert len(view.records) <= 2
 
     asyncio.run(_run([first, second], check))
--- a/clementinelead/relays/route_patches.py
+++ b/clementinelead/relays/route_patches.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from clementinelead.relays import former_services
 from clementinelead.relays import routes
 
 __all__ = ["Patch", "RouteHistory", "patched"]
@@ -21,11 +22,13 @@
     """The difference between two versions.
 
     Attributes:
-        since: The older version.
+        since: The older version, 0 if all routes are told.
         version: The newer one.
         changed: Routes that are new or differ, as they are in the newer one.
         removed: Addresses that have no route any more.
         idle_timeout_s: Time after which an idle flow may be forgotten.
+        former: Services that the newer version no longer names, None if the
+            teller may not know all of them.
     """
 
     since: int
@@ -33,6 +36,7 @@
     changed: tuple[routes.Route, ...]
     removed: tuple[bytes, ...]
     idle_timeout_s: float
+    former: tuple[former_services.Former, ...] | None = None
 
 
 def patched(
@@ -41,7 +45,7 @@
     """Returns the routes of a patch's newer version.
 
     Args:
-        table: Routes of its older version.
+        table: Routes in force; of its older version unless it tells all.
         patch: The patch.
 
     Returns:
@@ -52,9 +56,9 @@
         >>> patched(routes.EMPTY, Patch(0, 4, changed, (), 60.0)).version
         4
     """
-    if patch.since != table.version:
+    if patch.since not in (routes.EMPTY.version, table.version):
         return None
-    by_address = table.by_address
+    by_address = table.by_address if patch.since else {}
     for address in patch.removed:
         by_address.pop(address, None)
     for route in patch.changed:
@@ -89,18 +93,34 @@
         if len(self._touched_by_version) > MAX_VERSIONS:
             del self._touched_by_version[min(self._touched_by_version)]
 
-    def since(self, version: int, table: routes.RoutingTable) -> Patch | None:
+    def since(
+        self,
+        version: int,
+        table: routes.RoutingTable,
+        former: tuple[former_services.Former, ...] | None,
+    ) -> Patch:
         """Returns what has changed since a version.
 
         Args:
-            version: A version that has been in force here.
+            version: What the asker has in force.
             table: Routes in force.
+            former: Services that they no longer name, None if not all are
+                known.
 
         Returns:
-            The difference, None if that version is not known.
+            The difference, or all routes if that version is not known here.
         """
+        if version == table.version:
+            return Patch(version, version, (), (), table.idle_timeout_s, former)
         if version not in self._touched_by_version:
-            return None
+            return Patch(
+                since=routes.EMPTY.version,
+                version=table.version,
+                changed=table.routes,
+                removed=(),
+                idle_timeout_s=table.idle_timeout_s,
+                former=former,
+            )
         touched: set[bytes] = set()
         for older, addresses in self._touched_by_version.items():
             if older >= version:
@@ -116,4 +136,5 @@
             ),
             removed=tuple(sorted(touched - by_address.keys())),
             idle_timeout_s=table.idle_timeout_s,
+            former=former,
         )
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -7,6 +7,7 @@
 from clementinelead.relays import candidates
 from clementinelead.relays import directory
 from clementinelead.relays import formats
+from clementinelead.relays import former_services
 from clementinelead.relays import frames
 from clementinelead.relays import outcomes
 from clementinelead.relays import query_rounds
@@ -26,12 +27,6 @@
 A flow is nearly always placed on one of the first.
 """
 
-MAX_ASKED = 200
-"""Side processes up to which all are asked, whatever service they are for.
-
-Only then can a flow be said to be nowhere.
-"""
-
 MAX_PACKETS = 8
 """Packets of a flow kept while it is searched for."""
 
@@ -55,7 +50,7 @@
         probes: Targets that have been handed the first packet.
         opening: Whether the first packet opens the flow; then it is less than
             two seconds old, and at a target of its route if anywhere.
-        complete: Whether all side processes were asked and have answered.
+        complete: Whether all who were asked have answered.
     """
 
     packets: list[bytes]
@@ -98,6 +93,7 @@
         self,
         packet_format: formats.PacketFormat,
         known: directory.Directory,
+        former: former_services.FormerServices,
         counts: counters.CounterSet,
         report: collections.abc.Callable[[outcomes.Decision], None],
     ):
@@ -106,22 +102,19 @@
         Args:
             packet_format: Format of the callers' packets.
             known: The targets.
+            former: Services that routes no longer name.
             counts: Counts decisions by outcome.
             report: Gets each decision for the log.
         """
         self._format = packet_format
         self._directory = known
+        self._former = former
         self._counts = counts
         self._report = report
         self._search_by_key: dict[bytes, Search] = {}
         self._unknown_until: dict[bytes, float] = {}
         self._rounds = query_rounds.QueryRounds(known)
 
-    @property
-    def asks_all(self) -> bool:
-        """Whether there are so few side processes that all are asked."""
-        return self._directory.count <= MAX_ASKED
-
     @property
     def busy(self) -> bool:
         """Whether searches are under way."""
@@ -138,7 +131,7 @@
 
         Args:
             segment: Header of the packet.
-            services: Services of the flow's route.
+            services: Services that the flow's route names.
             data: A packet of the flow.
             now: Present time, seconds.
         """
@@ -154,7 +147,7 @@
         if len(self._search_by_key) >= MAX_SEARCHES:
             self._counts.add("searches_full")
             return []
-        owners, complete = self._possible_owners(services)
+        owners = self._possible_owners(segment, services, now)
         owners, waiting = self._asked(owners, now)
         if not waiting:
             self._counts.add("unknown_service")
@@ -166,7 +159,6 @@
             waiting=waiting,
             unsure=[],
             opening=segment.opens,
-            complete=complete or segment.opens,
         )
         self._search_by_key[key] = search
         self._rounds.add(key, owners, now)
@@ -174,28 +166,31 @@
         return []
 
     def _possible_owners(
-        self, services: frozenset[str]
-    ) -> tuple[list[tuple[_Address, int]], bool]:
-        """Returns who may hold a flow, and whether that is everybody.
+        self,
+        segment: formats.Segment,
+        services: frozenset[str],
+        now: float,
+    ) -> list[tuple[_Address, int]]:
+        """Returns who may hold a flow, with their services' numbers.
 
-        A flow may be older than its route is as it is now, so all side
-        processes are asked unless they are too many.
+        These are the side processes of the services that the flow's address
+        has and had. After a loss of all processes nobody knows which it had,
+        so for some time all services are asked.
 
         Args:
-            services: Services of the flow's route.
-
-        Returns:
-            Addresses of side processes with their services' numbers, and
-            whether they are all that are known.
+            segment: Header of the flow's packet.
+            services: Services that its route names.
+            now: Present time, seconds.
         """
-        complete = self.asks_all
-        asked = frozenset(self._directory.by_service) if complete else services
-        owners = [
+        address = self._format.service_address(segment.key)
+        asked = services | self._former.services(address)
+        if now < self._former.complete_from and asked and not segment.opens:
+            asked = frozenset(self._directory.by_service)
+        return [
             (target.address, frames.service_number(service))
             for service in asked
             for target in self._directory.targets(service)
         ]
-        return owners, complete
 
     def _asked(
         self, owners: list[tuple[_Address, int]], now: float
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -13,6 +13,7 @@
 from clementinelead.relays import directory
 from clementinelead.relays import flow_cache
 from clementinelead.relays import formats
+from clementinelead.relays import former_services
 from clementinelead.relays import frames
 from clementinelead.relays import outcomes
 from clementinelead.relays import placing
@@ -23,9 +24,6 @@
 __all__ = ["Steering"]
 
 EXPIRY_INTERVAL_S = 1.0
-RETIRED_ROUTE_S = 90.0
-"""Time that the flows of a dropped route can still be found, seconds."""
-
 DOUBT_S = 0.2
 """Time after a freeze in which old packets may come, seconds.
 
@@ -42,6 +40,7 @@
     Attributes:
         table: Routes in force.
         counts: Decisions by outcome.
+        former: Services that the routes no longer name.
     """
 
     def __init__(
@@ -49,6 +48,7 @@
         packet_format: formats.PacketFormat,
         report: collections.abc.Callable[[outcomes.Decision], None],
         zone: str,
+        former: former_services.FormerServices,
     ):
         """Starts without routes and targets.
 
@@ -56,16 +56,17 @@
             packet_format: Format of the callers' packets.
             report: Gets each decision for the log.
             zone: Availability zone of this balancer.
+            former: Services that routes no longer name.
         """
         self.table = routes.EMPTY
+        self.former = former
         self.counts = counters.CounterSet()
         self._format = packet_format
         self._by_address: dict[bytes, routes.Route] = {}
-        self._retired: dict[bytes, tuple[routes.Route, float]] = {}
         self._directory = directory.Directory(zone)
         self._cache = flow_cache.FlowCache()
         self._searcher = searching.Searcher(
-            packet_format, self._directory, self.counts, report
+            packet_format, self._directory, former, self.counts, report
         )
         self._placer = placing.Placer(
             packet_format,
@@ -80,21 +81,16 @@
 
     # What the process learns.
 
-    def set_routes(self, table: routes.RoutingTable, now: float) -> None:
+    def set_routes(self, table: routes.RoutingTable) -> None:
         """Takes over the routes of a newer version.
 
         Args:
             table: The routes.
-            now: Present time, seconds.
         """
         if table.version <= self.table.version:
             return
-        by_address = table.by_address
-        for address, route in self._by_address.items():
-            if address not in by_address:
-                self._retired[address] = (route, now + RETIRED_ROUTE_S)
         self.table = table
-        self._by_address = by_address
+        self._by_address = table.by_address
         self._placer.version = table.version
 
     def set_targets(
@@ -116,11 +112,6 @@
         """
         self._directory.complete_from = moment
 
-    @property
-    def asks_all(self) -> bool:
-        """Whether the owner of an unknown flow is searched for everywhere."""
-        return self._searcher.asks_all
-
     @property
     def flows(self) -> int:
         """Flows in the cache."""
@@ -206,8 +197,6 @@
         """Searches for the owner of a flow."""
         address = self._format.service_address(segment.key)
         route = self._by_address.get(address)
-        if route is None and address in self._retired:
-            route = self._retired[address][0]
         shares = route.shares if route is not None else ()
         services = frozenset(share.service for share in shares)
         return self._searcher.find(segment, services, data, now)
@@ -316,6 +305,3 @@
     def _expire(self, now: float) -> None:
         self._cache.expire(now, self.table.idle_timeout_s)
         self._searcher.expire(now)
-        for address, (_, until) in list(self._retired.items()):
-            if until <= now:
-                del self._retired[address]
--- a/clementinelead/relays/tests/network.py
+++ b/clementinelead/relays/tests/network.py
@@ -9,6 +9,7 @@
 
 from clementinelead.relays import announcements
 from clementinelead.relays import candidates
+from clementinelead.relays import former_services
 from clementinelead.relays import holding
 from clementinelead.relays import outcomes
 from clementinelead.relays import routes
@@ -158,13 +159,21 @@
 
     def new_balancer(self) -> steering.Steering:
         """Returns a balancer that has just joined."""
-        new = steering.Steering(Format(), self.decisions.append, "z")
+        former = former_services.FormerServices(first_start=True)
+        new = steering.Steering(Format(), self.decisions.append, "z", former)
         route = routes.Route("r", ROUTE_ADDRESS, (routes.Share(SERVICE, 1),))
-        new.set_routes(routes.RoutingTable(1, (route,), 60.0), self.now)
+        self.set_routes(new, routes.RoutingTable(1, (route,), 60.0))
         self.tell_targets(new)
         new.set_complete_from(self.now)
         return new
 
+    def set_routes(
+        self, balancer: steering.Steering, table: routes.RoutingTable
+    ) -> None:
+        """Puts routes in force at a balancer."""
+        balancer.former.note_change(balancer.table, table, self.now)
+        balancer.set_routes(table)
+
     def tell_targets(self, balancer: steering.Steering) -> None:
         """Tells a balancer of all targets as they are now."""
         balancer.set_targets(
--- /dev/null
+++ b/clementinelead/relays/tests/test_former_services.py
@@ -0,0 +1,53 @@
+"""Services that routes no longer name may still hold flows."""
+
+from clementinelead.relays import former_services
+from clementinelead.relays import routes
+
+ADDRESS = b"S1"
+
+
+def _table(version, *services):
+    shares = tuple(routes.Share(service, 1) for service in services)
+    several = (routes.Route("r", ADDRESS, shares),) if shares else ()
+    return routes.RoutingTable(version, several, 60.0)
+
+
+def _known(*tables, first_start=True):
+    former = former_services.FormerServices(first_start)
+    before = routes.EMPTY
+    for now, table in enumerate(tables):
+        former.note_change(before, table, float(now))
+        before = table
+    return former
+
+
+def test_service_that_a_route_named_is_asked_until_its_flows_are_too_old():
+    former = _known(_table(1, "a"), _table(2, "b"))
+    assert former.services(ADDRESS) == {"a"}
+    late = 1.0 + former_services.KEPT_S
+    former.note_change(_table(2, "b"), _table(3, "b"), late + 0.1)
+    assert not former.services(ADDRESS)
+
+
+def test_dropped_route_keeps_its_services():
+    former = _known(_table(1, "a", "b"), _table(2))
+    assert former.services(ADDRESS) == {"a", "b"}
+
+
+def test_service_that_is_named_again_is_no_former_one():
+    former = _known(_table(1, "a"), _table(2, "b"), _table(3, "a"))
+    assert former.services(ADDRESS) == {"b"}
+
+
+def test_process_that_starts_later_does_not_know_all_former_services():
+    former = _known(_table(7, "a"), first_start=False)
+    assert former.known(1.0) is None
+    assert former.known(former_services.KEPT_S) == ()
+
+
+def test_peer_tells_a_process_that_starts_of_former_services():
+    peer = _known(_table(1, "a"), _table(2, "b"))
+    former = _known(_table(2, "b"), first_start=False)
+    former.learn(peer.known(5.0), 5.0)
+    assert former.services(ADDRESS) == {"a"}
+    assert former.known(5.0) == peer.known(5.0)
--- a/clementinelead/relays/tests/test_relaying.py
+++ b/clementinelead/relays/tests/test_relaying.py
@@ -6,7 +6,9 @@
 
 from clementinelead.relays import announcements
 from clementinelead.relays import beginnings
+from clementinelead.relays import former_services
 from clementinelead.relays import frames
+from clementinelead.relays import routes
 from clementinelead.relays import searching
 from clementinelead.relays import steering
 from clementinelead.relays.tests import network
@@ -291,8 +293,13 @@
 
 def test_flow_is_not_reset_by_a_balancer_that_has_not_joined():
     net = network.Network()
-    new = steering.Steering(network.Format(), net.decisions.append, "z")
-    new.set_routes(net.balancer_by_address[("balancer0", 1)].table, net.now)
+    new = steering.Steering(
+        network.Format(),
+        net.decisions.append,
+        "z",
+        former_services.FormerServices(first_start=True),
+    )
+    net.set_routes(new, net.balancer_by_address[("balancer0", 1)].table)
     net.tell_targets(new)
     net.balancer_by_address[("balancer0", 1)] = new
     assert not _search_in_vain(net)
@@ -310,12 +317,10 @@
     key = network.flow_key(1)
     owner = net.open(key)
     balancer = net.balancer_by_address[("balancer0", 1)]
-    moved = steering.routes.Route(
-        "r", network.ROUTE_ADDRESS, (steering.routes.Share("other", 1),)
-    )
-    balancer.set_routes(
-        steering.routes.RoutingTable(2, (moved,), 60.0), net.now
+    moved = routes.Route(
+        "r", network.ROUTE_ADDRESS, (routes.Share("other", 1),)
     )
+    net.set_routes(balancer, routes.RoutingTable(2, (moved,), 60.0))
     balancer._cache.forget(key)
     net.send(network.packet(key, length=10))
     net.run(0.2)
@@ -389,7 +394,7 @@
     key = network.flow_key(1)
     owner = net.open(key)
     balancer = net.balancer_by_address[("balancer0", 1)]
-    balancer.set_routes(steering.routes.RoutingTable(2, (), 60.0), net.now)
+    net.set_routes(balancer, routes.RoutingTable(2, (), 60.0))
     balancer._cache.forget(key)
     net.send(network.packet(key, length=10))
     net.run(0.2)
@@ -399,7 +404,7 @@
 def test_routes_never_go_back():
     net = network.Network()
     balancer = net.balancer_by_address[("balancer0", 1)]
-    balancer.set_routes(steering.routes.RoutingTable(0, (), 60.0), net.now)
+    balancer.set_routes(routes.RoutingTable(0, (), 60.0))
     assert balancer.table.version == 1
 
 
--- a/clementinelead/relays/tests/test_route_patches.py
+++ b/clementinelead/relays/tests/test_route_patches.py
@@ -31,11 +31,11 @@
 
 @hypothesis.given(strategies.lists(ROUTES, min_size=2, max_size=8))
 def test_patch_of_each_version_gives_the_routes_in_force(several):
-    tables = [_table(3 * n, weights) for n, weights in enumerate(several)]
+    tables = [_table(3 * n, weights) for n, weights in enumerate(several, 1)]
     history = _history(tables)
     last = tables[-1]
     for table in tables[:-1]:
-        patch = history.since(table.version, last)
+        patch = history.since(table.version, last, None)
         found = route_patches.patched(table, patch)
         assert found.by_address == last.by_address
         assert (found.version, found.idle_timeout_s) == (
@@ -51,22 +51,25 @@
         _table(2, {**many, b"a": 2}),
         _table(3, {b"a": 2, b"b": 1, b"c": 1}),
     ]
-    patch = _history(tables).since(1, tables[-1])
+    patch = _history(tables).since(1, tables[-1], None)
     assert [route.address for route in patch.changed] == [b"a"]
     assert patch.removed == (b"d",)
 
 
 def test_patch_of_another_version_is_not_applied():
     tables = [_table(1, {b"a": 1}), _table(2, {b"a": 2})]
-    patch = _history(tables).since(1, tables[-1])
-    assert route_patches.patched(_table(0, {}), patch) is None
+    patch = _history(tables).since(1, tables[-1], None)
+    assert route_patches.patched(_table(7, {}), patch) is None
 
 
-def test_unknown_and_old_versions_have_no_patch():
+def test_who_is_at_an_unknown_or_old_version_gets_all_routes():
     tables = [
         _table(n, {b"a": n}) for n in range(route_patches.MAX_VERSIONS + 3)
     ]
     history = _history(tables)
-    assert history.since(1, tables[-1]) is None
-    assert history.since(2, tables[-1]) is not None
-    assert history.since(10_000, tables[-1]) is None
+    last = tables[-1]
+    assert history.since(2, last, None).since == 2
+    for version in (1, 10_000):
+        patch = history.since(version, last, None)
+        assert patch.since == 0
+        assert route_patches.patched(_table(version, {b"z": 1}), patch) == last
--- a/clementinelead/relays/tests/test_searching.py
+++ b/clementinelead/relays/tests/test_searching.py
@@ -4,10 +4,14 @@
 
 import pytest
 
+from clementinelead.relays import candidates
 from clementinelead.relays import directory
+from clementinelead.relays import former_services
 from clementinelead.relays import frames
 from clementinelead.relays import outcomes
 from clementinelead.relays import query_rounds
+from clementinelead.relays import routes
+from clementinelead.relays import steering
 from clementinelead.relays.tests import network
 
 BEGIN = 100.0
@@ -113,3 +117,41 @@
     assert not _resets_in_vain(balancer, silent, BEGIN)
     late = BEGIN + directory.ABANDONED_S + 0.1
     assert not _resets_in_vain(balancer, silent, late)
+
+
+OTHER = ("other", 1)
+
+
+def _asked_beside_another_service(former):
+    """Lets a balancer search that knows a target of another service too."""
+    balancer = steering.Steering(
+        network.Format(), lambda decision: None, "z", former
+    )
+    share = routes.Share(network.SERVICE, 1)
+    route = routes.Route("r", network.ROUTE_ADDRESS, (share,))
+    table = routes.RoutingTable(1, (route,), 60.0)
+    former.note_change(routes.EMPTY, table, BEGIN)
+    balancer.set_routes(table)
+    for service, address in ((network.SERVICE, ("side", 1)), ("o", OTHER)):
+        target = candidates.Target(service, address, "z", True, False)
+        balancer.set_targets(service, (target,))
+    _search(balancer, 1, BEGIN)
+    return _questions(balancer, BEGIN + 0.004)
+
+
+def test_only_targets_of_the_routes_services_are_asked():
+    former = former_services.FormerServices(first_start=True)
+    assert _asked_beside_another_service(former) == [("side", 1)]
+
+
+def test_targets_of_a_former_service_are_asked():
+    former = former_services.FormerServices(first_start=True)
+    former.learn(
+        (former_services.Former(network.ROUTE_ADDRESS, "o"),), BEGIN - 1.0
+    )
+    assert OTHER in _asked_beside_another_service(former)
+
+
+def test_all_targets_are_asked_while_former_services_are_not_known():
+    former = former_services.FormerServices(first_start=False)
+    assert OTHER in _asked_beside_another_service(former)
--- a/clementinelead/replays/relayed.py
+++ b/clementinelead/replays/relayed.py
@@ -7,6 +7,7 @@
 from clementinelead.relays import announcements
 from clementinelead.relays import candidates
 from clementinelead.relays import formats
+from clementinelead.relays import former_services
 from clementinelead.relays import holding
 from clementinelead.relays import outcomes
 from clementinelead.relays import routes
@@ -90,7 +91,10 @@
     def __init__(self, zone: str):
         self.zone = zone
         self.address = (f"balancer-{zone}", 1)
-        self.steering = steering.Steering(packets.Format(), _ignore, zone)
+        former = former_services.FormerServices(first_start=True)
+        self.steering = steering.Steering(
+            packets.Format(), _ignore, zone, former
+        )
         self.ticking = False
 
 
@@ -133,9 +137,9 @@
             int(kind.objective_s * 1000),
             int(kind.timeout_s * 1000),
         )
-        balancer.steering.set_routes(
-            routes.RoutingTable(1, (route,), 60.0), now
-        )
+        table = routes.RoutingTable(1, (route,), 60.0)
+        balancer.steering.former.note_change(routes.EMPTY, table, now)
+        balancer.steering.set_routes(table)
         targets = tuple(
             candidates.Target(
                 side.server.spec.name,
