Pass news of processes on within each zone; compress what peers fetch

Cause: below 1,000 members (DIRECT_MEMBERS) each process told all balancers of each change of its own; gossip alone took tens of seconds after a loss of all. Routes and views went between peers as plain JSON and Cap'n Proto. Ruled out: gossip with a larger budget (2 kB/s at the aim); telling all balancers at any size (7,300 datagrams a start). Change: a process tells two balancers in each zone, chosen by rendezvous hashing, and those tell their zone, several records a datagram (memberships/zone_news.py). Patches and views are compressed with zlib; the newest patch is encoded once for all who ask.

--- a/clementinelead/processes/member_exchange.py
+++ b/clementinelead/processes/member_exchange.py
@@ -18,6 +18,7 @@
 from clementinelead.memberships import gossip
 from clementinelead.memberships import members
 from clementinelead.memberships import records
+from clementinelead.messages import compression
 from clementinelead.messages import controls
 from clementinelead.processes import http_client
 from clementinelead.processes import http_site
@@ -124,7 +125,8 @@
             loguru.logger.debug("members of {}: {}", host, answer)
             return None
         try:
-            found = controls.decode_records(answer.body)
+            body = compression.decompress(answer.body)
+            found = controls.decode_records(body)
         except exceptions.MalformedMessageError as error:
             loguru.logger.warning("members of {}: {}", host, error)
             return None
@@ -184,7 +186,7 @@
             several = self._sample(request.query.get("id", ""))
         # Who has restarted learns of its predecessor from the last ones.
         several += self._former(request.query.get("id"))
-        body = controls.encode_records(several)
+        body = compression.compress(controls.encode_records(several))
         return http_site.Response(status, body, _CONTENT_TYPE)
 
     def _sample(self, asker: str) -> list[records.Record]:
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -16,6 +16,7 @@
 from clementinelead.memberships import repairs
 from clementinelead.memberships import sends
 from clementinelead.memberships import watchers
+from clementinelead.memberships import zone_news
 from clementinelead.messages import controls
 from clementinelead.processes import control_channel
 from clementinelead.processes import http_site
@@ -31,13 +32,8 @@
 TICK_S = 0.05
 """Interval of the gossip's timer, seconds."""
 
-DIRECT_MEMBERS = 1_000
-"""Members up to which news of a process goes straight to all balancers.
-
-After a loss of all the gossip's budget would let their records through for
-tens of seconds. A start costs 220 bytes for each balancer and announcement,
-once; above this number gossip alone carries the news.
-"""
+COLLECT_S = 0.01
+"""Time in which news for the balancers of the zone is collected, seconds."""
 
 MAX_GREETED = 64
 """Processes that a balancer greets at most; gossip reaches the others.
@@ -105,6 +101,10 @@
             self.random,
             now,
         )
+        self._news = zone_news.ZoneNews(
+            own, self.gossiper.table, self.gossiper.peers
+        )
+        self._news_scheduled = False
         self._seeds = others
         self._settings = settings
         self._subscriber = subscriber
@@ -185,47 +185,33 @@
         """Raises the own record and pushes it to others."""
         now = time.monotonic()
         messages, change = self.gossiper.announce(now, **fields)
-        for message in messages:
-            self._channel.send(message)
-        if len(self.gossiper.table.by_id) <= DIRECT_MEMBERS:
-            for peer in self.gossiper.peers():
-                if peer.role is records.Role.BALANCER:
-                    self._tell(peer)
+        self._send(messages)
+        self._send(self._news.announce(self.gossiper.own))
         if change is not None:
             self._subscriber.on_members([change], now)
 
-    def _tell(self, peer: records.Record) -> None:
-        """Sends the own record to a peer."""
-        self._channel.send(
-            sends.Send(
-                peer.control_address,
-                (self.gossiper.own,),
-                controls.Nothing(),
-            )
-        )
+    def _send(self, messages: list[sends.Send]) -> None:
+        for message in messages:
+            self._channel.send(message)
 
     def _take(self, changes: list[members.Change], now: float) -> None:
-        """Hands changes on; greets balancers that have just started.
-
-        A balancer that starts when all do learns the targets sooner so.
-        """
+        """Hands changes on, to the subscriber and within the zone."""
         if not changes:
             return
         if not self.alone:
             self.joining.note_peer()
         self._subscriber.on_members(changes, now)
-        few = len(self.gossiper.table.by_id) <= DIRECT_MEMBERS
-        if not few or not self.gossiper.announced:
-            return
-        for change in changes:
-            record = change.new
-            if record.role is not records.Role.BALANCER:
-                continue
-            if record.id == self.gossiper.own.id or members.ended(record):
-                continue
-            old = change.old
-            if old is None or old.incarnation != record.incarnation:
-                self._tell(record)
+        own = self.gossiper.own if self.gossiper.announced else None
+        self._send(self._news.note(changes, own, now))
+        if self._news.pending and not self._news_scheduled:
+            self._news_scheduled = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(COLLECT_S, self._pass_on)
+
+    def _pass_on(self) -> None:
+        """Tells the balancers of the zone what has been collected."""
+        self._news_scheduled = False
+        self._send(self._news.flush(time.monotonic()))
 
     def add_seeds(self, addresses: tuple[str, ...]) -> None:
         """Adds IP addresses of processes to join through."""
@@ -288,8 +274,7 @@
             await asyncio.sleep(TICK_S)
             now = time.monotonic()
             messages, changes = self.gossiper.on_tick(now)
-            for message in messages:
-                self._channel.send(message)
+            self._send(messages)
             self._take(changes, now)
             if self.gossiper.duplicate_identifier:
                 self.gossiper.duplicate_identifier = False
@@ -301,8 +286,7 @@
     ) -> None:
         now = time.monotonic()
         messages, changes = self.gossiper.on_control(control, source, now)
-        for message in messages:
-            self._channel.send(message)
+        self._send(messages)
         self._take(changes, now)
         if self.routes.begin_following(control.revision):
             self.spawn(self.routes.follow(source[0], control.revision))
--- a/clementinelead/processes/route_exchange.py
+++ b/clementinelead/processes/route_exchange.py
@@ -6,7 +6,6 @@
 import time
 
 import loguru
-import msgspec
 
 from clementinelead.memberships import gossip
 from clementinelead.memberships import sends
@@ -22,6 +21,8 @@
 TIMEOUT_S = 1.0
 """Deadline of a question to a peer, seconds."""
 
+_CONTENT_TYPE = "application/octet-stream"
+
 FOLLOW_RETRY_S = 0.3
 """Longest pause before routes are asked for again, seconds."""
 
@@ -64,6 +65,8 @@
         self._send = send
         self._on_routes = on_routes
         self._following = False
+        self._told: tuple[object, ...] = ()
+        self._told_body = b""
         site.add("GET", route_questions.PATCH_PATH, self._serve_patch)
 
     def adopt(self, table: routes.RoutingTable, source: str) -> None:
@@ -154,7 +157,16 @@
         if self.table.version < since or (same and not wanted):
             return http_site.Response(http_site.NOT_MODIFIED)
         patch = self._history.since(since, self.table, former)
-        return http_site.Response(http_site.OK, msgspec.json.encode(patch))
+        body = self._encoded(patch)
+        return http_site.Response(http_site.OK, body, _CONTENT_TYPE)
+
+    def _encoded(self, patch: route_patches.Patch) -> bytes:
+        """Returns a patch for a peer; many peers ask for the same one."""
+        told = (patch.since, patch.version, patch.former)
+        if told != self._told:
+            self._told = told
+            self._told_body = route_patches.encode(patch)
+        return self._told_body
 
 
 def _version_in(request: http_site.Request) -> int:
--- a/clementinelead/processes/route_questions.py
+++ b/clementinelead/processes/route_questions.py
@@ -1,8 +1,8 @@
 """Routes over HTTP, between relaying processes."""
 
 import loguru
-import msgspec
 
+from clementinelead import exceptions
 from clementinelead.processes import http_client
 from clementinelead.processes import http_site
 from clementinelead.relays import route_patches
@@ -45,7 +45,7 @@
     body: bytes, address: tuple[str, int]
 ) -> route_patches.Patch | None:
     try:
-        return msgspec.json.decode(body, type=route_patches.Patch)
-    except msgspec.DecodeError as error:
+        return route_patches.decode(body)
+    except exceptions.MalformedMessageError as error:
         loguru.logger.warning("routes of {}: {}", address, error)
         return None
--- a/clementinelead/processes/tests/test_relay_node.py
+++ b/clementinelead/processes/tests/test_relay_node.py
@@ -3,9 +3,8 @@
 import socket
 import time
 
-import msgspec
-
 from clementinelead.memberships import records
+from clementinelead.messages import compression
 from clementinelead.messages import controls
 from clementinelead.processes import contact_keys
 from clementinelead.processes import http_client
@@ -340,7 +339,7 @@
         node.routes.adopt(old, "test")
         node.routes.adopt(new, "test")
         answer = await fetched(f"{route_questions.PATCH_PATH}?since=5")
-        patch = msgspec.json.decode(answer.body, type=route_patches.Patch)
+        patch = route_patches.decode(answer.body)
         assert patch.changed == (_route(b"c"),)
         assert patch.removed == (b"b",)
         found = await _fetched(address, old)
@@ -450,7 +449,8 @@
         controls.encode_records([]),
     )
     response = node.joining._exchange._serve_members(request)
-    return response.status, controls.decode_records(response.body)
+    body = compression.decompress(response.body)
+    return response.status, controls.decode_records(body)
 
 
 def test_seed_tells_of_a_few_members_and_the_asker():
--- a/clementinelead/relays/route_patches.py
+++ b/clementinelead/relays/route_patches.py
@@ -6,10 +6,12 @@
 
 import msgspec
 
+from clementinelead import exceptions
+from clementinelead.messages import compression
 from clementinelead.relays import former_services
 from clementinelead.relays import routes
 
-__all__ = ["Patch", "RouteHistory", "patched"]
+__all__ = ["Patch", "RouteHistory", "decode", "encode", "patched"]
 
 MAX_VERSIONS = 64
 """Versions whose changes are kept; who is further behind fetches all.
@@ -39,6 +41,23 @@
     former: tuple[former_services.Former, ...] | None = None
 
 
+def encode(patch: Patch) -> bytes:
+    """Returns what peers tell each other of a patch."""
+    return compression.compress(msgspec.json.encode(patch))
+
+
+def decode(data: bytes) -> Patch:
+    """Returns the patch that a peer has told.
+
+    Raises:
+        exceptions.MalformedMessageError: It is none.
+    """
+    try:
+        return msgspec.json.decode(compression.decompress(data), type=Patch)
+    except msgspec.DecodeError as error:
+        raise exceptions.MalformedMessageError(str(error)) from error
+
+
 def patched(
     table: routes.RoutingTable, patch: Patch
 ) -> routes.RoutingTable | None:
