Let no unexpected error take a process down

Cause: a task of a relaying process that raised stopped the process; a datagram whose handling raised kept those read with it waiting; a request handler that raised closed the connection without an answer; such errors went to standard error without bound. Ruled out: catching errors inside each decision (hides where they come from).

--- a/clementinelead/processes/datagrams.py
+++ b/clementinelead/processes/datagrams.py
@@ -3,15 +3,22 @@
 import asyncio
 import collections.abc
 import socket
+import time
+
+import loguru
 
 from clementinelead.processes import sockets
 from clementinelead.telemetry import counters
+from clementinelead.telemetry import logs
 
 __all__ = ["DatagramSocket"]
 
 MAX_BATCH = 64
 """Datagrams read before other work gets a turn."""
 
+ERROR_LINES_PER_S = 2.0
+"""Unexpected errors logged a second; all are counted."""
+
 _MAX_BYTES = 2_048
 
 Receiver = collections.abc.Callable[[bytes, tuple[str, int]], None]
@@ -21,7 +28,7 @@
     """A UDP socket that reads all that has come with one wake-up.
 
     Attributes:
-        counts: Datagrams that could not be sent, by cause.
+        counts: Datagrams that could not be sent or handled, by cause.
     """
 
     def __init__(self, address: tuple[str, int], receiver: Receiver):
@@ -36,6 +43,7 @@
         """
         self.counts = counters.CounterSet()
         self._receiver = receiver
+        self._errors = logs.RateLimit(ERROR_LINES_PER_S)
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         sockets.enlarge(self._socket)
@@ -67,4 +75,15 @@
                 # An earlier datagram met a closed port.
                 self.counts.add(type(error).__name__)
                 continue
+            self._hand_over(data, source)
+
+    def _hand_over(self, data: bytes, source: tuple[str, int]) -> None:
+        """Lets no datagram keep those that came with it from being read."""
+        try:
             self._receiver(data, source)
+        except Exception as error:
+            self.counts.add(f"unhandled {type(error).__name__}")
+            if self._errors.allows(time.monotonic()):
+                loguru.logger.bind(source=source[0], size=len(data)).opt(
+                    exception=error
+                ).error("datagram not handled")
--- a/clementinelead/processes/http_site.py
+++ b/clementinelead/processes/http_site.py
@@ -15,6 +15,7 @@
 __all__ = [
     "BAD_REQUEST",
     "CONFLICT",
+    "FAILED",
     "METHOD_NOT_ALLOWED",
     "NOT_FOUND",
     "NOT_MODIFIED",
@@ -35,6 +36,7 @@
 NOT_FOUND = 404
 METHOD_NOT_ALLOWED = 405
 CONFLICT = 409
+FAILED = 500
 UNAVAILABLE = 503
 
 IDLE_S = 30.0
@@ -160,10 +162,21 @@
             if request.path.startswith(prefix):
                 found = True
                 if method == request.method:
-                    return handler(request)
+                    return _handled(handler, request)
         return Response(METHOD_NOT_ALLOWED if found else NOT_FOUND)
 
 
+def _handled(handler: Handler, request: Request) -> Response:
+    """Returns a handler's response, whatever a request makes it raise."""
+    try:
+        return handler(request)
+    except Exception as error:
+        loguru.logger.bind(method=request.method, path=request.path).opt(
+            exception=error
+        ).error("request failed")
+        return Response(FAILED)
+
+
 async def _read_request(
     connection: h11.Connection, reader: asyncio.StreamReader
 ) -> Request | None:
--- a/clementinelead/processes/lifetime.py
+++ b/clementinelead/processes/lifetime.py
@@ -11,6 +11,7 @@
 
 from clementinelead import exceptions
 from clementinelead.processes import http_site
+from clementinelead.telemetry import logs
 from clementinelead.telemetry import structured
 
 __all__ = ["Site", "run"]
@@ -24,9 +25,35 @@
 EXIT_FAILED = 1
 EXIT_PORT_TAKEN = 3
 
+ERROR_LINES_PER_S = 2.0
+"""Unexpected errors of callbacks logged a second."""
+
 _GC_ALLOCATIONS = 50_000  # few objects form cycles here
 
 
+class ErrorLog:
+    """Logs what callbacks raise; the process goes on."""
+
+    def __init__(self) -> None:
+        self._limit = logs.RateLimit(ERROR_LINES_PER_S)
+
+    def report(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, object]
+    ) -> None:
+        """Logs an error that a callback or a connection did not handle.
+
+        Args:
+            loop: The event loop.
+            context: What ``asyncio`` says of the error.
+        """
+        if not self._limit.allows(loop.time()):
+            return
+        error = context.get("exception")
+        loguru.logger.bind(left_out=self._limit.take_left_out()).opt(
+            exception=error if isinstance(error, Exception) else None
+        ).error("unexpected error: {}", context.get("message"))
+
+
 def run(
     node: str,
     main: Main,
@@ -48,6 +75,7 @@
     async def supervised() -> None:
         loop = asyncio.get_running_loop()
         writer.attach(loop)
+        loop.set_exception_handler(ErrorLog().report)
         stopping = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopping.set)
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -1,6 +1,7 @@
 """The relaying balancer: callers' packets, peers' answers, readiness."""
 
 import asyncio
+import functools
 import time
 
 import loguru
@@ -130,11 +131,16 @@
         try:
             self._callers.start(self._loop)
             self._peers.start(self._loop)
-            self.node.spawn(self._watch.run())
-            self.node.spawn(self._holder.run())
-            self.node.spawn(self._finder.run())
+            self.node.keep("watch of the routes", self._watch.run)
+            self.node.keep("contact key", self._holder.run)
+            self.node.keep("search for peers", self._finder.run)
             useful_until = time.monotonic() + completeness.VIEW_S
-            self.node.spawn(self._finder.count(self._side_count, useful_until))
+            self.node.keep(
+                "count of side processes",
+                functools.partial(
+                    self._finder.count, self._side_count, useful_until
+                ),
+            )
             await stopping.wait()
             await self._drain()
         finally:
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import functools
 import random
 import time
 import typing
@@ -159,10 +160,10 @@
         address = self._settings.address
         await self._channel.open((address, self._settings.control_port))
         await self._site.start(address, self._settings.http_port)
-        self.spawn(self._tick_forever())
+        self.keep("gossip", self._tick_forever)
         for seed in self._seeds:
-            self.spawn(self.joining.join_through(seed))
-        self.spawn(self.joining.run())
+            self._join_through(seed)
+        self.keep("joining", self.joining.run)
 
     async def stop(self) -> None:
         """Stops the tasks and closes the sockets.
@@ -175,11 +176,21 @@
         self._channel.close()
         self._tasks.raise_failure()
 
-    def spawn(
-        self, coroutine: collections.abc.Coroutine[None, None, None]
+    def keep(
+        self,
+        name: str,
+        run: collections.abc.Callable[
+            [], collections.abc.Coroutine[None, None, None]
+        ],
     ) -> None:
-        """Runs a coroutine until the node stops; its failure stops it."""
-        self._tasks.spawn(coroutine)
+        """Runs a task until the node stops, anew after each failure."""
+        self._tasks.keep(name, run)
+
+    def _join_through(self, seed: str) -> None:
+        self.keep(
+            f"joining through {seed}",
+            functools.partial(self.joining.join_through, seed),
+        )
 
     def announce(self, **fields: object) -> None:
         """Raises the own record and pushes it to others."""
@@ -220,7 +231,7 @@
                 continue
             self._seeds.append(address)
             if self._started and self.alone:
-                self.spawn(self.joining.join_through(address))
+                self._join_through(address)
         port = self._settings.control_port
         self.gossiper.add_seeds(tuple((seed, port) for seed in self._seeds))
 
@@ -289,10 +300,17 @@
         self._send(messages)
         self._take(changes, now)
         if self.routes.begin_following(control.revision):
-            self.spawn(self.routes.follow(source[0], control.revision))
+            self.keep(
+                "following routes",
+                functools.partial(
+                    self.routes.follow, source[0], control.revision
+                ),
+            )
         differs = control.digest != self.gossiper.table.digest
         if self._repairs.due(differs, now):
-            self.spawn(self._repair(source[0]))
+            self.keep(
+                "comparing members", functools.partial(self._repair, source[0])
+            )
 
     async def _repair(self, host: str) -> None:
         await self.joining.sync(host)
--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -135,7 +135,7 @@
         try:
             self._answers.start(self._loop)
             self._peers.start(self._loop)
-            self.node.spawn(self._finder.run())
+            self.node.keep("search for peers", self._finder.run)
             await stopping.wait()
             await self._linger()
         finally:
--- a/clementinelead/processes/tasks.py
+++ b/clementinelead/processes/tasks.py
@@ -1,4 +1,4 @@
-"""Background tasks of a process; the failure of one stops the process."""
+"""Background tasks of a process, and what becomes of unexpected errors."""
 
 import asyncio
 import collections.abc
@@ -12,12 +12,24 @@
 CANCEL_AGAIN_S = 0.2
 """Time after which tasks that still run are cancelled again, seconds."""
 
+FIRST_PAUSE_S = 0.05
+"""Pause before a task that has failed begins anew, seconds; it doubles."""
+
+HEALTHY_S = 10.0
+"""Time after which a task that runs counts as mended, seconds."""
+
+MAX_FAILURES = 8
+"""Failures in a row after which the process gives a task up.
+
+The last pause is some seconds; a process that starts anew may do better.
+"""
+
 
 class Tasks:
     """Runs coroutines until they are stopped together.
 
-    A process that lacks one of its tasks would keep no promise, so a failure
-    sets the event that stops the process.
+    A process that lacks one of its tasks would keep no promise, so the failure
+    of a task that is not kept sets the event that stops the process.
     """
 
     def __init__(self) -> None:
@@ -29,6 +41,47 @@
         """Names the event to set when a task fails."""
         self._stopping = stopping
 
+    def keep(
+        self,
+        name: str,
+        run: collections.abc.Callable[
+            [], collections.abc.Coroutine[None, None, None]
+        ],
+    ) -> None:
+        """Runs a task until ``stop``, anew after each unexpected error.
+
+        A process whose task fails again and again stops.
+
+        Args:
+            name: What the task does, for the log.
+            run: Returns the task; called again after a failure.
+        """
+        self.spawn(self._keep(name, run))
+
+    async def _keep(
+        self,
+        name: str,
+        run: collections.abc.Callable[
+            [], collections.abc.Coroutine[None, None, None]
+        ],
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        failures = 0
+        while True:
+            begun = loop.time()
+            try:
+                await run()
+                return
+            except Exception as error:
+                healthy = loop.time() - begun >= HEALTHY_S
+                failures = 1 if healthy else failures + 1
+                if failures >= MAX_FAILURES:
+                    raise
+                loguru.logger.bind(task=name, failures=failures).opt(
+                    exception=error
+                ).error("task begins anew")
+            await asyncio.sleep(FIRST_PAUSE_S * 2 ** (failures - 1))
+
     def spawn(
         self, coroutine: collections.abc.Coroutine[None, None, None]
     ) -> None:
--- a/clementinelead/processes/tests/test_http.py
+++ b/clementinelead/processes/tests/test_http.py
@@ -49,6 +49,11 @@
     assert answer == http_client.Answer(200, b"1 2")
 
 
+def test_request_that_its_handler_can_not_bear_is_answered():
+    answer = _run(lambda port: _call(port, "GET", "/query?b=1"))
+    assert answer.status == http_site.FAILED
+
+
 @pytest.mark.parametrize(
     ("method", "target", "status"),
     [("GET", "/nothing", 404), ("PUT", "/echo", 405)],
--- a/clementinelead/processes/tests/test_relay_node.py
+++ b/clementinelead/processes/tests/test_relay_node.py
@@ -242,10 +242,9 @@
     holder = contact_keys.ContactHolder(first, keys, count, first.random)
 
     async def check():
-        first.spawn(holder.run())
-        second.spawn(
-            contact_keys.ContactFinder(second, keys, second.random).run()
-        )
+        first.keep("holder", holder.run)
+        finder = contact_keys.ContactFinder(second, keys, second.random)
+        second.keep("finder", finder.run)
         bound_s = 2 * contact_keys.ALONE_S + contact_keys.CHECK_S
         await _eventually(
             lambda: not first.alone and not second.alone,
@@ -270,7 +269,7 @@
         balancer.joining.joined = True
         begun = time.monotonic()
         count = contact_keys.SideCount()
-        balancer.spawn(finder.count(count, begun + 1.0))
+        balancer.keep("count", lambda: finder.count(count, begun + 1.0))
         await _eventually(lambda: not balancer.alone, JOIN_BOUND_S)
         assert side.joining.joined
 
--- a/clementinelead/processes/tests/test_tasks.py
+++ b/clementinelead/processes/tests/test_tasks.py
@@ -42,3 +42,37 @@
             running.raise_failure()
 
     asyncio.run(main())
+
+
+def _kept(monkeypatch, failures):
+    """Runs a kept task that fails some times; returns its runs and end."""
+    monkeypatch.setattr(tasks, "FIRST_PAUSE_S", 0.0001)
+    runs = []
+
+    async def run():
+        runs.append(1)
+        if len(runs) <= failures:
+            raise KeyError("unexpected")
+        await asyncio.sleep(60.0)
+
+    async def main():
+        stopping = asyncio.Event()
+        running = tasks.Tasks()
+        running.start(stopping)
+        running.keep("test", run)
+        async with asyncio.timeout(BOUND_S):
+            while len(runs) <= failures and not stopping.is_set():
+                await asyncio.sleep(0.001)
+        await running.stop()
+        return stopping.is_set()
+
+    return len(runs), asyncio.run(main())
+
+
+def test_kept_task_begins_anew_after_an_unexpected_error(monkeypatch):
+    failures = tasks.MAX_FAILURES - 1
+    assert _kept(monkeypatch, failures)[1] is False
+
+
+def test_kept_task_that_always_fails_stops_the_process(monkeypatch):
+    assert _kept(monkeypatch, 10_000)[1] is True
