Bind the sockets of a program before the rest of it is loaded

Cause: a start takes 0.25 to 0.8 s of a small instance, nearly all of it imports, and what came meanwhile was lost: packets of callers and targets, questions, heartbeats (the next one comes 0.8 s later). Ruled out: fewer libraries (loguru 47 ms, h11 22, msgspec 21, capnp 12 of 156 ms after asyncio's 67; each is used from the first line on). A balancer doubts packets of its first 0.2 s, which may be late copies of flows that are open elsewhere. Tests: test_launch.py (the heartbeat is lost without it), test_relaying.py (waited while a balancer started: fails without the doubt). The in-memory balancers of the tests now have run for a while, as the refusal at once that one test expects is that of a balancer past its first 0.2 s.

--- a/clementinelead/platform/programs.py
+++ b/clementinelead/platform/programs.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import sys
 import typing
 
 import loguru
@@ -13,10 +12,9 @@
 from clementinelead.processes import lifetime
 from clementinelead.processes import metrics_page
 from clementinelead.processes import relay_node
+from clementinelead.processes import sockets
 
-__all__ = ["EXIT_SETTINGS", "Program", "run"]
-
-EXIT_SETTINGS = 2
+__all__ = ["Program", "run"]
 
 
 class Program(typing.Protocol):
@@ -35,21 +33,22 @@
 
 
 Sites = collections.abc.Sequence[lifetime.Site]
-Build = collections.abc.Callable[[settings.NodeSettings], tuple[Program, Sites]]
 
 
-def run(build: Build) -> int:
+def run(
+    loaded: settings.NodeSettings,
+    bound: sockets.Sockets,
+    program: Program,
+    sites: Sites,
+) -> int:
     """Runs a program; returns its exit code.
 
     Args:
-        build: Returns the program and its sites for the settings.
+        loaded: Settings.
+        bound: Sockets that have been bound already.
+        program: The program.
+        sites: HTTP sites to serve, with their addresses.
     """
-    try:
-        loaded = settings.load()
-        program, sites = build(loaded)
-    except exceptions.SettingsError as error:
-        print(error, file=sys.stderr)
-        return EXIT_SETTINGS
     metrics = http_site.HttpSite()
     metrics.add("GET", "/metrics", program.metrics.respond)
     address = (loaded.relay.address, loaded.relay.metrics_port)
@@ -57,6 +56,7 @@
         loaded.relay.id,
         program.run,
         [*sites, (metrics, address)],
+        bound,
         lambda: _reload(program.node),
     )
 
--- a/clementinelead/platform/side.py
+++ b/clementinelead/platform/side.py
@@ -1,48 +1,8 @@
-"""Program of a ``side`` machine: the relaying side process."""
+"""Entry point of a ``side`` machine: the relaying side process."""
 
 import sys
 
-from clementinelead import exceptions
-from clementinelead.platform import heartbeats
-from clementinelead.platform import packets
-from clementinelead.platform import programs
-from clementinelead.platform import settings
-from clementinelead.platform import store
-from clementinelead.processes import http_site
-from clementinelead.processes import lifetime
-from clementinelead.processes import relay_side
-
-__all__ = ["build"]
-
-
-def build(
-    loaded: settings.NodeSettings,
-) -> tuple[relay_side.RelaySide, list[lifetime.Site]]:
-    """Returns the program and the sites that it serves.
-
-    Args:
-        loaded: Settings.
-
-    Raises:
-        exceptions.SettingsError: The settings name no target.
-    """
-    if loaded.target is None or loaded.answers is None:
-        raise exceptions.SettingsError("app and outbound are needed")
-    side = relay_side.RelaySide(
-        loaded.relay,
-        loaded.service,
-        loaded.target,
-        loaded.answers,
-        packets.PlatformFormat(loaded.caller_port),
-        store.ContactStore(store.Store(loaded.store)),
-    )
-    sites = []
-    if loaded.control is not None:
-        control = http_site.HttpSite()
-        heartbeats.HeartbeatHandlers(side).add_to(control)
-        sites.append((control, loaded.control))
-    return side, sites
-
+from clementinelead.platform import launch
 
 if __name__ == "__main__":
-    sys.exit(programs.run(build))
+    sys.exit(launch.launch("clementinelead.platform.side_program"))
--- a/clementinelead/platform/tests/test_heartbeats.py
+++ b/clementinelead/platform/tests/test_heartbeats.py
@@ -3,9 +3,10 @@
 import pytest
 
 from clementinelead.platform import heartbeats
-from clementinelead.platform import side as side_program
+from clementinelead.platform import side_program
 from clementinelead.platform.tests import settings_files
 from clementinelead.processes import http_site
+from clementinelead.processes import sockets
 
 BEAT = {
     "service": "whois",
@@ -22,7 +23,9 @@
 
 @pytest.fixture(name="respond")
 def _respond():
-    side, _ = side_program.build(settings_files.side(service="whois"))
+    side, _ = side_program.build(
+        settings_files.side(service="whois"), sockets.Sockets()
+    )
     handlers = heartbeats.HeartbeatHandlers(side)
     site = http_site.HttpSite()
     handlers.add_to(site)
--- /dev/null
+++ b/clementinelead/platform/tests/test_launch.py
@@ -0,0 +1,134 @@
+"""Start of a program: what comes while it is loaded is not lost."""
+
+import http.client
+import socket
+import subprocess
+import sys
+import time
+
+from clementinelead.platform import launch
+from clementinelead.platform import settings
+
+HOST = "127.0.0.1"
+BOUND_S = 20.0
+SLOW_PROGRAM = """
+import sys
+import time
+sys.path.insert(0, {folder!r})
+from clementinelead.platform import launch
+sys.exit(launch.launch("slow_side"))
+"""
+SLOW_MODULE = '''
+"""The side process, loaded so slowly that a test can be quicker."""
+import time
+time.sleep({pause})
+from clementinelead.platform.side_program import main
+'''
+SETTINGS = """
+node_name = "side-a-1"
+ip = "127.0.0.1"
+zone = "a"
+region = "r"
+internal_ports = [{base}, {last}]
+seeds = []
+app = "127.0.0.1:{app}"
+service = "whois"
+[listen]
+datagram_addr = "127.0.0.1:{callers}"
+outbound = "127.0.0.1:{outbound}"
+control = "127.0.0.1:{control}"
+[platform]
+address = "127.0.0.1:{store}"
+"""
+BEAT = b'{"service":"whois","capacity":2,"state":"ready","sequence":1,"born":7}'
+
+
+def _free_port():
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+def _free_row():
+    """Returns the first of three free ports in a row."""
+    while True:
+        base = _free_port()
+        try:
+            for port in range(base, base + 3):
+                with socket.socket() as probe:
+                    probe.bind((HOST, port))
+        except OSError:
+            continue
+        return base
+
+
+def _modules(module):
+    """Returns how many modules an import loads, in a process of its own."""
+    code = f"import sys, {module}; print(len(sys.modules))"
+    done = subprocess.run(
+        [sys.executable, "-c", code], check=True, capture_output=True
+    )
+    return int(done.stdout)
+
+
+def test_sockets_are_bound_before_most_modules_are_loaded():
+    before = _modules("clementinelead.platform.launch")
+    whole = _modules("clementinelead.platform.side_program")
+    assert before < 0.6 * whole
+
+
+def test_heartbeat_that_comes_while_the_program_loads_is_acknowledged(
+    tmp_path,
+):
+    base = _free_row()
+    ports = {
+        name: _free_port()
+        for name in ("app", "callers", "outbound", "control", "store")
+    }
+    file = tmp_path / "node.toml"
+    file.write_text(SETTINGS.format(base=base, last=base + 2, **ports))
+    module = tmp_path / "slow_side.py"
+    module.write_text(SLOW_MODULE.format(pause=1.0))
+    process = subprocess.Popen(
+        [sys.executable, "-c", SLOW_PROGRAM.format(folder=str(tmp_path))],
+        env={settings.FILE_VARIABLE: str(file), "PATH": ""},
+        stdout=subprocess.DEVNULL,
+    )
+    try:
+        _wait_until_bound(ports["control"])
+        calls = http.client.HTTPConnection(
+            HOST, ports["control"], timeout=BOUND_S
+        )
+        calls.request("PUT", "/instances/i-1", BEAT)
+        assert calls.getresponse().status == 200
+    finally:
+        process.terminate()
+        process.wait(BOUND_S)
+
+
+def _wait_until_bound(port):
+    """Waits until a program has bound a port; it has loaded nothing yet."""
+    deadline = time.monotonic() + BOUND_S
+    while time.monotonic() < deadline:
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                return
+        time.sleep(0.01)
+    raise AssertionError("no port was bound")
+
+
+def test_taken_port_is_said(monkeypatch, tmp_path, capsys):
+    base = _free_row()
+    ports = {
+        name: _free_port()
+        for name in ("app", "callers", "outbound", "control", "store")
+    }
+    file = tmp_path / "node.toml"
+    file.write_text(SETTINGS.format(base=base, last=base + 2, **ports))
+    monkeypatch.setenv(settings.FILE_VARIABLE, str(file))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+        other.bind((HOST, base))
+        assert launch.launch("no_module") == launch.EXIT_PORT_TAKEN
+    assert "can't start" in capsys.readouterr().err
--- a/clementinelead/platform/tests/test_settings.py
+++ b/clementinelead/platform/tests/test_settings.py
@@ -2,8 +2,9 @@
 
 from clementinelead import exceptions
 from clementinelead.platform import settings
-from clementinelead.platform import side
+from clementinelead.platform import side_program
 from clementinelead.platform.tests import settings_files
+from clementinelead.processes import sockets
 
 
 def test_settings_are_translated():
@@ -51,4 +52,4 @@
 
 def test_side_process_needs_a_target():
     with pytest.raises(exceptions.SettingsError):
-        side.build(settings_files.side(app=""))
+        side_program.build(settings_files.side(app=""), sockets.Sockets())
--- a/clementinelead/platform/tests/test_store.py
+++ b/clementinelead/platform/tests/test_store.py
@@ -8,6 +8,7 @@
 from clementinelead.processes import contact_keys
 from clementinelead.processes import http_site
 from clementinelead.processes import route_watch
+from clementinelead.processes import sockets
 
 HOST = "127.0.0.1"
 CONTACT = contact_keys.Contact("10.0.0.1", 5)
@@ -76,7 +77,7 @@
         site = http_site.HttpSite()
         for method in ("GET", "POST"):
             site.add(method, "/", stand_in.respond)
-        await site.start(HOST, 0)
+        await site.start(sockets.Sockets().tcp((HOST, 0)))
         try:
             client = store.Store((HOST, site.port))
             return await exchange(stand_in, client)
--- a/clementinelead/processes/control_channel.py
+++ b/clementinelead/processes/control_channel.py
@@ -60,19 +60,14 @@
         self._counter = _FIRST_COUNTER
         self._transport: asyncio.DatagramTransport | None = None
 
-    async def open(self, address: tuple[str, int]) -> None:
-        """Binds the socket.
+    async def open(self, bound: socket.socket) -> None:
+        """Reads from a socket from now on.
 
         Args:
-            address: IP address and UDP port.
-
-        Raises:
-            OSError: The port is taken.
+            bound: A bound UDP socket.
         """
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=address, family=socket.AF_INET
-        )
+        await loop.create_datagram_endpoint(lambda: self, sock=bound)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport; a datagram may come before ``open`` returns."""
--- a/clementinelead/processes/datagrams.py
+++ b/clementinelead/processes/datagrams.py
@@ -7,7 +7,6 @@
 
 import loguru
 
-from clementinelead.processes import sockets
 from clementinelead.telemetry import counters
 from clementinelead.telemetry import logs
 
@@ -31,23 +30,17 @@
         counts: Datagrams that could not be sent or handled, by cause.
     """
 
-    def __init__(self, address: tuple[str, int], receiver: Receiver):
-        """Binds the socket.
+    def __init__(self, bound: socket.socket, receiver: Receiver):
+        """Takes a socket over.
 
         Args:
-            address: IP address and port.
+            bound: A bound UDP socket that does not block.
             receiver: Gets each datagram and its source.
-
-        Raises:
-            OSError: The port is taken.
         """
         self.counts = counters.CounterSet()
         self._receiver = receiver
         self._errors = logs.RateLimit(ERROR_LINES_PER_S)
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        sockets.enlarge(self._socket)
-        self._socket.bind(address)
+        self._socket = bound
 
     def start(self, loop: asyncio.AbstractEventLoop) -> None:
         """Reads from now on."""
--- a/clementinelead/processes/http_site.py
+++ b/clementinelead/processes/http_site.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc
+import socket
 import urllib.parse
 
 import h11
@@ -89,14 +90,14 @@
         """Serves a method and all paths that begin with a prefix."""
         self._handlers.append((method, prefix, handler))
 
-    async def start(self, address: str, port: int) -> None:
-        """Opens the port.
+    async def start(self, listening: socket.socket) -> None:
+        """Serves a port.
 
-        Raises:
-            OSError: The port is taken.
+        Args:
+            listening: A bound TCP socket.
         """
         self._server = await asyncio.start_server(
-            self._serve, address, port, limit=_READ_BYTES
+            self._serve, sock=listening, limit=_READ_BYTES
         )
 
     @property
--- a/clementinelead/processes/lifetime.py
+++ b/clementinelead/processes/lifetime.py
@@ -11,6 +11,7 @@
 
 from clementinelead import exceptions
 from clementinelead.processes import http_site
+from clementinelead.processes import sockets
 from clementinelead.telemetry import logs
 from clementinelead.telemetry import structured
 
@@ -58,6 +59,7 @@
     node: str,
     main: Main,
     sites: collections.abc.Sequence[Site],
+    bound: sockets.Sockets,
     on_reload: collections.abc.Callable[[], None],
 ) -> int:
     """Runs a process until SIGTERM or SIGINT; returns its exit code.
@@ -66,6 +68,7 @@
         node: Identifier, for the log.
         main: Runs the process; gets an event that is set when it is to stop.
         sites: HTTP sites to serve meanwhile, with their addresses.
+        bound: Sockets that have been bound already.
         on_reload: Called at SIGHUP.
     """
     writer = structured.configure(node, sys.stdout.fileno())
@@ -80,8 +83,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, on_reload)
-        for site, (host, port) in sites:
-            await site.start(host, port)
+        for site, address in sites:
+            await site.start(bound.tcp(address))
         loguru.logger.info("started")
         try:
             await main(stopping)
--- a/clementinelead/processes/node.py
+++ b/clementinelead/processes/node.py
@@ -22,6 +22,7 @@
 from clementinelead.processes import control_channel
 from clementinelead.processes import peers
 from clementinelead.processes import reversions
+from clementinelead.processes import sockets
 from clementinelead.processes import tasks
 from clementinelead.settings import models as settings_models
 from clementinelead.telemetry import metrics
@@ -163,7 +164,8 @@
         self._tasks.start(stopping)
         self._session = aiohttp.ClientSession()
         address = self._settings.address
-        await self.channel.open((address, self._settings.control_port))
+        control_address = (address, self._settings.control_port)
+        await self.channel.open(sockets.Sockets().udp(control_address))
         self._runner = web.AppRunner(self.application, access_log=None)
         await self._runner.setup()
         site = web.TCPSite(self._runner, address, self._settings.http_port)
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -16,6 +16,7 @@
 from clementinelead.processes import relay_node
 from clementinelead.processes import relay_settings
 from clementinelead.processes import route_watch
+from clementinelead.processes import sockets
 from clementinelead.relays import candidates
 from clementinelead.relays import completeness
 from clementinelead.relays import formats
@@ -53,6 +54,7 @@
         packet_format: formats.PacketFormat,
         source: route_watch.RouteSource,
         keys: contact_keys.ContactKeys,
+        bound: sockets.Sockets,
     ):
         """Prepares the process.
 
@@ -62,11 +64,13 @@
             packet_format: Format of the packets.
             source: Where new routes come from.
             keys: Contact keys in the store.
+            bound: Sockets that have been bound already.
         """
+        self._bound = bound
         self._settings = settings
         self._callers_address = callers_address
         self.node = relay_node.RelayNode(
-            settings, records.Role.BALANCER, (), self
+            settings, records.Role.BALANCER, (), self, bound
         )
         log = decision_log.DecisionLog(packet_format)
         self.steering = steering.Steering(
@@ -124,9 +128,11 @@
         self._loop = asyncio.get_running_loop()
         address = (self._settings.address, self._settings.data_port)
         self._callers = datagrams.DatagramSocket(
-            self._callers_address, self._on_packet
+            self._bound.udp(self._callers_address), self._on_packet
+        )
+        self._peers = datagrams.DatagramSocket(
+            self._bound.udp(address), self._on_frame
         )
-        self._peers = datagrams.DatagramSocket(address, self._on_frame)
         await self.node.start(stopping)
         try:
             self._callers.start(self._loop)
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -25,6 +25,7 @@
 from clementinelead.processes import member_exchange
 from clementinelead.processes import relay_settings
 from clementinelead.processes import route_exchange
+from clementinelead.processes import sockets
 from clementinelead.processes import tasks
 from clementinelead.relays import routes
 
@@ -77,6 +78,7 @@
         role: records.Role,
         services: tuple[str, ...],
         subscriber: Subscriber,
+        bound: sockets.Sockets,
     ):
         now = time.monotonic()
         own = records.Record(
@@ -108,6 +110,7 @@
         self._news_scheduled = False
         self._seeds = others
         self._settings = settings
+        self._bound = bound
         self._subscriber = subscriber
         self._channel = control_channel.ControlChannel(
             self.gossiper,
@@ -157,9 +160,10 @@
         """
         self._tasks.start(stopping)
         self._started = True
-        address = self._settings.address
-        await self._channel.open((address, self._settings.control_port))
-        await self._site.start(address, self._settings.http_port)
+        settings, bound = self._settings, self._bound
+        address = settings.address
+        await self._channel.open(bound.udp((address, settings.control_port)))
+        await self._site.start(bound.tcp((address, settings.http_port)))
         self.keep("gossip", self._tick_forever)
         for seed in self._seeds:
             self._join_through(seed)
--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -13,6 +13,7 @@
 from clementinelead.processes import metrics_page
 from clementinelead.processes import relay_node
 from clementinelead.processes import relay_settings
+from clementinelead.processes import sockets
 from clementinelead.relays import announcements
 from clementinelead.relays import formats
 from clementinelead.relays import holding
@@ -67,6 +68,7 @@
         answers_address: tuple[str, int],
         packet_format: formats.PacketFormat,
         keys: contact_keys.ContactKeys,
+        bound: sockets.Sockets,
     ):
         """Prepares the process.
 
@@ -77,12 +79,14 @@
             answers_address: Where the target sends its packets.
             packet_format: Format of the packets.
             keys: Contact keys in the store.
+            bound: Sockets that have been bound already.
         """
+        self._bound = bound
         self._settings = settings
         self._target = target
         self._answers_address = answers_address
         self.node = relay_node.RelayNode(
-            settings, records.Role.SIDE, (service,), self
+            settings, records.Role.SIDE, (service,), self, bound
         )
         self._finder = contact_keys.ContactFinder(
             self.node, keys, self.node.random
@@ -127,10 +131,12 @@
         """
         self._loop = asyncio.get_running_loop()
         self._answers = datagrams.DatagramSocket(
-            self._answers_address, self._on_answer
+            self._bound.udp(self._answers_address), self._on_answer
         )
         address = (self._settings.address, self._settings.data_port)
-        self._peers = datagrams.DatagramSocket(address, self._on_frame)
+        self._peers = datagrams.DatagramSocket(
+            self._bound.udp(address), self._on_frame
+        )
         await self.node.start(stopping)
         try:
             self._answers.start(self._loop)
--- a/clementinelead/processes/tests/test_datagrams.py
+++ b/clementinelead/processes/tests/test_datagrams.py
@@ -4,6 +4,7 @@
 import socket
 
 from clementinelead.processes import datagrams
+from clementinelead.processes import sockets
 
 BOUND_S = 2.0
 
@@ -18,7 +19,8 @@
 
     async def main():
         loop = asyncio.get_running_loop()
-        read = datagrams.DatagramSocket(("127.0.0.1", 0), receive)
+        bound = sockets.Sockets().udp(("127.0.0.1", 0))
+        read = datagrams.DatagramSocket(bound, receive)
         address = read._socket.getsockname()
         sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         for data in (b"1", b"bad", b"2", b"bad", b"3"):
--- a/clementinelead/processes/tests/test_http.py
+++ b/clementinelead/processes/tests/test_http.py
@@ -4,6 +4,7 @@
 
 from clementinelead.processes import http_client
 from clementinelead.processes import http_site
+from clementinelead.processes import sockets
 
 HOST = "127.0.0.1"
 
@@ -25,7 +26,7 @@
                 200, request.query["a"].encode()
             ),
         )
-        await site.start(HOST, 0)
+        await site.start(sockets.Sockets().tcp((HOST, 0)))
         try:
             return await exchange(site.port)
         finally:
@@ -108,7 +109,7 @@
 def test_closed_port_is_no_answer_and_nothing_was_sent():
     async def exchange(port):
         site = http_site.HttpSite()
-        await site.start(HOST, 0)
+        await site.start(sockets.Sockets().tcp((HOST, 0)))
         closed = site.port
         await site.stop()
         return await _call(closed, "GET", "/")
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -7,6 +7,7 @@
 from clementinelead.processes import contact_keys
 from clementinelead.processes import relay_balancer
 from clementinelead.processes import route_watch
+from clementinelead.processes import sockets
 from clementinelead.processes.tests import samples
 from clementinelead.relays import completeness
 from clementinelead.relays import directory
@@ -34,6 +35,7 @@
         network.Format(),
         NoSource(),
         samples.NoKeys(),
+        sockets.Sockets(),
     )
     balancer.node.routes.adopt(routes.RoutingTable(1, (ROUTE,), 60.0), "test")
     return balancer
--- a/clementinelead/processes/tests/test_relay_node.py
+++ b/clementinelead/processes/tests/test_relay_node.py
@@ -15,6 +15,7 @@
 from clementinelead.processes import relay_settings
 from clementinelead.processes import route_questions
 from clementinelead.processes import route_watch
+from clementinelead.processes import sockets
 from clementinelead.relays import route_patches
 from clementinelead.relays import routes
 
@@ -68,7 +69,7 @@
         heartbeat_s=1.0,
     )
     listener = Listener()
-    node = relay_node.RelayNode(settings, role, (), listener)
+    node = relay_node.RelayNode(settings, role, (), listener, sockets.Sockets())
     return node, listener
 
 
--- a/clementinelead/processes/tests/test_relay_side.py
+++ b/clementinelead/processes/tests/test_relay_side.py
@@ -3,6 +3,7 @@
 from clementinelead.memberships import records
 from clementinelead.processes import relay_node
 from clementinelead.processes import relay_side
+from clementinelead.processes import sockets
 from clementinelead.processes.tests import samples
 from clementinelead.relays import announcements
 from clementinelead.relays.tests import network
@@ -18,6 +19,7 @@
         address,
         network.Format(),
         samples.NoKeys(),
+        sockets.Sockets(),
     )
     side.node.gossiper.announced = True
     return side
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -75,7 +75,8 @@
             report,
             self._searcher.find,
         )
-        self._active_at = float("inf")
+        # What waited in the socket during the start may be late copies too.
+        self._active_at = float("-inf")
         self._doubted_until = float("-inf")
         self._next_expiry = 0.0
 
--- a/clementinelead/relays/tests/network.py
+++ b/clementinelead/relays/tests/network.py
@@ -97,6 +97,10 @@
             (f"balancer{number}", 1): self.new_balancer()
             for number in range(self.balancers)
         }
+        for balancer in self.balancer_by_address.values():
+            # They have run for a while, and doubt no packet.
+            for ago in (0.35, 0.2, 0.05):
+                balancer.on_tick(self.now - ago)
 
     def new_side(self, first: bool) -> holding.Holding:
         """Returns a side process that has just started.
--- a/clementinelead/relays/tests/test_relaying.py
+++ b/clementinelead/relays/tests/test_relaying.py
@@ -182,6 +182,20 @@
         assert net.open(network.flow_key(number)) == ("side1", 1)
 
 
+def test_packet_that_waited_while_a_balancer_started_does_not_cut_its_flow():
+    # The caller's next copy has opened the flow through another balancer.
+    net = network.Network(balancers=2, targets=2)
+    key = network.flow_key(1)
+    owner = net.open(key, balancer=1)
+    for number in range(2):
+        net.beat(number, sequence=2, draining=True)
+    net.restart_balancer(0)
+    net.send(network.packet(key, packets.OPENS), balancer=0)
+    net.run(0.2)
+    assert not _resets(net)
+    assert owner in net.owners(key)
+
+
 def test_flow_is_refused_at_once_when_all_targets_drain():
     net = network.Network(targets=2)
     for number in range(2):
