Hand waiting flows over evenly when targets come back; late ones take free slots

Cause: while all targets are gone, flows wait at the balancers. Change: an opening packet handed to a target counts as work for 80 ms; a target that has become busy since turns it down; questions name what is left of the objective, so a late flow takes free slots only.

--- a/clementinelead/relays/held_flows.py
+++ b/clementinelead/relays/held_flows.py
@@ -15,6 +15,12 @@
 after an outage most of those that wait have.
 """
 
+OFFERED_S = 0.08
+"""Time that a target may take to answer an opening packet, seconds.
+
+Until then the packet counts as work: many balancers may send theirs at once.
+"""
+
 CLOSED_S = 10.0
 """Time that a closed flow is kept for packets that are sent again."""
 
@@ -96,6 +102,28 @@
         self.by_key: dict[bytes, HeldFlow] = {}
         self.work = work
         self._reserved_until: dict[bytes, float] = {}
+        self._offered_until: dict[bytes, float] = {}
+
+    @property
+    def waiting(self) -> bool:
+        """Whether ``on_tick`` has something to wait for."""
+        return bool(self._offered_until)
+
+    def offer(self, key: bytes, now: float) -> None:
+        """Counts an opening packet that the target is handed as work.
+
+        Args:
+            key: Flow key.
+            now: Present time, seconds.
+        """
+        if key not in self._offered_until:
+            self.work.resumed(now)
+            self._offered_until[key] = now + OFFERED_S
+
+    def end_offer(self, key: bytes, now: float) -> None:
+        """Notes that the target has answered an opening packet."""
+        if self._offered_until.pop(key, None) is not None:
+            self.work.released(now)
 
     def open(
         self,
@@ -178,6 +206,10 @@
 
     def on_tick(self, now: float) -> None:
         """Stops expecting work that has not come."""
+        for key, until in list(self._offered_until.items()):
+            if until > now:
+                break
+            self.end_offer(key, now)
         for key, until in list(self._reserved_until.items()):
             if until > now:
                 return
--- a/clementinelead/relays/holding.py
+++ b/clementinelead/relays/holding.py
@@ -165,6 +165,13 @@
             return [answering.answer(_Kind.REFUSED, frame, source)]
         if flow is not None:
             flow.sender = source
+        elif key not in self._opener_by_key:
+            objective_ms = frame.value
+            if objective_ms and self.work.busy(objective_ms, now):
+                self.counts.add("turned_down")
+                load = self.work.load_ms(now)
+                return [answering.answer(_Kind.BUSY, frame, source, value=load)]
+            self._flows.offer(key, now)
         self._opener_by_key[key] = (source, now + PENDING_S)
         return [outcomes.ToTarget(frame.payload)]
 
@@ -248,6 +255,7 @@
         self._probe_by_key.pop(key, None)
         if segment.opens:
             opener = self._opener_by_key.pop(key, None)
+            self._flows.end_offer(key, now)
             if opener is None:
                 return []
             self.counts.add("refused")
@@ -300,6 +308,7 @@
         """Notes that the target has answered an opening packet."""
         key = segment.key
         opener = self._opener_by_key.get(key)
+        self._flows.end_offer(key, now)
         if flow is not None:
             # Another number means that the target has started anew.
             anew = flow.sequence not in (None, segment.sequence)
@@ -346,7 +355,7 @@
     @property
     def probing(self) -> bool:
         """Whether ``on_tick`` is to be called every few milliseconds."""
-        return bool(self._probe_by_key)
+        return bool(self._probe_by_key) or self._flows.waiting
 
     def on_tick(self, now: float) -> list[outcomes.Outcome]:
         """Returns what to do because time has passed.
--- a/clementinelead/relays/pending.py
+++ b/clementinelead/relays/pending.py
@@ -48,7 +48,7 @@
         tried: Targets that the packet has been sent to.
         busy: Targets that have answered that a new flow had better wait.
         may_be_open: Whether the flow may have been opened before.
-        sent: Whether a target has had the packet, and may have answered.
+        sent_to: Targets that have had the packet and may have answered it.
         chosen: The target that has it now.
         hold_s: Time until the targets are asked again, seconds.
     """
@@ -65,10 +65,19 @@
     tried: list[tuple[str, int]]
     busy: set[tuple[str, int]]
     may_be_open: bool = False
-    sent: bool = False
     chosen: tuple[str, int] | None = None
     hold_s: float = FIRST_HOLD_S
     silent: set[tuple[str, int]] = msgspec.field(default_factory=set)
+    sent_to: set[tuple[str, int]] = msgspec.field(default_factory=set)
+
+    def rest_ms(self, now: float) -> int:
+        """Returns what is left of the latency objective, milliseconds.
+
+        A flow that is late already gets a free slot only: those that can
+        still be in time go first.
+        """
+        waited_ms = (now - self.begun) * 1000
+        return max(1, int(self.route.objective_ms - waited_ms))
 
     def overdue(self, now: float) -> bool:
         """Tells whether the caller no longer waits, or soon won't."""
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -151,7 +151,7 @@
             _Kind.ASK_LOAD,
             placement.number,
             key,
-            value=placement.route.objective_ms,
+            value=placement.rest_ms(now),
         )
         for target in chosen + due[:1]:
             if target.address not in placement.asked:
@@ -167,9 +167,12 @@
     ) -> list[outcomes.Outcome]:
         """Takes a target's answer to the question for its load."""
         placement = self._placement_by_key.get(frame.key)
-        if placement is None or placement.chosen is not None:
+        if placement is None or source not in placement.asked:
             return []
-        if source not in placement.asked:
+        if placement.chosen is not None:
+            if frame.kind is _Kind.BUSY and placement.chosen == source:
+                placement.busy.add(source)
+                return self._turned_down(frame, placement, frame.value, now)
             return []
         placement.waiting.discard(source)
         placement.load_by_address[source] = frame.value
@@ -189,12 +192,16 @@
             return self._decide_later(key, placement, now)
         placement.chosen = address
         placement.tried.append(address)
-        placement.sent = True
+        placement.sent_to.add(address)
         placement.deadline = now + ACCEPT_S
         self._directory.responsive.asked(address, now)
         self._report_decision(key, placement, "sent", now)
         message = frames.encode(
-            _Kind.PLACE, placement.number, key, placement.packet
+            _Kind.PLACE,
+            placement.number,
+            key,
+            placement.packet,
+            placement.rest_ms(now),
         )
         return [outcomes.ToPeer(address, message)]
 
@@ -243,9 +250,21 @@
         placement = self._placement_by_key.get(frame.key)
         if placement is None or placement.chosen != source:
             return []
+        load = frames.NOT_ACCEPTING
+        return self._turned_down(frame, placement, load, now)
+
+    def _turned_down(
+        self,
+        frame: frames.Frame,
+        placement: pending.Placement,
+        load: int,
+        now: float,
+    ) -> list[outcomes.Outcome]:
+        """Goes on after the chosen target has not had the opening packet."""
+        assert placement.chosen is not None, "a target was chosen"
+        placement.sent_to.discard(placement.chosen)
+        placement.load_by_address[placement.chosen] = load
         placement.chosen = None
-        placement.sent = False
-        placement.load_by_address[source] = frames.NOT_ACCEPTING
         return self._decide(frame.key, placement, now)
 
     def on_tick(self, now: float) -> list[outcomes.Outcome]:
@@ -282,7 +301,7 @@
         segment = self._format.from_caller(placement.packet)
         assert segment is not None, "a placement's packet was parsed before"
         copied = now - placement.begun >= COPY_S
-        if copied or placement.may_be_open or placement.sent:
+        if copied or placement.may_be_open or placement.sent_to:
             self._report_decision(key, placement, "searched for", now)
             services = frozenset((placement.service,))
             return self._search(segment, services, placement.packet, now)
--- a/clementinelead/relays/tests/test_placing.py
+++ b/clementinelead/relays/tests/test_placing.py
@@ -58,6 +58,41 @@
     assert max(counts) <= 1.5 * sum(counts) / len(counts)
 
 
+def test_late_flow_asks_for_a_free_slot_only():
+    placement = _placement({})
+    objective_ms = placement.route.objective_ms
+    assert placement.rest_ms(100.0) == objective_ms
+    assert placement.rest_ms(100.05) == objective_ms - 50
+    assert placement.rest_ms(100.0 + objective_ms / 1000 + 0.1) == 1
+
+
+def test_flows_that_many_balancers_send_at_once_do_not_swamp_a_target():
+    # All have asked while the target had nothing to do.
+    net = network.Network(balancers=8, targets=1)
+    keys = [network.flow_key(number) for number in range(80)]
+    for number, key in enumerate(keys):
+        net.send(network.packet(key, packets.OPENS), number % 8)
+    net.run(0.02)
+    assert 2 <= len(net.target_by_address[("side0", 1)].sequence_by_key) < 16
+
+
+def test_flow_is_not_refused_while_a_target_may_have_opened_it():
+    # The first target's answer is late; the second one takes nothing.
+    net = network.Network(targets=2)
+    key = network.flow_key(1)
+    net.send(network.packet(key, packets.OPENS))
+    net.run(0.004)
+    [first] = net.owners(key)
+    [second] = set(net.target_by_address) - {first}
+    net.silent.add(first)
+    net.target_by_address[second].full = True
+    net.run(0.12)
+    net.side_by_address[second].leaving = True
+    net.run(0.05)
+    answers = map(network.Format().from_target, net.to_caller)
+    assert not any(answer.resets for answer in answers)
+
+
 def test_targets_that_take_nothing_are_left_out():
     assert _best({NEAR: frames.NOT_ACCEPTING, FAR: 500}) == FAR
     assert _best({NEAR: frames.NOT_ACCEPTING}) is None
--- a/clementinelead/replays/patterns.py
+++ b/clementinelead/replays/patterns.py
@@ -13,6 +13,7 @@
 KIND = loads.RequestKind("lookup", objective_s=0.2, timeout_s=1.4)
 MEAN_WORK_S = 0.02
 WORK_SHAPE = 4.0  # of the gamma distribution; deviation half of the mean
+OUTAGE_S = 1.0
 SLOWNESS = (0.6, 1.0, 1.6)
 """Targets differ threefold in speed, as the users' do."""
 
@@ -144,6 +145,18 @@
     return _load("flapping", scale, _arrivals(scale, generator), changes)
 
 
+def backlog(scale: Scale, generator: np.random.Generator) -> loads.Load:
+    """All targets are gone for a second, and callers wait for them."""
+    begin = scale.seconds / 4
+    changes = []
+    for target in _targets(scale):
+        gone = loads.Condition(up=False)
+        changes.append(loads.Change(begin, target.name, gone))
+        back = loads.Change(begin + OUTAGE_S, target.name, loads.Condition())
+        changes.append(back)
+    return _load("backlog", scale, _arrivals(scale, generator), changes)
+
+
 def moving(scale: Scale, generator: np.random.Generator) -> loads.Load:
     """Nearly all callers move from one availability zone to the other."""
 
@@ -173,6 +186,7 @@
     mute,
     half_mute,
     flapping,
+    backlog,
     moving,
     cold,
 )
--- a/clementinelead/replays/tests/test_replays.py
+++ b/clementinelead/replays/tests/test_replays.py
@@ -29,7 +29,12 @@
     return summaries.summarize(simulations.replay(load, policy, SEED))[0]
 
 
-@pytest.mark.parametrize("name", [name for name in NAMES if name != "burst"])
+ABOVE_CAPACITY = ("burst", "backlog")
+
+
+@pytest.mark.parametrize(
+    "name", [name for name in NAMES if name not in ABOVE_CAPACITY]
+)
 def test_load_below_capacity_is_served_in_time(name):
     assert _summary(name, "relayed").in_objective >= QUIET_SHARE
 
@@ -58,6 +63,17 @@
     assert burst.late < 0.02
 
 
+def test_backlog_after_an_outage_is_served_as_soon_as_targets_are_back():
+    # Callers wait 1.4 s and the targets are gone for 1 s, so nobody has to be
+    # turned away; those that can still be in time go first.
+    own, oracle = (
+        _summary("backlog", policy) for policy in ("relayed", "shortest-queue")
+    )
+    assert own.refused < 0.01
+    assert own.in_objective >= oracle.in_objective
+    assert own.in_objective + own.late >= oracle.in_objective + 0.05
+
+
 def test_callers_that_move_between_zones_notice_nothing():
     assert _summary("moving", "relayed").failed == 0
     assert _summary("moving", "relayed").refused == 0
