Never use a process again that a peer said has ended; answer what a stop finds

Cause: a process that joins keeps no record of those that have ended, so the record of a peer that had not heard of the end yet brought a target that had left, or died, into use again. A site that stopped cut connections that had just been accepted. Ruled out: keeping the ends as records (each newcomer would renew them, so they would never be forgotten). Change: the versions of ends told by peers are remembered, and older records of those processes are passed over; a site answers, for 0.2 s at most, the first request of each connection that it has accepted. Tests: who_has_left_is_not_in_use_again_after_a_restart (4 cases, failed before), request_that_was_just_accepted_is_answered_by_a_stop (failed before); second_copy_of_an_answer_never_meets_the_next_call holds before and after, as each call has a connection of its own.

--- a/clementinelead/memberships/former.py
+++ b/clementinelead/memberships/former.py
@@ -4,6 +4,12 @@
 
 __all__ = ["Former"]
 
+MAX_ENDED = 4_096
+"""Ended processes remembered, the last ones told.
+
+Peers that have not heard yet of an end hear within seconds.
+"""
+
 
 class Former:
     """Former processes that this one must reckon with.
@@ -19,6 +25,7 @@
     def __init__(self) -> None:
         self.predecessor: records.Record | None = None
         self.lost: set[str] = set()
+        self._ended_version_by_id: dict[str, tuple[int, int, int]] = {}
 
     def note_predecessor(
         self, record: records.Record, own: records.Record
@@ -40,9 +47,23 @@
         Args:
             record: Record of a process that has ended.
         """
+        if not self.is_outdated(record):
+            self._ended_version_by_id.pop(record.id, None)
+            self._ended_version_by_id[record.id] = record.version
+        if len(self._ended_version_by_id) > MAX_ENDED:
+            del self._ended_version_by_id[next(iter(self._ended_version_by_id))]
         beside_target = record.state in (
             records.State.READY,
             records.State.DRAINING,
         )
         if record.role is records.Role.SIDE and beside_target:
             self.lost.add(record.id)
+
+    def is_outdated(self, record: records.Record) -> bool:
+        """Tells whether a record is older than what a peer told of its end.
+
+        Args:
+            record: Record of a process that is not known here.
+        """
+        ended = self._ended_version_by_id.get(record.id)
+        return ended is not None and record.version <= ended
--- a/clementinelead/memberships/gossip.py
+++ b/clementinelead/memberships/gossip.py
@@ -177,7 +177,7 @@
             if record.id not in self.table.by_id and members.ended(record):
                 self.former.note_ended(record)
                 continue
-            if self._is_stale_death(record):
+            if self._is_stale_death(record) or self._has_ended(record):
                 continue
             change = self.table.merge(record, now)
             if change is not None:
@@ -185,6 +185,14 @@
                 changes.append(change)
         return changes
 
+    def _has_ended(self, record: records.Record) -> bool:
+        """Tells whether a peer does not know yet of a process's end.
+
+        A process that joins is told of ends, but keeps no record of them.
+        """
+        unknown = record.id not in self.table.by_id
+        return unknown and self.former.is_outdated(record)
+
     def _is_stale_death(self, record: records.Record) -> bool:
         """Tells whether a peer believes dead who is alive here.
 
@@ -260,6 +268,8 @@
     ) -> tuple[list[sends.Send], members.Change | None]:
         if record.id == self.own.id:
             return self._refute(record, now)
+        if self._has_ended(record):
+            return [], None
         if self._contradicts(record, now):
             self._suspicions.suspect(record.id, now)
             return [], None
--- a/clementinelead/memberships/tests/test_gossip.py
+++ b/clementinelead/memberships/tests/test_gossip.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from bench import gossip_network
 from clementinelead.memberships import gossip
@@ -227,6 +228,40 @@
     assert not table.predecessor_by_id
 
 
+def _joining():
+    """Returns a process that has just started and knows nobody."""
+    own = dataclasses.replace(samples.SIDE, id="new", address="10.0.0.99")
+    return gossip.Gossiper(own, (), options.Options(), random.Random(1), 100.0)
+
+
+@pytest.mark.parametrize(
+    "ended",
+    [
+        {"state": records.State.LEAVING, "sequence": 8},
+        {"health": records.Health.DEAD},
+    ],
+)
+@pytest.mark.parametrize("by_gossip", [False, True])
+def test_who_has_left_is_not_in_use_again_after_a_restart(ended, by_gossip):
+    # One peer knows that the target has left, another one does not yet.
+    joining = _joining()
+    serving = dataclasses.replace(
+        samples.SIDE, sequence=7, state=records.State.READY
+    )
+    joining.merge((dataclasses.replace(serving, **ended),), 100.0)
+    if by_gossip:
+        control = controls.Control(
+            "peer", 1, 1, 0, 0, (serving,), controls.Nothing()
+        )
+        joining.on_control(control, ("10.0.0.1", 1), 100.1)
+    else:
+        joining.merge((serving,), 100.1)
+    assert serving.id not in {one.id for one in joining.table.living()}
+    again = dataclasses.replace(serving, incarnation=serving.incarnation + 1)
+    joining.merge((again,), 100.2)
+    assert serving.id in {one.id for one in joining.table.living()}
+
+
 def test_a_process_that_joins_hears_of_side_processes_that_may_come_back():
     starting = _restarted(network(), "node-1")
     dead = dataclasses.replace(
--- a/clementinelead/processes/http_site.py
+++ b/clementinelead/processes/http_site.py
@@ -46,6 +46,11 @@
 MAX_BODY_BYTES = 65_536
 """A heartbeat has some hundred bytes."""
 
+STOP_S = 0.2
+"""Time that a stop waits for requests that are on their way, seconds."""
+
+STOP_STEP_S = 0.01
+
 MAX_CONNECTIONS = 64
 _READ_BYTES = 16_384
 _NO_BODY = b""
@@ -85,6 +90,7 @@
         self._handlers: list[tuple[str, str, Handler]] = []
         self._server: asyncio.Server | None = None
         self._connections = 0
+        self._unanswered = 0
 
     def add(self, method: str, prefix: str, handler: Handler) -> None:
         """Serves a method and all paths that begin with a prefix."""
@@ -107,9 +113,14 @@
         return int(self._server.sockets[0].getsockname()[1])
 
     async def stop(self) -> None:
-        """Closes the port; open connections end with their request."""
-        if self._server is not None:
-            self._server.close()
+        """Closes the port, and answers the requests that have come."""
+        if self._server is None:
+            return
+        self._server.close()
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + STOP_S
+        while self._unanswered and loop.time() < deadline:
+            await asyncio.sleep(STOP_STEP_S)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -120,8 +131,14 @@
         self._connections += 1
         connection = h11.Connection(h11.SERVER)
         try:
-            while await self._serve_one(connection, reader, writer):
+            self._unanswered += 1
+            try:
+                more = await self._serve_one(connection, reader, writer)
+            finally:
+                self._unanswered -= 1
+            while more:
                 connection.start_next_cycle()
+                more = await self._serve_one(connection, reader, writer)
         except (OSError, TimeoutError, h11.ProtocolError) as error:
             loguru.logger.debug("connection ended: {}", error)
         finally:
--- a/clementinelead/processes/tests/test_http.py
+++ b/clementinelead/processes/tests/test_http.py
@@ -106,6 +106,73 @@
     assert answer == http_client.Answer(200, b"ok")
 
 
+def test_request_that_was_just_accepted_is_answered_by_a_stop():
+    async def exchange(port):
+        site = http_site.HttpSite()
+        site.add("GET", "/", lambda request: http_site.Response(200, b"whole"))
+        await site.start(sockets.Sockets().tcp((HOST, 0)))
+        reader, writer = await asyncio.open_connection(HOST, site.port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: a")
+        await asyncio.sleep(0.02)
+        stopping = asyncio.create_task(site.stop())
+        await asyncio.sleep(0.02)
+        ended = stopping.done()
+        writer.write(b"\r\nConnection: close\r\n\r\n")
+        answer = await reader.read()
+        await stopping
+        writer.close()
+        return ended, answer
+
+    ended, answer = _run(exchange)
+    assert not ended
+    assert answer.endswith(b"whole")
+
+
+def test_idle_connection_does_not_delay_a_stop():
+    async def exchange(port):
+        site = http_site.HttpSite()
+        site.add("GET", "/", lambda request: http_site.Response(200, b"whole"))
+        await site.start(sockets.Sockets().tcp((HOST, 0)))
+        reader, writer = await asyncio.open_connection(HOST, site.port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await reader.readuntil(b"whole")
+        async with asyncio.timeout(http_site.STOP_S / 2):
+            await site.stop()
+        writer.close()
+        return True
+
+    assert _run(exchange)
+
+
+def test_second_copy_of_an_answer_never_meets_the_next_call():
+    """A server answers each request twice, the second time late."""
+
+    async def exchange(port):
+        number = 0
+
+        async def serve(reader, writer):
+            nonlocal number
+            await reader.readuntil(b"\r\n\r\n")
+            number += 1
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d" % number
+            writer.write(answer)
+            await asyncio.sleep(0.02)
+            writer.write(answer)
+            writer.close()
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        answers = []
+        for _ in range(5):
+            answers.append(await _call(port, "GET", "/"))
+            await asyncio.sleep(0.01)
+        server.close()
+        return answers
+
+    answers = _run(exchange)
+    assert [answer.body for answer in answers] == [b"1", b"2", b"3", b"4", b"5"]
+
+
 def test_closed_port_is_no_answer_and_nothing_was_sent():
     async def exchange(port):
         site = http_site.HttpSite()
