Keep the targets of a service up to date change by change

Cause: each change of a member made a balancer go through all members and make the targets of its service anew. After a loss of all, 195 processes announce themselves several times, so the work grew with the square of the fleet. Change: processes/known_targets.py keeps them by service and record.

--- a/clementinelead/flows/acceptance.py
+++ b/clementinelead/flows/acceptance.py
@@ -19,7 +19,7 @@
 
 __all__ = ["NO_LEAST", "Acceptor"]
 
-MAX_ASKED = 2
+ASKED_FIRST = 2
 """Candidates asked after the first one, before the least loaded one."""
 
 MIN_RETRY_AFTER_MS = 100
@@ -91,7 +91,7 @@
         """
         position = request.envelope.position
         candidates = request.route.candidates
-        if position > MAX_ASKED or position >= len(candidates):
+        if position > ASKED_FIRST or position >= len(candidates):
             return self._ask_least(request, now)
         candidate = candidates[position]
         if candidate.id == self._me.id:
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -12,12 +12,12 @@
 from clementinelead.processes import datagrams
 from clementinelead.processes import decision_log
 from clementinelead.processes import http_site
+from clementinelead.processes import known_targets
 from clementinelead.processes import metrics_page
 from clementinelead.processes import relay_node
 from clementinelead.processes import relay_settings
 from clementinelead.processes import route_watch
 from clementinelead.processes import sockets
-from clementinelead.relays import candidates
 from clementinelead.relays import completeness
 from clementinelead.relays import formats
 from clementinelead.relays import outcomes
@@ -89,6 +89,7 @@
         self._stopping = False
         self._last_packet = 0.0
         self._tick_scheduled = False
+        self._targets = known_targets.KnownTargets(self.node.gossiper.table)
         self._completeness = completeness.Completeness()
         self._settling = False
         self._loop: asyncio.AbstractEventLoop
@@ -218,14 +219,10 @@
 
     def on_members(self, changes: list[members.Change], now: float) -> None:
         """Takes over the targets of the services that changed."""
-        services: set[str] = set()
         for change in changes:
             record = change.new
             if record.role is not records.Role.SIDE:
                 continue
-            services.update(record.services)
-            if change.old is not None:
-                services.update(change.old.services)
             if self._settling:
                 self._unsettle(change, now)
             loguru.logger.bind(
@@ -236,7 +233,8 @@
                 sequence=record.sequence,
                 service=",".join(record.services),
             ).info("member changed")
-        self._update_targets(tuple(services))
+        for service, targets in self._targets.update(changes).items():
+            self.steering.set_targets(service, targets)
 
     def _unsettle(self, change: members.Change, now: float) -> None:
         """Puts off resets while flows may be where nobody can be asked."""
@@ -251,33 +249,3 @@
         elif change.old is None:
             self._completeness.on_appeared(now)
         self.steering.set_complete_from(self._completeness.since)
-
-    def _update_targets(self, services: tuple[str, ...]) -> None:
-        by_service: dict[str, list[candidates.Target]] = {
-            service: [] for service in services
-        }
-        table = self.node.gossiper.table
-        for record in table.by_id.values():
-            if record.role is not records.Role.SIDE:
-                continue
-            if members.ended(record):
-                continue
-            for service in by_service.keys() & set(record.services):
-                predecessor = table.predecessor_by_id.get(record.id)
-                by_service[service].append(_target(record, predecessor))
-        for service, targets in by_service.items():
-            self.steering.set_targets(service, tuple(targets))
-
-
-def _target(
-    record: records.Record, predecessor: records.Record | None
-) -> candidates.Target:
-    succeeds = predecessor is not None and not members.ended(predecessor)
-    return candidates.Target(
-        record.id,
-        record.data_address,
-        record.zone,
-        record.state is records.State.READY,
-        record.state is records.State.COLD,
-        succeeds,
-    )
