Work out the near and the starting targets only when they are asked for

Cause: a balancer did so with each change of a member. What still grows is the comparison of addresses.

--- a/clementinelead/relays/directory.py
+++ b/clementinelead/relays/directory.py
@@ -19,7 +19,6 @@
     Attributes:
         zone: Availability zone of this balancer.
         by_service: Targets whose side processes live, by service.
-        near: Addresses of the targets in this balancer's zone.
         responsive: Which side processes answer.
         complete_from: From when on all side processes are known, seconds.
     """
@@ -27,10 +26,10 @@
     def __init__(self, zone: str):
         self.zone = zone
         self.by_service: dict[str, tuple[candidates.Target, ...]] = {}
-        self.near: frozenset[tuple[str, int]] = frozenset()
-        self._starting: frozenset[tuple[str, int]] = frozenset()
         self.responsive = responsiveness.Responsiveness()
         self.complete_from = float("inf")
+        self._near: frozenset[tuple[str, int]] | None = None
+        self._starting: frozenset[tuple[str, int]] | None = None
 
     def set_targets(
         self, service: str, targets: tuple[candidates.Target, ...]
@@ -46,19 +45,32 @@
             if target.address not in kept:
                 self.responsive.forget(target.address)
         self.by_service[service] = targets
-        self.near = frozenset(
-            target.address
-            for known in self.by_service.values()
-            for target in known
-            if target.zone == self.zone
-        )
-
-        self._starting = frozenset(
-            target.address
-            for known in self.by_service.values()
-            for target in known
-            if target.starting and not target.succeeds
-        )
+        self._near = None
+        self._starting = None
+
+    @property
+    def near(self) -> frozenset[tuple[str, int]]:
+        """Addresses of the targets in this balancer's zone."""
+        if self._near is None:
+            self._near = frozenset(
+                target.address
+                for known in self.by_service.values()
+                for target in known
+                if target.zone == self.zone
+            )
+        return self._near
+
+    @property
+    def starting(self) -> frozenset[tuple[str, int]]:
+        """Addresses of side processes that start and succeed no other one."""
+        if self._starting is None:
+            self._starting = frozenset(
+                target.address
+                for known in self.by_service.values()
+                for target in known
+                if target.starting and not target.succeeds
+            )
+        return self._starting
 
     def abandoned(self, address: tuple[str, int], now: float) -> bool:
         """Tells whether a side process fell silent before its target spoke.
@@ -67,7 +79,7 @@
         are out of reach for longer than callers wait.
         """
         silent = self.responsive.silent(address, now) >= ABANDONED_S
-        return silent and address in self._starting
+        return silent and address in self.starting
 
     def targets(self, service: str) -> tuple[candidates.Target, ...]:
         """Returns the targets of a service."""
