Ask two targets of the balancer's zone first, and two of the others

Ruled out: asking in the zone alone (a zone's load would depend on its callers). Change: candidates.asked; among about equally loaded targets the first one asked, now one of the zone, gets the flow.

--- a/clementinelead/relays/candidates.py
+++ b/clementinelead/relays/candidates.py
@@ -5,7 +5,16 @@
 
 import xxhash
 
-__all__ = ["Target", "ranked"]
+__all__ = ["ASKED", "Target", "asked", "ranked"]
+
+ASKED = 4
+"""Targets asked at once for a flow."""
+
+ASKED_NEAR = 2
+"""Of these, how many are in the balancer's availability zone if it has them.
+
+The others keep the load of a zone from depending on its own callers alone.
+"""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,3 +58,34 @@
             digest + target.id.encode()
         ),
     )
+
+
+def asked(ordered: collections.abc.Iterable[Target], zone: str) -> list[Target]:
+    """Returns the targets to ask, those in the balancer's zone first.
+
+    A flow's packets take the way that its opening packet took, and bytes
+    between zones are dear; among targets about equally loaded the first one
+    gets the flow.
+
+    Args:
+        ordered: Targets in the rendezvous order of a flow.
+        zone: Availability zone of the balancer.
+
+    Examples:
+        >>> order = [
+        ...     Target(name, (name, 1), name[0], True, False)
+        ...     for name in ("b1", "b2", "a1", "b3", "a2", "a3")
+        ... ]
+        >>> [target.id for target in asked(order, "a")]
+        ['a1', 'a2', 'b1', 'b2']
+    """
+    near: list[Target] = []
+    far: list[Target] = []
+    for target in ordered:
+        (near if target.zone == zone else far).append(target)
+        if len(near) >= ASKED_NEAR and len(near) + len(far) >= ASKED:
+            if len(far) >= ASKED - ASKED_NEAR:
+                break
+    first = near[:ASKED_NEAR] + far[: ASKED - ASKED_NEAR]
+    spare = near[ASKED_NEAR:] + far[ASKED - ASKED_NEAR :]
+    return first + spare[: ASKED - len(first)]
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -13,9 +13,6 @@
 
 __all__ = ["Placer"]
 
-ASKED = 4
-"""Targets asked at once for a flow."""
-
 GATHER_S = 0.008
 """Time given to the others once one target has answered, seconds.
 
@@ -130,16 +127,15 @@
         """Asks targets that have not been asked yet for this flow."""
         known = placement.waiting | placement.silent
         known |= set(placement.load_by_address)
-        chosen: list[candidates.Target] = []
+        able: list[candidates.Target] = []
         suspects: list[candidates.Target] = []
         targets = self._directory.targets(placement.service)
         for target in candidates.ranked(key, targets):
             if not target.accepting or target.address in known:
                 continue
-            if self._directory.responsive.suspect(target.address, now):
-                suspects.append(target)
-            elif len(chosen) < ASKED:
-                chosen.append(target)
+            suspect = self._directory.responsive.suspect(target.address, now)
+            (suspects if suspect else able).append(target)
+        chosen = candidates.asked(able, self._directory.zone)
         due = [
             target
             for target in suspects
--- a/clementinelead/relays/tests/test_placing.py
+++ b/clementinelead/relays/tests/test_placing.py
@@ -1,3 +1,4 @@
+from clementinelead.relays import candidates
 from clementinelead.relays import frames
 from clementinelead.relays import pending
 from clementinelead.relays import routes
@@ -107,3 +108,42 @@
     placement = _placement({})
     assert not placement.overdue(100.9)
     assert placement.overdue(101.0)  # the route's time budget is 1 s
+
+
+def test_flows_stay_in_the_callers_zone_while_its_targets_are_idle():
+    net = network.Network(targets=8)
+    balancer = net.balancer_by_address[("balancer0", 1)]
+    zone_by_address = {
+        address: "z" if number < 4 else "other"
+        for number, address in enumerate(net.side_by_address)
+    }
+    balancer.set_targets(
+        network.SERVICE,
+        tuple(
+            candidates.Target(
+                address[0], address, zone_by_address[address], True, False
+            )
+            for address in net.side_by_address
+        ),
+    )
+    for number in range(40):
+        key = network.flow_key(number)
+        net.send(network.packet(key, packets.OPENS))
+        net.run(0.02)
+        net.send(network.packet(key, packets.RESETS, acknowledgement=1))
+        net.run(0.5)
+    placed = {
+        zone: sum(
+            len(target.sequence_by_key)
+            for address, target in net.target_by_address.items()
+            if zone_by_address[address] == zone
+        )
+        for zone in ("z", "other")
+    }
+    assert placed == {"z": 40, "other": 0}
+
+
+def test_busy_targets_of_the_zone_send_flows_to_other_zones():
+    near, far = ("near", 1), ("far", 1)
+    assert _best({near: 40, far: 20}, busy={near}) == far
+    assert _best({near: 80, far: 20}) == far
