Compare views after a start until they agree; leave ends out of the digests

Views were compared three times in the first 2 s, one way; what was missing then waited for the next repair, 3 s and more later, as so many starts exhaust the gossip's budget. Ruled out: a larger budget for gossip; telling all balancers again. Change: views are compared until two peers in a row have the same one, 12 times at most, and both sides tell what differs; digests are of living processes.

--- a/clementinelead/memberships/members.py
+++ b/clementinelead/memberships/members.py
@@ -52,8 +52,8 @@
     Attributes:
         by_id: All records, those of the dead and gone too for a while, so
             that an old record can't bring them back.
-        digests: Digest of the records of each bucket.
-        digest: Digest of all records.
+        digests: Digest of the living processes' records of each bucket.
+        digest: Digest of all living processes' records.
         generation: Raised with each change.
         predecessor_by_id: Last records of the former processes of those that
             have restarted lately.
@@ -114,12 +114,18 @@
             del self._ended_by_id[identifier]
 
     def _toggle(self, record: records.Record) -> None:
-        """Adds a record to the digests, or takes it out again."""
+        """Adds a record to the digests, or takes it out again.
+
+        Those of processes that have ended are left out: who joins later does
+        not keep them, and is to have the same view nevertheless.
+        """
+        self.generation += 1
+        if ended(record):
+            return
         bucket = digest_bucket(record.id)
         self.digest ^= _mixed(bucket, self.digests[bucket])
         self.digests[bucket] ^= record.digest
         self.digest ^= _mixed(bucket, self.digests[bucket])
-        self.generation += 1
 
     def _count(self, record: records.Record, change: int) -> None:
         """Keeps the number of side processes by state and health."""
--- a/clementinelead/memberships/tests/test_members.py
+++ b/clementinelead/memberships/tests/test_members.py
@@ -40,3 +40,17 @@
         dataclasses.replace(samples.SIDE, role=records.Role.BALANCER), DEATH
     )
     assert members.census(table, DEATH) == members.Census(0, 0, 0)
+
+
+def test_view_of_who_joins_later_equals_that_of_who_knows_the_ends():
+    alive, dead = records.Health.ALIVE, records.Health.DEAD
+    ready = records.State.READY
+    old = _table((ready, alive), (ready, alive))
+    gone = dataclasses.replace(
+        samples.SIDE, id="side1", state=ready, health=dead
+    )
+    assert old.digest != _table((ready, alive)).digest
+    old.merge(gone, DEATH)
+    assert old.digest == _table((ready, alive)).digest
+    old.forget(DEATH + members.TOMBSTONE_S + 1.0)
+    assert old.digest == _table((ready, alive)).digest
--- a/clementinelead/processes/joining.py
+++ b/clementinelead/processes/joining.py
@@ -21,12 +21,21 @@
 ALONE_S = 2.5
 """Time after which a process that no seed answers starts alone, seconds."""
 
-RESYNC_PAUSES_S = (0.3, 0.6, 1.2)
-"""Pauses before views are compared again after joining, seconds.
+FIRST_RESYNC_S = 0.2
+"""Pause before views are compared again after joining, seconds.
 
 Many processes may start at the same time, and learn of each other only now.
 """
 
+RESYNC_GROWTH = 1.2
+"""Factor between one such pause and the next."""
+
+MAX_RESYNCS = 12
+"""Comparisons at most; in a large fleet something always changes."""
+
+AGREED = 2
+"""Peers in a row with the same view after which comparisons end."""
+
 FIRST_TIMEOUT_S = 0.2
 """Deadline of the first question to a seed, seconds; it doubles.
 
@@ -115,11 +124,25 @@
             self._enter("joined")
         except TimeoutError:
             self._enter("no peer answers; starting alone")
-        for pause in RESYNC_PAUSES_S:
+        await self._resync()
+
+    async def _resync(self) -> None:
+        """Compares views until some peers in a row have the same one."""
+        pause = FIRST_RESYNC_S
+        agreed = 0
+        for _ in range(MAX_RESYNCS):
             await asyncio.sleep(pause * (0.5 + self._random.random()))
+            pause *= RESYNC_GROWTH
             peers = self._gossiper.peers()
-            if peers:
-                await self.sync(self._random.choice(peers).address)
+            if not peers:
+                continue
+            before = self._gossiper.table.digest
+            if not await self.sync(self._random.choice(peers).address):
+                continue
+            same = self._gossiper.table.digest == before
+            agreed = agreed + 1 if same else 0
+            if agreed == AGREED:
+                return
 
     async def join_through(self, seed: str) -> None:
         """Exchanges views with a seed, again and again until one has.
--- a/clementinelead/processes/member_exchange.py
+++ b/clementinelead/processes/member_exchange.py
@@ -31,6 +31,10 @@
 SAMPLE_MEMBERS = 16
 """Members that a seed tells of."""
 
+MAX_TOLD = 128
+"""Members that an asker tells at most; each has some 100 to 150 bytes."""
+
+_TOLD = (http_site.OK, http_site.PARTIAL_CONTENT)
 _DIGESTS = struct.Struct(f"<{members.DIGEST_BUCKETS}Q")
 _CONTENT_TYPE = "application/octet-stream"
 
@@ -99,6 +103,7 @@
         """
         gossiper = self._gossiper
         query = f"id={gossiper.own.id}"
+        told = [gossiper.own] if gossiper.announced else []
         match scope:
             case Scope.WHOLE:
                 query += "&whole=1"
@@ -109,18 +114,18 @@
                 if not buckets:
                     return View((), True)
                 query += f"&buckets={','.join(map(str, buckets))}"
-        own = [gossiper.own] if gossiper.announced else []
+                if gossiper.announced:
+                    told = self._some_of(buckets)
         answer = await http_client.call(
             (host, self._http_port),
             "POST",
             f"{MEMBERS_PATH}?{query}",
-            controls.encode_records(own),
+            controls.encode_records(told),
             timeout_s,
         )
-        told = (http_site.OK, http_site.PARTIAL_CONTENT)
         if (
             isinstance(answer, http_client.NoAnswer)
-            or answer.status not in told
+            or answer.status not in _TOLD
         ):
             loguru.logger.debug("members of {}: {}", host, answer)
             return None
@@ -132,6 +137,18 @@
             return None
         return View(found, answer.status == http_site.OK)
 
+    def _some_of(self, buckets: list[int]) -> list[records.Record]:
+        """Returns the own record and some others of differing buckets."""
+        own = self._gossiper.own
+        others = [
+            record
+            for record in self._gossiper.table.in_buckets(set(buckets))
+            if record.id != own.id
+        ]
+        if len(others) > MAX_TOLD:
+            others = self._random.sample(others, MAX_TOLD)
+        return [own, *others]
+
     async def _differing(self, host: str, timeout_s: float) -> list[int] | None:
         """Returns the digest buckets in which a peer's view differs."""
         table = self._gossiper.table
