Turn opening packets down with a message of its own

Cause, found by reading: a late answer 'busy' to a question could be taken for the answer to the opening packet that its sender has been handed since, and the flow then counts as not sent. Change: the kind DEFERRED says that an opening packet was not handed on. Test: late_answer_to_a_question_does_not_turn_a_flow_down.

--- a/clementinelead/relays/frames.py
+++ b/clementinelead/relays/frames.py
@@ -39,6 +39,7 @@
     ABSENT = 11  # side process: these flows are not
     UNSURE = 12  # side process: its target may hold these flows
     BUSY = 13  # side process: as LOAD, but a new flow had better wait
+    DEFERRED = 14  # side process: an opening packet has to wait; not handed on
 
 
 NOT_ACCEPTING = 0xFFFF_FFFF
--- a/clementinelead/relays/holding.py
+++ b/clementinelead/relays/holding.py
@@ -170,7 +170,9 @@
             if objective_ms and self.work.busy(objective_ms, now):
                 self.counts.add("turned_down")
                 load = self.work.load_ms(now)
-                return [answering.answer(_Kind.BUSY, frame, source, value=load)]
+                return [
+                    answering.answer(_Kind.DEFERRED, frame, source, value=load)
+                ]
             self._flows.offer(key, now)
         self._opener_by_key[key] = (source, now + PENDING_S)
         return [outcomes.ToTarget(frame.payload)]
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -163,12 +163,9 @@
     ) -> list[outcomes.Outcome]:
         """Takes a target's answer to the question for its load."""
         placement = self._placement_by_key.get(frame.key)
-        if placement is None or source not in placement.asked:
+        if placement is None or placement.chosen is not None:
             return []
-        if placement.chosen is not None:
-            if frame.kind is _Kind.BUSY and placement.chosen == source:
-                placement.busy.add(source)
-                return self._turned_down(frame, placement, frame.value, now)
+        if source not in placement.asked:
             return []
         placement.waiting.discard(source)
         placement.load_by_address[source] = frame.value
@@ -239,6 +236,16 @@
         if self._placement_by_key.pop(key, None) is not None:
             self._counts.add("placed")
 
+    def on_deferred(
+        self, frame: frames.Frame, source: _Address, now: float
+    ) -> list[outcomes.Outcome]:
+        """Goes on after a target has become busy since it was asked."""
+        placement = self._placement_by_key.get(frame.key)
+        if placement is None or placement.chosen != source:
+            return []
+        placement.busy.add(source)
+        return self._turned_down(frame, placement, frame.value, now)
+
     def on_refused(
         self, frame: frames.Frame, source: _Address, now: float
     ) -> list[outcomes.Outcome]:
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -225,6 +225,8 @@
                 return self._placer.on_load(frame, source, now)
             case _Kind.ACCEPTED:
                 return self._on_accepted(frame, source, now)
+            case _Kind.DEFERRED:
+                return self._placer.on_deferred(frame, source, now)
             case _Kind.REFUSED:
                 return self._placer.on_refused(frame, source, now)
             case _Kind.HELD:
--- a/clementinelead/relays/tests/test_placing.py
+++ b/clementinelead/relays/tests/test_placing.py
@@ -77,6 +77,20 @@
     assert 2 <= len(net.target_by_address[("side0", 1)].sequence_by_key) < 16
 
 
+def test_late_answer_to_a_question_does_not_turn_a_flow_down():
+    net = network.Network(targets=1)
+    balancer = net.balancer_by_address[("balancer0", 1)]
+    key = network.flow_key(1)
+    net.send(network.packet(key, packets.OPENS))
+    net.run(0.0025)
+    number = frames.service_number(network.SERVICE)
+    busy = frames.encode(frames.Kind.BUSY, number, key, value=400)
+    assert not balancer.on_frame(busy, ("side0", 1), net.now)
+    net.run(0.05)
+    assert net.owners(key)
+    assert not balancer.busy
+
+
 def test_flow_is_not_refused_while_a_target_may_have_opened_it():
     # The first target's answer is late; the second one takes nothing.
     net = network.Network(targets=2)
