--- a/clementinelead/processes/joining.py
+++ b/clementinelead/processes/joining.py
@@ -21,16 +21,16 @@
 ALONE_S = 2.5
 """Time after which a process that no seed answers starts alone, seconds."""
 
-FIRST_RESYNC_S = 0.3
+FIRST_RESYNC_S = 0.2
 """Pause before views are compared again after joining, seconds.
 
 Many processes may start at the same time, and learn of each other only now.
 """
 
-RESYNC_GROWTH = 1.4
+RESYNC_GROWTH = 1.2
 """Factor between one such pause and the next."""
 
-MAX_RESYNCS = 8
+MAX_RESYNCS = 12
 """Comparisons at most; in a large fleet something always changes."""
 
 AGREED = 2
@@ -137,13 +137,11 @@
             if not peers:
                 continue
             before = self._gossiper.table.digest
-            host = self._random.choice(peers).address
-            if not await self._compare(host):
+            if not await self.sync(self._random.choice(peers).address):
                 continue
             same = self._gossiper.table.digest == before
             agreed = agreed + 1 if same else 0
             if agreed == AGREED:
-                await self._routes.fetch(host)
                 return
 
     async def join_through(self, seed: str) -> None:
@@ -181,13 +179,6 @@
         Returns:
             Whether the peer has answered.
         """
-        if not await self._compare(host):
-            return False
-        await self._routes.fetch(host)
-        return True
-
-    async def _compare(self, host: str) -> bool:
-        """Exchanges members with a peer; tells whether it has answered."""
         scope = member_exchange.Scope.WHOLE
         if self.viewed:
             scope = member_exchange.Scope.DIFFERENCE
@@ -195,6 +186,7 @@
         if view is None:
             return False
         self._merge(view)
+        await self._routes.fetch(host)
         return True
 
     async def _ask_seed(self, seed: str, timeout_s: float) -> bool:
