--- a/clementinelead/relays/holding.py
+++ b/clementinelead/relays/holding.py
@@ -168,7 +168,8 @@
         elif key not in self._opener_by_key:
             objective_ms = frame.value
             if objective_ms and self.work.busy(objective_ms, now):
-                self.counts.add("turned_down")
+                self.counts.add("deferred")
+                self._log("acceptance", "deferred", key, now)
                 load = self.work.load_ms(now)
                 return [
                     answering.answer(_Kind.DEFERRED, frame, source, value=load)
