Notice a store that has come back from an older copy

Cause: watches went on from a remembered revision, and leases were renewed by number, though a store that returns from a copy gives both out again. A watch could so miss a change for good, and a holder renewed somebody else's lease and believed its key to be there. Ruled out: relying on 410 alone, as the revisions may have passed the remembered one.

Change: every answer's Store-Era is read in one place; a rise drops watch positions and lease numbers, late answers of an older era are not used, and a contact key that is lost is written again at the next look (1 s at most). Routes stay in force: they are compared by the operator's version.

--- a/clementinelead/platform/store.py
+++ b/clementinelead/platform/store.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from clementinelead.platform import configs
+from clementinelead.platform import store_eras
 from clementinelead.processes import contact_keys
 from clementinelead.processes import http_client
 from clementinelead.processes import http_site
@@ -60,9 +61,14 @@
 
 
 class Store:
-    """Calls of the store that this system makes."""
+    """Calls of the store that this system makes.
+
+    Attributes:
+        eras: Which copy of its data the store serves.
+    """
 
     def __init__(self, address: tuple[str, int]):
+        self.eras = store_eras.EraWatch()
         self._address = address
 
     async def get(
@@ -70,18 +76,26 @@
     ) -> http_client.Answer | http_client.NoAnswer:
         """Returns the answer to a reading call."""
         target = f"{path}?{urllib.parse.urlencode(query)}"
-        return await http_client.call(
-            self._address, "GET", target, b"", timeout_s
-        )
+        return await self._call("GET", target, b"", timeout_s)
 
     async def post(
         self, path: str, content: dict[str, object] | None = None
     ) -> http_client.Answer | http_client.NoAnswer:
         """Returns the answer to a writing call."""
         body = msgspec.json.encode(content) if content is not None else b""
-        return await http_client.call(
-            self._address, "POST", path, body, CALL_TIMEOUT_S
+        return await self._call("POST", path, body, CALL_TIMEOUT_S)
+
+    async def _call(
+        self, method: str, target: str, body: bytes, timeout_s: float
+    ) -> http_client.Answer | http_client.NoAnswer:
+        answer = await http_client.call(
+            self._address, method, target, body, timeout_s
         )
+        if isinstance(answer, http_client.Answer) and self.eras.outdated(
+            answer
+        ):
+            return http_client.NoAnswer("answer of an older era", True)
+        return answer
 
 
 class ConfigSource:
@@ -90,11 +104,14 @@
     def __init__(self, store: Store):
         self._store = store
         self._after: int | None = None
+        self._era = 0
 
     async def next(
         self,
     ) -> route_watch.Found | route_watch.Unchanged | route_watch.Failed:
         """Waits for a configuration newer than the one returned last."""
+        if self._era != self._store.eras.era:
+            self._after = None
         try:
             if self._after is None:
                 return await self._read()
@@ -115,6 +132,7 @@
             return route_watch.Failed(f"status {answer.status}", True)
         item = msgspec.json.decode(answer.body, type=_KeyAnswer)
         self._after = item.current_rev
+        self._era = self._store.eras.era
         return _found(item.value)
 
     async def _wait(
@@ -129,7 +147,8 @@
         )
         if isinstance(answer, http_client.NoAnswer):
             return route_watch.Failed(answer.reason, False)
-        if answer.status == _GONE:
+        # Revisions of another era say nothing of what has changed since.
+        if answer.status == _GONE or self._era != self._store.eras.era:
             self._after = None
             return route_watch.Unchanged()
         if answer.status != http_site.OK:
@@ -150,8 +169,15 @@
     def __init__(self, store: Store):
         self._store = store
         self._lease: int | None = None
+        self._lease_era = 0
         self._written: contact_keys.Contact | None = None
 
+    @property
+    def lost(self) -> bool:
+        """Whether the store has come back without what was written."""
+        held = self._lease is not None
+        return held and self._lease_era != self._store.eras.era
+
     async def hold(
         self, identifier: str, contact: contact_keys.Contact, lease_s: float
     ) -> contact_keys.Failed | None:
@@ -160,11 +186,14 @@
         A call without an answer may have been executed; the key is then there
         with a lease that nobody renews, and the next call writes it again.
         """
+        if self.lost:
+            self._lease = None
         if self._lease is not None:
             renewed = await self._store.post(f"/kv-keep/{self._lease}")
             if isinstance(renewed, http_client.NoAnswer):
                 return contact_keys.Failed(renewed.reason)
-            if not _succeeded(renewed):
+            # In another era the number may be that of somebody else's lease.
+            if not _succeeded(renewed) or self.lost:
                 self._lease = None
         if self._lease is None:
             self._written = None
@@ -185,6 +214,7 @@
             return contact_keys.Failed(str(leased))
         try:
             self._lease = msgspec.json.decode(leased.body, type=_Lease).lease
+            self._lease_era = self._store.eras.era
         except msgspec.DecodeError as error:
             return contact_keys.Failed(f"malformed answer: {error}")
         return None
@@ -210,7 +240,7 @@
             "deletes": [],
         }
         written = await self._store.post("/kv-txn", content)
-        if not _succeeded(written):
+        if not _succeeded(written) or self.lost:
             self._lease = None
             return contact_keys.Failed(str(written))
         self._written = contact
--- a/clementinelead/platform/tests/test_store.py
+++ b/clementinelead/platform/tests/test_store.py
@@ -22,6 +22,7 @@
         self.leases = {}
         self.response = None
         self.calls = []
+        self.era = None
 
     def respond(self, request):
         self.calls.append((request.method, request.path))
@@ -30,7 +31,11 @@
         content = json.loads(request.body) if request.body else {}
         handler = getattr(self, request.path.split("/")[1].replace("-", "_"))
         status, answer = handler(request, content)
-        return http_site.Response(status, json.dumps(answer).encode())
+        headers = ()
+        if self.era is not None:
+            headers = (("Store-Era", str(self.era)),)
+        body = json.dumps(answer).encode()
+        return http_site.Response(status, body, headers=headers)
 
     def put(self, key, value):
         encoded = base64.b64encode(value).decode()
@@ -241,3 +246,130 @@
 
     found = [one.address for one in _run(exchange)]
     assert found == ["10.0.0.7", "10.0.0.8", "10.0.0.9"]
+
+
+def test_change_behind_revisions_given_out_again_is_read():
+    # The copy's revisions have passed the remembered one before the next
+    # watch, so the store does not answer 410 and has no event to tell.
+    async def exchange(stand_in, client):
+        source = store.ConfigSource(client)
+        stand_in.era = 1
+        stand_in.put("op/config", _config(3))
+        await source.next()
+        stand_in.era = 2
+        stand_in.put("op/config", _config(4))
+        stand_in.kv_watch = lambda *_: (200, {"events": [], "current_rev": 40})
+        await source.next()
+        return await source.next()
+
+    assert _run(exchange).table.version == 4
+
+
+def test_era_learned_by_another_call_leads_to_a_new_read():
+    async def exchange(stand_in, client):
+        source = store.ConfigSource(client)
+        keys = store.ContactStore(client)
+        stand_in.era = 1
+        stand_in.put("op/config", _config(3))
+        await source.next()
+        stand_in.era = 2
+        await keys.find()
+        stand_in.put("op/config", _config(4))
+        return await source.next(), stand_in.calls
+
+    found, calls = _run(exchange)
+    assert found.table.version == 4
+    assert "/kv-watch" not in [path for _, path in calls]
+
+
+def test_lease_number_given_out_again_is_not_taken_for_the_own_one():
+    async def exchange(stand_in, client):
+        keys = store.ContactStore(client)
+        stand_in.era = 1
+        await keys.hold("b1", CONTACT, 60.0)
+        stand_in.items.clear()
+        stand_in.leases = {1: 1000}  # another holder's, after the return
+        stand_in.era = 2
+        await keys.hold("b1", CONTACT, 60.0)
+        return await keys.find(), stand_in.leases, keys.lost
+
+    found, leases, lost = _run(exchange)
+    assert found == (CONTACT,)
+    assert len(leases) == 2
+    assert not lost
+
+
+def test_lost_key_is_noticed_by_any_call():
+    async def exchange(stand_in, client):
+        keys = store.ContactStore(client)
+        stand_in.era = 1
+        await keys.hold("b1", CONTACT, 60.0)
+        before = keys.lost
+        stand_in.era = 2
+        stand_in.put("op/config", _config(3))
+        await store.ConfigSource(client).next()
+        return before, keys.lost
+
+    assert _run(exchange) == (False, True)
+
+
+def test_lease_of_an_era_that_ended_before_the_write_is_not_kept():
+    async def exchange(stand_in, client):
+        keys = store.ContactStore(client)
+        stand_in.era = 1
+        write = stand_in.kv_txn
+
+        def return_from_copy(request, content):
+            stand_in.era = 2
+            return write(request, content)
+
+        stand_in.kv_txn = return_from_copy
+        first = await keys.hold("b1", CONTACT, 60.0)
+        stand_in.kv_txn = write
+        return first, await keys.hold("b1", CONTACT, 60.0), keys.lost
+
+    first, second, lost = _run(exchange)
+    assert isinstance(first, contact_keys.Failed)
+    assert second is None
+    assert not lost
+
+
+def test_late_answer_of_an_older_era_is_not_used():
+    async def exchange(stand_in, client):
+        source = store.ConfigSource(client)
+        stand_in.era = 2
+        stand_in.put("op/config", _config(5))
+        await source.next()
+        stand_in.era = 1
+        stand_in.put("op/config", _config(9))
+        late = await source.next()
+        return late, client.eras.era
+
+    late, era = _run(exchange)
+    assert isinstance(late, route_watch.Failed)
+    assert era == 2
+
+
+@pytest.mark.parametrize("garbage", ["", "x", "-1", "3.0", "9" * 40])
+def test_era_that_cannot_be_read_changes_nothing(garbage):
+    async def exchange(stand_in, client):
+        source = store.ConfigSource(client)
+        stand_in.era = 1
+        stand_in.put("op/config", _config(3))
+        await source.next()
+        stand_in.era = garbage
+        stand_in.put("op/config", _config(4))
+        return await source.next(), client.eras.era
+
+    found, era = _run(exchange)
+    assert found.table.version == 4
+    assert era == 1
+
+
+def test_store_without_eras_works_as_before():
+    async def exchange(stand_in, client):
+        keys = store.ContactStore(client)
+        await keys.hold("b1", CONTACT, 60.0)
+        return client.eras.era, keys.lost
+
+    assert _run(exchange) == (0, False)
--- a/clementinelead/processes/contact_keys.py
+++ b/clementinelead/processes/contact_keys.py
@@ -109,6 +109,10 @@
 class ContactKeys(typing.Protocol):
     """The contact keys in the store."""
 
+    @property
+    def lost(self) -> bool:
+        """Whether the store has lost the key that it had acknowledged."""
+
     async def hold(
         self, identifier: str, contact: Contact, lease_s: float
     ) -> Failed | None:
@@ -188,7 +192,8 @@
     async def _hold(self, now: float) -> None:
         """Calls the store if the key has changed or its lease is old."""
         contact = self._contact(now)
-        if contact == self._held and now < self._renew_at:
+        unchanged = contact == self._held and now < self._renew_at
+        if unchanged and not self._keys.lost:
             return
         own = self._node.gossiper.own
         failed = await self._keys.hold(own.id, contact, LEASE_S)
--- a/clementinelead/processes/http_client.py
+++ b/clementinelead/processes/http_client.py
@@ -16,10 +16,25 @@
 
 
 class Answer(msgspec.Struct, frozen=True):
-    """A whole response."""
+    """A whole response.
+
+    Attributes:
+        status: Status code.
+        body: Whole body.
+        headers: Header fields, their names in lower case.
+    """
 
     status: int
     body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+    def values(self, name: bytes) -> list[bytes]:
+        """Returns the values of a header field.
+
+        Args:
+            name: Its name in lower case.
+        """
+        return [value for field, value in self.headers if field == name]
 
 
 class NoAnswer(msgspec.Struct, frozen=True):
@@ -106,6 +121,7 @@
     connection: h11.Connection, reader: asyncio.StreamReader
 ) -> Answer:
     status = 0
+    headers: tuple[tuple[bytes, bytes], ...] = ()
     body = bytearray()
     while True:
         event = connection.next_event()
@@ -113,11 +129,12 @@
             connection.receive_data(await reader.read(_READ_BYTES))
         elif isinstance(event, h11.Response):
             status = event.status_code
+            headers = tuple(event.headers)
         elif isinstance(event, h11.Data):
             body += event.data
             if len(body) > MAX_BODY_BYTES:
                 raise h11.RemoteProtocolError("the body is too large")
         elif isinstance(event, h11.EndOfMessage):
-            return Answer(status, bytes(body))
+            return Answer(status, bytes(body), headers)
         elif isinstance(event, h11.ConnectionClosed):
             raise h11.RemoteProtocolError("closed before the answer")
--- a/clementinelead/processes/http_site.py
+++ b/clementinelead/processes/http_site.py
@@ -78,6 +78,7 @@
     status: int
     body: bytes = _NO_BODY
     content_type: str = "application/json"
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 Handler = collections.abc.Callable[[Request], Response]
@@ -158,6 +159,7 @@
         response = self.respond(request)
         headers = [
             ("Content-Type", response.content_type),
+            *response.headers,
             ("Content-Length", str(len(response.body))),
         ]
         head = h11.Response(status_code=response.status, headers=headers)
--- a/clementinelead/processes/tests/test_contact_keys.py
+++ b/clementinelead/processes/tests/test_contact_keys.py
@@ -1,5 +1,8 @@
+import asyncio
 import dataclasses
+import random
 
+from clementinelead.memberships import members
 from clementinelead.memberships import records
 from clementinelead.memberships.tests import samples
 from clementinelead.processes import contact_keys
@@ -69,3 +72,49 @@
         after = contact_keys.named_sides("b", rest)
         changed = set(after) - set(before)
         assert len(changed) == (gone.control_address in before)
+
+
+class _Keys:
+    """Contact keys in a store that may lose them."""
+
+    def __init__(self):
+        self.lost = False
+        self.held = []
+
+    async def hold(self, identifier, contact, lease_s):
+        self.lost = False
+        self.held.append(identifier)
+
+
+class _Node:
+    """A balancer that has joined and knows nobody."""
+
+    is_watcher = True
+
+    def __init__(self):
+        self.joining = self
+        self.joined = True
+        self.gossiper = self
+        self.own = samples.SIDE
+
+    def count_sides(self, now):
+        return members.Census(0, 0, 0)
+
+
+def test_key_that_the_store_has_lost_is_written_again_within_two_seconds():
+    assert contact_keys.CHECK_S <= 2.0 / 2  # and half of it for the news
+
+    async def exchange():
+        keys = _Keys()
+        holder = contact_keys.ContactHolder(
+            _Node(), keys, contact_keys.SideCount(), random.Random(1)
+        )
+        task = asyncio.create_task(holder.run())
+        await asyncio.sleep(2 * contact_keys.CHECK_S)
+        before = len(keys.held)
+        keys.lost = True
+        await asyncio.sleep(2 * contact_keys.CHECK_S)
+        task.cancel()
+        return before, len(keys.held)
+
+    assert asyncio.run(exchange()) == (1, 2)
