Read answers before callers' packets, and replay balancers that restart

Unread answers counted as silent targets. Ruled out: the targets (idle), the link, the side processes (they had answered).

Change: relays/intake.py decides what a balancer handles next: answers, then the timer, then packets of open flows, then opening packets, newest first once they wait 20 ms; they are dropped after 0.2 s, when their callers have sent a copy. The replay gives balancers sockets with bounded room, a processor with a price for each step, and restarts: patterns restart, -in-burst, -in-surge.

--- a/clementinelead/platform/packets.py
+++ b/clementinelead/platform/packets.py
@@ -68,6 +68,10 @@
         """Returns the header of a caller's packet, None if malformed."""
         return _segment(data, data[_KEY])
 
+    def opening(self, data: bytes) -> bool:
+        """Tells whether a caller's packet asks to open a flow."""
+        return bool(data) and data[0] & (_SYN | _ACK) == _SYN
+
     def from_target(self, data: bytes) -> formats.Segment | None:
         """Returns the header of a target's packet, None if malformed.
 
--- a/clementinelead/processes/datagrams.py
+++ b/clementinelead/processes/datagrams.py
@@ -30,21 +30,32 @@
         counts: Datagrams that could not be sent or handled, by cause.
     """
 
-    def __init__(self, bound: socket.socket, receiver: Receiver):
+    def __init__(self, bound: socket.socket, receiver: Receiver | None = None):
         """Takes a socket over.
 
         Args:
             bound: A bound UDP socket that does not block.
-            receiver: Gets each datagram and its source.
+            receiver: Gets each datagram and its source, unless the owner
+                reads for itself.
         """
         self.counts = counters.CounterSet()
         self._receiver = receiver
         self._errors = logs.RateLimit(ERROR_LINES_PER_S)
         self._socket = bound
 
-    def start(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Reads from now on."""
-        loop.add_reader(self._socket.fileno(), self._read)
+    def start(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        readable: collections.abc.Callable[[], None] | None = None,
+    ) -> None:
+        """Reads from now on.
+
+        Args:
+            loop: The loop.
+            readable: Called when there is something to be received, if the
+                owner reads for itself.
+        """
+        loop.add_reader(self._socket.fileno(), readable or self._read)
 
     def close(self, loop: asyncio.AbstractEventLoop) -> None:
         """Closes the socket."""
@@ -58,25 +69,41 @@
         except OSError as error:
             self.counts.add(type(error).__name__)
 
-    def _read(self) -> None:
-        for _ in range(MAX_BATCH):
+    def receive(self) -> tuple[bytes, tuple[str, int]] | None:
+        """Returns the next datagram with its sender, None if there is none."""
+        while True:
             try:
-                data, source = self._socket.recvfrom(_MAX_BYTES)
+                return self._socket.recvfrom(_MAX_BYTES)
             except BlockingIOError:
-                return
+                return None
             except OSError as error:
                 # An earlier datagram met a closed port.
                 self.counts.add(type(error).__name__)
-                continue
-            self._hand_over(data, source)
+
+    def _read(self) -> None:
+        for _ in range(MAX_BATCH):
+            datagram = self.receive()
+            if datagram is None:
+                return
+            self._hand_over(*datagram)
 
     def _hand_over(self, data: bytes, source: tuple[str, int]) -> None:
         """Lets no datagram keep those that came with it from being read."""
+        assert self._receiver is not None, "the owner reads for itself"
         try:
             self._receiver(data, source)
         except Exception as error:
-            self.counts.add(f"unhandled {type(error).__name__}")
-            if self._errors.allows(time.monotonic()):
-                loguru.logger.bind(source=source[0], size=len(data)).opt(
-                    exception=error
-                ).error("datagram not handled")
+            self.note_unhandled(error, source=source[0], size=len(data))
+
+    def note_unhandled(self, error: Exception, **about: object) -> None:
+        """Counts and logs an error that a datagram has caused.
+
+        Args:
+            error: The error.
+            about: What is known of the datagram.
+        """
+        self.counts.add(f"unhandled {type(error).__name__}")
+        if self._errors.allows(time.monotonic()):
+            loguru.logger.bind(**about).opt(exception=error).error(
+                "datagram not handled"
+            )
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -20,14 +20,15 @@
 from clementinelead.processes import sockets
 from clementinelead.relays import completeness
 from clementinelead.relays import formats
+from clementinelead.relays import intake
 from clementinelead.relays import outcomes
 from clementinelead.relays import routes
 from clementinelead.relays import steering
 
 __all__ = ["RelayBalancer"]
 
-BUSY_TICK_S = 0.004
-"""Timer of placements and searches while there are any, seconds."""
+TURN_STEPS = 64
+"""Datagrams handled before other work of the process gets a turn."""
 
 QUIET_S = 0.7
 """Time without callers' packets after which a stop may go on, seconds."""
@@ -88,13 +89,16 @@
         self._finder = contact_keys.ContactFinder(self.node, keys, generator)
         self._stopping = False
         self._last_packet = 0.0
-        self._tick_scheduled = False
+        self._packet_format = packet_format
+        self._turn: asyncio.TimerHandle | None = None
+        self._behind = False
         self._targets = known_targets.KnownTargets(self.node.gossiper.table)
         self._completeness = completeness.Completeness()
         self._settling = False
         self._loop: asyncio.AbstractEventLoop
         self._callers: datagrams.DatagramSocket
         self._peers: datagrams.DatagramSocket
+        self._intake: intake.Intake
         self.metrics = metrics_page.MetricsPage(settings.id, "balancer")
         self.metrics.count(
             "flow_decisions", self.steering.counts, "Flow decisions by outcome"
@@ -129,15 +133,26 @@
         self._loop = asyncio.get_running_loop()
         address = (self._settings.address, self._settings.data_port)
         self._callers = datagrams.DatagramSocket(
-            self._bound.udp(self._callers_address), self._on_packet
+            self._bound.udp(self._callers_address)
         )
-        self._peers = datagrams.DatagramSocket(
-            self._bound.udp(address), self._on_frame
+        self._peers = datagrams.DatagramSocket(self._bound.udp(address))
+        self._intake = intake.Intake(
+            self.steering, self._packet_format, self._peers, self._callers
+        )
+        self.metrics.count(
+            "packets_out_of_turn",
+            self._intake.counts,
+            "Opening packets dropped or taken newest first, by cause",
+        )
+        self.metrics.gauge(
+            "packets_waiting",
+            lambda: self._intake.waiting,
+            "Callers' packets read and not handled",
         )
         await self.node.start(stopping)
         try:
-            self._callers.start(self._loop)
-            self._peers.start(self._loop)
+            self._callers.start(self._loop, self._on_callers)
+            self._peers.start(self._loop, self._on_readable)
             self.node.keep("watch of the routes", self._watch.run)
             self.node.keep("contact key", self._holder.run)
             self.node.keep("search for peers", self._finder.run)
@@ -170,14 +185,54 @@
 
     # Datagrams.
 
-    def _on_packet(self, data: bytes, _: tuple[str, int]) -> None:
-        now = time.monotonic()
-        self._last_packet = now
-        self._send(self.steering.on_packet(data, now))
+    def _on_callers(self) -> None:
+        self._last_packet = time.monotonic()
+        self._on_readable()
+
+    def _on_readable(self) -> None:
+        self._intake.wake()
+        self._take_turn()
 
-    def _on_frame(self, data: bytes, source: tuple[str, int]) -> None:
-        now = time.monotonic()
-        self._send(self.steering.on_frame(data, source, now))
+    def _take_turn(self) -> None:
+        """Handles what waits, the most urgent first, but not all at once."""
+        idle = False
+        for _ in range(TURN_STEPS):
+            try:
+                several = self._intake.next(time.monotonic())
+            except Exception as error:
+                self._callers.note_unhandled(error)
+                continue
+            if several is None:
+                idle = True
+                break
+            self._send(several)
+        self._note_behind()
+        if not idle:
+            self._plan_turn(0.0)
+        elif self.steering.busy:
+            self._plan_turn(intake.BUSY_TICK_S)
+
+    def _plan_turn(self, pause_s: float) -> None:
+        """Lets the next turn begin after a pause at most."""
+        due = self._loop.time() + pause_s
+        if self._turn is not None:
+            if self._turn.when() <= due:
+                return
+            self._turn.cancel()
+        self._turn = self._loop.call_at(due, self._begin_turn)
+
+    def _begin_turn(self) -> None:
+        self._turn = None
+        self._take_turn()
+
+    def _note_behind(self) -> None:
+        """Logs when more comes than is handled, and when no longer."""
+        if self._behind == self._intake.behind:
+            return
+        self._behind = self._intake.behind
+        loguru.logger.bind(
+            waiting=self._intake.waiting, **self._intake.counts.by_cause
+        ).info("behind with packets" if self._behind else "no longer behind")
 
     def _send(self, several: list[outcomes.Outcome]) -> None:
         for outcome in several:
@@ -186,19 +241,14 @@
                     self._peers.send(data, address)
                 case outcomes.ToCaller(address, data):
                     self._callers.send(data, address)
-        if not self._tick_scheduled and self.steering.busy:
-            self._tick_scheduled = True
-            self._loop.call_later(BUSY_TICK_S, self._busy_tick)
-
-    def _busy_tick(self) -> None:
-        self._tick_scheduled = False
-        self._send(self.steering.on_tick(time.monotonic()))
 
     # What the node learns.
 
     def on_tick(self, now: float) -> None:
         """Lets time pass for the decisions."""
         self._send(self.steering.on_tick(now))
+        if self.steering.busy:
+            self._plan_turn(intake.BUSY_TICK_S)
         if self.node.joining.joined and not self._settling:
             self._settling = True
             self._completeness.on_joined(now)
--- a/clementinelead/relays/formats.py
+++ b/clementinelead/relays/formats.py
@@ -42,6 +42,12 @@
     def from_caller(self, data: bytes) -> Segment | None:
         """Returns the header of a caller's packet, None if malformed."""
 
+    def opening(self, data: bytes) -> bool:
+        """Tells whether a caller's packet asks to open a flow.
+
+        It reads one field, and may be wrong about a malformed packet.
+        """
+
     def from_target(self, data: bytes) -> Segment | None:
         """Returns the header of a target's packet, None if malformed."""
 
--- /dev/null
+++ b/clementinelead/relays/intake.py
@@ -0,0 +1,155 @@
+"""The order in which a balancer handles what has come.
+
+Load pattern: more comes than the processor handles, as after a restart in a
+burst, when callers repeat their packets. Answers that wait unread then look
+like silent targets; questions asked again because of that are further work,
+which keeps the process behind. So answers are read before the packets of
+callers and before anybody is found silent, and packets of open flows go before
+those that open one. While it is behind, a balancer takes the newest opening
+packets first: theirs are the flows that can still be in time.
+"""
+
+import collections
+import typing
+
+from clementinelead.relays import formats
+from clementinelead.relays import outcomes
+from clementinelead.relays import steering
+from clementinelead.telemetry import counters
+
+__all__ = ["BUSY_TICK_S", "Intake", "Source"]
+
+BUSY_TICK_S = 0.004
+"""Interval of the decisions' timer while any flow waits, seconds."""
+
+POLL_S = 0.002
+"""Pause before a source that was empty is read unasked, seconds."""
+
+BEHIND_S = 0.02
+"""Wait of an opening packet from which on this process is behind, seconds."""
+
+REPEATED_S = 0.2
+"""Wait after which an opening packet is dropped, seconds.
+
+Its caller has sent a copy by then.
+"""
+
+MAX_WAITING = 1_024
+"""Packets of either sort that wait; the oldest are dropped beyond it."""
+
+_Datagram = tuple[bytes, tuple[str, int]]
+
+
+class Source(typing.Protocol):
+    """Where datagrams come from."""
+
+    def receive(self) -> _Datagram | None:
+        """Returns the next datagram with its sender, None if there is none."""
+
+
+class Intake:
+    """Hands datagrams to the decisions, the most urgent first.
+
+    Attributes:
+        counts: Opening packets dropped and served out of order, by cause.
+        behind: Whether more comes than is handled.
+    """
+
+    def __init__(
+        self,
+        decisions: steering.Steering,
+        packet_format: formats.PacketFormat,
+        peers: Source,
+        callers: Source,
+    ):
+        """Starts with nothing that waits.
+
+        Args:
+            decisions: What is handed the datagrams.
+            packet_format: Format of the callers' packets.
+            peers: Datagrams of side processes.
+            callers: Packets of callers.
+        """
+        self.counts = counters.CounterSet()
+        self.behind = False
+        self._decisions = decisions
+        self._format = packet_format
+        self._peers = peers
+        self._callers = callers
+        self._peers_due = 0.0
+        self._callers_due = 0.0
+        self._tick_due = 0.0
+        self._continuing: collections.deque[bytes] = collections.deque()
+        self._opening: collections.deque[tuple[float, bytes]] = (
+            collections.deque()
+        )
+
+    @property
+    def waiting(self) -> int:
+        """Packets of callers that have been read and not handled."""
+        return len(self._continuing) + len(self._opening)
+
+    def wake(self) -> None:
+        """Notes that a source has something."""
+        self._peers_due = 0.0
+        self._callers_due = 0.0
+
+    def next(self, now: float) -> list[outcomes.Outcome] | None:
+        """Handles what is most urgent.
+
+        Args:
+            now: Present time, seconds.
+
+        Returns:
+            What to send, or None if there is nothing to do now.
+        """
+        if now >= self._peers_due:
+            datagram = self._peers.receive()
+            if datagram is not None:
+                data, source = datagram
+                return self._decisions.on_frame(data, source, now)
+            self._peers_due = now + POLL_S
+        if now >= self._tick_due and self._decisions.busy:
+            self._tick_due = now + BUSY_TICK_S
+            return self._decisions.on_tick(now)
+        if now >= self._callers_due:
+            self._read_callers(now)
+        packet = self._take(now)
+        if packet is None:
+            return None
+        return self._decisions.on_packet(packet, now)
+
+    def _read_callers(self, now: float) -> None:
+        """Reads what callers have sent, so that its age is known."""
+        for _ in range(MAX_WAITING):
+            datagram = self._callers.receive()
+            if datagram is None:
+                self._callers_due = now + POLL_S
+                return
+            data = datagram[0]
+            if self._format.opening(data):
+                self._opening.append((now, data))
+            else:
+                self._continuing.append(data)
+        while len(self._opening) > MAX_WAITING:
+            self._opening.popleft()
+            self.counts.add("opening_dropped_full")
+        while len(self._continuing) > MAX_WAITING:
+            self._continuing.popleft()
+            self.counts.add("packet_dropped_full")
+
+    def _take(self, now: float) -> bytes | None:
+        """Returns the next packet of a caller."""
+        if self._continuing:
+            return self._continuing.popleft()
+        while self._opening and now - self._opening[0][0] >= REPEATED_S:
+            self._opening.popleft()
+            self.counts.add("opening_dropped_old")
+        if not self._opening:
+            self.behind = False
+            return None
+        self.behind = now - self._opening[0][0] >= BEHIND_S
+        if not self.behind:
+            return self._opening.popleft()[1]
+        self.counts.add("opening_newest_first")
+        return self._opening.pop()[1]
--- a/clementinelead/replays/loads.py
+++ b/clementinelead/replays/loads.py
@@ -9,10 +9,12 @@
 
 __all__ = [
     "Arrival",
+    "BalancerSpec",
     "Change",
     "Condition",
     "Load",
     "RequestKind",
+    "Restart",
     "TargetSpec",
     "read",
     "write",
@@ -102,6 +104,34 @@
     condition: Condition
 
 
+@dataclasses.dataclass(frozen=True)
+class Restart:
+    """All balancers are killed and start again, knowing no flow.
+
+    Attributes:
+        at_s: When they are killed, seconds.
+        listening_s: When their sockets take datagrams again, seconds.
+        serving_s: When they begin to read them, seconds.
+    """
+
+    at_s: float
+    listening_s: float
+    serving_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class BalancerSpec:
+    """What each balancer is.
+
+    Attributes:
+        share: Its share of a processor, None if its work takes no time.
+        restarts: When it is restarted, in the order of time.
+    """
+
+    share: float | None = None
+    restarts: tuple[Restart, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True)
 class Load:
     """A load to replay.
@@ -112,6 +142,7 @@
         targets: All targets.
         arrivals: Requests in the order of time.
         changes: What happens to targets.
+        balancers: What each balancer is.
     """
 
     name: str
@@ -119,6 +150,7 @@
     targets: tuple[TargetSpec, ...]
     arrivals: tuple[Arrival, ...]
     changes: tuple[Change, ...] = ()
+    balancers: BalancerSpec = BalancerSpec()
 
     @property
     def kind_by_name(self) -> dict[str, RequestKind]:
--- a/clementinelead/replays/packets.py
+++ b/clementinelead/replays/packets.py
@@ -51,6 +51,10 @@
 
     from_target = from_caller
 
+    def opening(self, data: bytes) -> bool:
+        """Tells whether a caller's packet asks to open a flow."""
+        return len(data) > _FLAGS_AT and bool(data[_FLAGS_AT] & OPENS)
+
     def service_address(self, key: bytes) -> bytes:
         """Returns the address that a caller of a flow has called."""
         return key[4:]
--- a/clementinelead/replays/patterns.py
+++ b/clementinelead/replays/patterns.py
@@ -14,6 +14,13 @@
 MEAN_WORK_S = 0.02
 WORK_SHAPE = 4.0  # of the gamma distribution; deviation half of the mean
 OUTAGE_S = 1.0
+BALANCER_SHARE = 0.1
+"""Share of a processor that a balancer has where that is short."""
+
+LISTENING_AFTER_S = 0.5
+SERVING_AFTER_S = 1.5
+"""Times from a kill of a balancer until it takes and reads datagrams."""
+
 SLOWNESS = (0.6, 1.0, 1.6)
 """Targets differ threefold in speed, as the users' do."""
 
@@ -179,6 +186,52 @@
     return _load("cold", scale, _arrivals(scale, generator), changes)
 
 
+def _restart(
+    name: str, scale: Scale, generator: np.random.Generator, burst: float
+) -> loads.Load:
+    """Kills slow balancers at a quarter of the load, within a burst.
+
+    Targets have room for twice the burst; the balancers are what is short.
+
+    Args:
+        name: Name of the load.
+        scale: Its size.
+        generator: Source of randomness.
+        burst: Factor of the usual rate, from an eighth to five eighths.
+    """
+
+    def factor(now: float) -> float:
+        return burst if 1 / 8 < now / scale.seconds < 5 / 8 else 1.0
+
+    killed = scale.seconds / 4
+    restart = loads.Restart(
+        killed, killed + LISTENING_AFTER_S, killed + SERVING_AFTER_S
+    )
+    usual = dataclasses.replace(scale, utilisation=scale.utilisation / 4)
+    load = _load(name, scale, _arrivals(usual, generator, factor))
+    slow = loads.BalancerSpec(BALANCER_SHARE, (restart,))
+    return dataclasses.replace(load, balancers=slow)
+
+
+def restart(scale: Scale, generator: np.random.Generator) -> loads.Load:
+    """Slow balancers are killed under the usual load."""
+    return _restart("restart", scale, generator, 1.0)
+
+
+def restart_in_burst(
+    scale: Scale, generator: np.random.Generator
+) -> loads.Load:
+    """Slow balancers are killed while twice the usual load comes."""
+    return _restart("restart-in-burst", scale, generator, 2.0)
+
+
+def restart_in_surge(
+    scale: Scale, generator: np.random.Generator
+) -> loads.Load:
+    """Slow balancers are killed while three times the usual load comes."""
+    return _restart("restart-in-surge", scale, generator, 3.0)
+
+
 PATTERNS = (
     calm,
     burst,
@@ -189,6 +242,9 @@
     backlog,
     moving,
     cold,
+    restart,
+    restart_in_burst,
+    restart_in_surge,
 )
 
 
--- a/clementinelead/replays/relayed.py
+++ b/clementinelead/replays/relayed.py
@@ -9,6 +9,7 @@
 from clementinelead.relays import formats
 from clementinelead.relays import former_services
 from clementinelead.relays import holding
+from clementinelead.relays import intake
 from clementinelead.relays import outcomes
 from clementinelead.relays import routes
 from clementinelead.relays import steering
@@ -17,6 +18,7 @@
 from clementinelead.replays import distances
 from clementinelead.replays import loads
 from clementinelead.replays import packets
+from clementinelead.replays import processors
 from clementinelead.replays import servers
 
 __all__ = ["Relayed"]
@@ -26,9 +28,8 @@
 COPIES_AT_S = (0.2, 0.6)
 """When a caller sends its opening packet again, seconds."""
 
-BUSY_TICK_S = 0.004
 IDLE_TICK_S = 0.05
-"""Timers as the processes have them, seconds."""
+"""Timer as the processes have it, seconds."""
 
 REQUEST_BYTES = 10
 _ATTEMPTS = 1 + calls.RETRIES
@@ -86,16 +87,51 @@
 
 
 class _Balancer:
-    """A balancer of one availability zone."""
+    """A balancer of one availability zone.
 
-    def __init__(self, zone: str):
+    Attributes:
+        callers: Where callers' packets wait.
+        peers: Where side processes' datagrams wait.
+        steering: The decisions.
+        processor: What it has to work with.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        agenda: agendas.Agenda,
+        share: float | None,
+        send: typing.Callable[["_Balancer", list[outcomes.Outcome]], None],
+    ):
         self.zone = zone
         self.address = (f"balancer-{zone}", 1)
-        former = former_services.FormerServices(first_start=True)
+        self.callers = processors.Mailbox()
+        self.peers = processors.Mailbox()
+        self.processor = processors.Processor(
+            agenda,
+            share,
+            lambda now: self._intake.next(now),
+            lambda several: send(self, several),
+        )
+        self.begin(first_start=True)
+
+    def begin(self, first_start: bool) -> None:
+        """Begins anew, without flows."""
+        former = former_services.FormerServices(first_start)
         self.steering = steering.Steering(
-            packets.Format(), _ignore, zone, former
+            packets.Format(), self._report, self.zone, former
+        )
+        self._intake = intake.Intake(
+            self.steering, packets.Format(), self.peers, self.callers
         )
-        self.ticking = False
+
+    def _report(self, _: outcomes.Decision) -> None:
+        self.processor.reported += 1
+
+    def wake(self) -> None:
+        """Lets the process look at its sockets and timers."""
+        self._intake.wake()
+        self.processor.wake()
 
 
 class Relayed:
@@ -120,14 +156,39 @@
             for side in (_Side(server, agenda.now) for server in known)
         }
         zones = sorted({arrival.zone for arrival in load.arrivals})
-        self._balancer_by_address = {
-            balancer.address: balancer for balancer in map(_Balancer, zones)
-        }
-        kind = load.kinds[0]
-        for balancer in self._balancer_by_address.values():
-            self._configure(balancer, kind)
+        share = load.balancers.share
+        made = [
+            _Balancer(zone, agenda, share, self._carry_out) for zone in zones
+        ]
+        self._balancer_by_address = {one.address: one for one in made}
+        self._kind = load.kinds[0]
+        for balancer in made:
+            self._configure(balancer, self._kind)
+        for restart in load.balancers.restarts:
+            agenda.at(restart.at_s, self._kill_balancers)
+            agenda.at(restart.listening_s, self._open_mailboxes)
+            agenda.at(restart.serving_s, self._restart_balancers)
         agenda.at(agenda.now + IDLE_TICK_S, self._idle_tick)
 
+    def _kill_balancers(self) -> None:
+        for balancer in self._balancer_by_address.values():
+            balancer.processor.running = False
+            for mailbox in (balancer.callers, balancer.peers):
+                mailbox.open = False
+                mailbox.clear()
+
+    def _open_mailboxes(self) -> None:
+        for balancer in self._balancer_by_address.values():
+            balancer.callers.open = balancer.peers.open = True
+
+    def _restart_balancers(self) -> None:
+        """Lets balancers serve again, with routes and targets from peers."""
+        for balancer in self._balancer_by_address.values():
+            balancer.begin(first_start=False)
+            self._configure(balancer, self._kind)
+            balancer.processor.running = True
+            balancer.wake()
+
     def _configure(self, balancer: _Balancer, kind: loads.RequestKind) -> None:
         now = self._agenda.now
         route = routes.Route(
@@ -201,9 +262,7 @@
         balancer = self._balancer_by_address[address]
         self._agenda.at(
             self._agenda.now + distances.CALLER_S,
-            lambda: self._steer(
-                balancer, balancer.steering.on_packet(data, self._agenda.now)
-            ),
+            lambda: self._balancer_gets(balancer, balancer.callers, data),
         )
 
     def _receive(self, data: bytes) -> None:
@@ -237,7 +296,7 @@
 
     # Processes.
 
-    def _steer(
+    def _carry_out(
         self, balancer: _Balancer, several: list[outcomes.Outcome]
     ) -> None:
         """Carries out what a balancer has decided."""
@@ -260,30 +319,28 @@
                         now + distances.CALLER_S,
                         functools.partial(self._receive, data),
                     )
-        if balancer.steering.busy and not balancer.ticking:
-            balancer.ticking = True
-            self._agenda.at(
-                now + BUSY_TICK_S, lambda: self._busy_tick(balancer)
-            )
+        if balancer.steering.busy:
+            self._agenda.at(now + intake.BUSY_TICK_S, balancer.wake)
 
     def _side_gets(self, side: _Side, data: bytes, source: _Address) -> None:
         now = self._agenda.now
         self._hold(side, side.holding.on_frame(data, source, now))
 
     def _balancer_gets(
-        self, balancer: _Balancer, data: bytes, source: _Address
+        self,
+        balancer: _Balancer,
+        mailbox: processors.Mailbox,
+        data: bytes,
+        source: _Address = packets.CALLER,
     ) -> None:
-        now = self._agenda.now
-        self._steer(balancer, balancer.steering.on_frame(data, source, now))
-
-    def _busy_tick(self, balancer: _Balancer) -> None:
-        balancer.ticking = False
-        self._steer(balancer, balancer.steering.on_tick(self._agenda.now))
+        mailbox.put(data, source)
+        balancer.wake()
 
     def _idle_tick(self) -> None:
         now = self._agenda.now
         for balancer in self._balancer_by_address.values():
-            self._steer(balancer, balancer.steering.on_tick(now))
+            if balancer.processor.running:
+                self._carry_out(balancer, balancer.steering.on_tick(now))
         for side in self._side_by_address.values():
             self._hold(side, side.holding.on_tick(now))
         self._agenda.at(now + IDLE_TICK_S, self._idle_tick)
@@ -299,7 +356,11 @@
                     self._agenda.at(
                         now + distances.between(zone, balancer.zone),
                         functools.partial(
-                            self._balancer_gets, balancer, data, side.address
+                            self._balancer_gets,
+                            balancer,
+                            balancer.peers,
+                            data,
+                            side.address,
                         ),
                     )
                 case outcomes.ToCaller(_, data):
--- a/clementinelead/replays/summaries.py
+++ b/clementinelead/replays/summaries.py
@@ -7,7 +7,7 @@
 from clementinelead.replays import calls
 from clementinelead.replays import simulations
 
-__all__ = ["Summary", "plot", "summarize"]
+__all__ = ["Summary", "plot", "share_in_time", "summarize"]
 
 PLOT_STEP_S = 0.5
 _SPARKS = " ▁▂▃▄▅▆▇█"
@@ -81,6 +81,24 @@
     return tuple(found)
 
 
+def share_in_time(run: simulations.Replay, from_s: float, to_s: float) -> float:
+    """Returns the share of requests served within their objectives.
+
+    Args:
+        run: The replay.
+        from_s: When the first of these requests may be sent, seconds.
+        to_s: When all of them have been sent, seconds.
+    """
+    kinds = run.load.kind_by_name
+    sent = [one for one in run.outcomes if from_s <= one.arrival.at_s < to_s]
+    timely = sum(
+        one.result is calls.Result.SERVED
+        and one.duration_s <= kinds[one.arrival.kind].objective_s
+        for one in sent
+    )
+    return timely / max(1, len(sent))
+
+
 def plot(run: simulations.Replay) -> str:
     """Returns a line with the share served in time, a sign a half second.
 
