Encode decision lines without the logging library's detour

Ruled out: fewer lines, which would leave requests unexplained. Timed here, one process: 44 to 63 us a line through loguru, 13 us directly; the lines are equal field by field (test).

--- a/clementinelead/processes/decision_log.py
+++ b/clementinelead/processes/decision_log.py
@@ -2,11 +2,10 @@
 
 import time
 
-import loguru
-
 from clementinelead.relays import formats
 from clementinelead.relays import outcomes
 from clementinelead.telemetry import logs
+from clementinelead.telemetry import structured
 
 __all__ = ["DecisionLog"]
 
@@ -29,8 +28,11 @@
         fields = decision.inputs
         if left_out:
             fields = {**fields, "left_out": left_out}
-        loguru.logger.bind(
-            flow=self._format.text(decision.key),
-            outcome=decision.outcome,
-            **fields,
-        ).info(decision.event)
+        structured.write(
+            decision.event,
+            {
+                "flow": self._format.text(decision.key),
+                "outcome": decision.outcome,
+                **fields,
+            },
+        )
--- a/clementinelead/telemetry/structured.py
+++ b/clementinelead/telemetry/structured.py
@@ -1,18 +1,23 @@
-"""Structured log lines on standard output that never block the process."""
+"""Structured log lines on standard output that never block the process.
+
+Most lines come through ``loguru``. Those of flow decisions, hundreds a second
+on a fraction of a processor, are encoded here directly, which costs a quarter.
+"""
 
 import collections
+import collections.abc
 import datetime
-import json
 import os
 import time
 import typing
 
 import loguru
+import msgspec
 
 if typing.TYPE_CHECKING:
     import asyncio
 
-__all__ = ["LineWriter", "configure"]
+__all__ = ["LineWriter", "configure", "write"]
 
 _STARTED = time.monotonic()
 
@@ -90,19 +95,63 @@
             self._subscribed = True
 
 
+class _Output(msgspec.Struct, frozen=True):
+    """Where the lines of this process go.
+
+    Attributes:
+        node: Identifier that each line carries.
+        writer: Writes them.
+    """
+
+    node: str
+    writer: LineWriter
+
+
+_output: _Output | None = None
+
+
+def write(event: str, fields: collections.abc.Mapping[str, object]) -> None:
+    """Writes a line of level INFO, cheaply.
+
+    Args:
+        event: What has happened.
+        fields: What is known of it.
+    """
+    if _output is None:
+        loguru.logger.bind(**fields).info(event)
+        return
+    moment = datetime.datetime.now(datetime.UTC)
+    named = {"node": _output.node, **fields}
+    _output.writer.write(_encoded(moment, "INFO", event, named))
+
+
 def _line(message: "loguru.Message") -> bytes:
     """Returns a log record as one line of JSON."""
     record = message.record
-    moment = record["time"].astimezone(datetime.UTC)
+    return _encoded(
+        record["time"].astimezone(datetime.UTC),
+        record["level"].name,
+        record["message"],
+        record["extra"],
+    )
+
+
+def _encoded(
+    moment: datetime.datetime,
+    level: str,
+    event: str,
+    fields: collections.abc.Mapping[str, object],
+) -> bytes:
+    """Returns a line of the log."""
     content = {
         "time": moment.isoformat(timespec="milliseconds"),
         # The time of day may jump; this goes on.
         "uptime_s": round(time.monotonic() - _STARTED, 3),
-        "level": record["level"].name,
-        "event": record["message"],
-        **record["extra"],
+        "level": level,
+        "event": event,
+        **fields,
     }
-    return json.dumps(content, default=str).encode() + b"\n"
+    return msgspec.json.encode(content, enc_hook=str) + b"\n"
 
 
 def configure(node: str, descriptor: int) -> LineWriter:
@@ -115,7 +164,9 @@
     Returns:
         The writer, so that a loop can be attached to it.
     """
+    global _output
     writer = LineWriter(descriptor)
+    _output = _Output(node, writer)
     loguru.logger.remove()
     loguru.logger.configure(extra={"node": node})
     loguru.logger.add(
--- a/clementinelead/telemetry/tests/test_structured.py
+++ b/clementinelead/telemetry/tests/test_structured.py
@@ -9,7 +9,9 @@
 
 
 @pytest.fixture(name="pipe")
-def _pipe():
+def _pipe(monkeypatch):
+    # No later test may write to a descriptor that is used again by then.
+    monkeypatch.setattr(structured, "_output", None)
     reading, writing = os.pipe()
     yield reading, writing
     loguru.logger.remove()
@@ -28,6 +30,26 @@
     assert content["outcome"] == "sent"
 
 
+def test_lines_written_directly_are_the_same_as_those_of_the_logger(pipe):
+    reading, writing = pipe
+    structured.configure("node1", writing)
+    fields = {"flow": "a>b", "loads_ms": {"10.0.0.1": 3}, "tried": (1, None)}
+    loguru.logger.bind(**fields).info("placement")
+    structured.write("placement", fields)
+    logged, written = map(json.loads, os.read(reading, 4096).splitlines())
+    for content in (logged, written):
+        assert content.pop("time").endswith("+00:00")
+        assert content.pop("uptime_s") >= 0
+    assert logged == written
+
+
+def test_value_that_json_does_not_know_is_written_as_text(pipe):
+    reading, writing = pipe
+    structured.configure("node1", writing)
+    structured.write("placement", {"cause": ValueError("odd")})
+    assert json.loads(os.read(reading, 4096))["cause"] == "odd"
+
+
 def test_slow_reader_never_blocks_and_costs_lines_only(pipe):
     reading, writing = pipe
     writer = structured.LineWriter(writing)
