Learn no service time from answers out of turn

Ruled out: answers under 2 ms (there were none); learning a lower limit from refusals (tried before, docs/design/load.md). Change: with n requests at a target of s slots, an answer that comes before n+1-s of them have left was not worked on, and teaches nothing.

--- a/clementinelead/relays/held_flows.py
+++ b/clementinelead/relays/held_flows.py
@@ -47,6 +47,8 @@
         asked: Time of the last data of the request, None before it.
         asked_end: Sequence number after the last data of the caller.
         ahead: Work that was under way before.
+        turn: How many requests must have left the target before it can have
+            begun with this one.
         closing: Whether an end of it has been seen.
     """
 
@@ -59,6 +61,7 @@
     asked: float | None = None
     asked_end: int | None = None
     ahead: int = 0
+    turn: int = 0
     closing: bool = False
 
     def follows(self, segment: formats.Segment) -> bool:
@@ -103,6 +106,8 @@
         self.work = work
         self._reserved_until: dict[bytes, float] = {}
         self._offered_until: dict[bytes, float] = {}
+        self._at_target = 0  # requests without an answer
+        self._left = 0  # those answered or given up since the start
 
     @property
     def waiting(self) -> bool:
@@ -153,6 +158,7 @@
         """Forgets a flow; its work no longer counts."""
         flow = self.by_key.pop(key)
         self._reserved_until.pop(key, None)
+        self._end_request(flow)
         if flow.working:
             self.work.released(now)
         self.work.estimate.closed()
@@ -174,6 +180,10 @@
             flow.ahead = self.work.resumed(now)
             flow.working = True
         self._reserved_until.pop(key, None)
+        if flow.asked is None:
+            ahead = self._at_target + 1 - self.work.estimate.limits.slots
+            flow.turn = self._left + max(0, ahead)
+            self._at_target += 1
         flow.asked = now
 
     def note_answer(
@@ -191,8 +201,11 @@
             self.work.released(now)
             return None
         duration = now - flow.asked
-        flow.asked = None
-        if duration < TURNED_AWAY_S:
+        # An answer out of turn, with all slots at work on earlier requests,
+        # says that the target has not worked on this one.
+        in_turn = self._left >= flow.turn
+        self._end_request(flow)
+        if duration < TURNED_AWAY_S or not in_turn:
             self.work.released(now)
         else:
             self.work.finished(duration, flow.ahead, now)
@@ -226,7 +239,14 @@
                 self._release(flow, now)
 
     def _release(self, flow: HeldFlow, now: float) -> None:
+        self._end_request(flow)
         if flow.working:
             flow.working = False
-            flow.asked = None
             self.work.released(now)
+
+    def _end_request(self, flow: HeldFlow) -> None:
+        """Notes that a flow's request, if there is one, is over."""
+        if flow.asked is not None:
+            flow.asked = None
+            self._at_target -= 1
+            self._left += 1
