Deny flows at once where no target listens

Ruled out: late heartbeats, the count in the contact keys. The soak's targets listen there now, as the users' do.

--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -49,6 +49,7 @@
         self._born = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._socket: socket.socket | None = None
+        self._listener: socket.socket | None = None
 
     def start(self) -> None:
         """Starts a new incarnation."""
@@ -62,6 +63,10 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         self._socket.bind((self.address, self._ports["app"]))
+        # A target lives as long as its TCP port for health checks listens.
+        self._listener = socket.create_server(
+            (self.address, self._ports["app"])
+        )
         loop = asyncio.get_running_loop()
         loop.add_reader(self._socket.fileno(), self._read, self._socket)
         self._spawn(self._announce_forever())
@@ -76,6 +81,9 @@
             asyncio.get_running_loop().remove_reader(self._socket.fileno())
             self._socket.close()
             self._socket = None
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
 
     async def drain(self) -> None:
         """Announces the end, serves on for a while, and ends.
--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -14,6 +14,7 @@
 from clementinelead.processes import relay_node
 from clementinelead.processes import relay_settings
 from clementinelead.processes import sockets
+from clementinelead.processes import target_presence
 from clementinelead.relays import announcements
 from clementinelead.relays import formats
 from clementinelead.relays import holding
@@ -142,6 +143,7 @@
             self._answers.start(self._loop)
             self._peers.start(self._loop)
             self.node.keep("search for peers", self._finder.run)
+            self.node.keep("look for the target", self._look_for_target)
             await stopping.wait()
             await self._linger()
         finally:
@@ -163,6 +165,19 @@
             if self.holding.working == 0:
                 return
 
+    async def _look_for_target(self) -> None:
+        """Denies all flows at once if this process has begun without a target.
+
+        Else balancers could not tell callers of lost flows so before the
+        target is overdue.
+        """
+        if not await target_presence.is_absent(self._target):
+            return
+        believed = self.holding.on_no_target(time.monotonic())
+        loguru.logger.bind(address=self._target[0], believed=believed).info(
+            "no target listens"
+        )
+
     def _target_gone(self, now: float) -> bool:
         """Tells whether the target has ended, as far as one can know.
 
--- a/clementinelead/relays/beginnings.py
+++ b/clementinelead/relays/beginnings.py
@@ -55,11 +55,20 @@
         young = announcement.born >= self._started_ms - BORN_MARGIN_MS
         self._together = young or announcement.sequence <= 1
 
+    def on_no_target(self, now: float) -> None:
+        """Takes over that there is no target yet; the next one has no flows.
+
+        Args:
+            now: Present time, seconds.
+        """
+        self._learned_at = now
+
     def over(self, now: float) -> bool:
         """Tells whether the target has no flow that is not known here.
 
         A target that got power together with this process has none of before;
-        neither has one that started while this process ran.
+        neither has one that started while this process ran, and none has flows
+        where there is no target.
 
         Args:
             now: Present time, seconds.
--- a/clementinelead/relays/holding.py
+++ b/clementinelead/relays/holding.py
@@ -86,6 +86,7 @@
         self._opener_by_key: dict[bytes, tuple[_Address, float]] = {}
         self._probe_by_key: dict[bytes, tuple[_Address, float]] = {}
         self._next_expiry = now
+        self._target_heard = False
 
     @property
     def flows(self) -> int:
@@ -122,6 +123,20 @@
             self.beginning.on_target(announcement, known is not None, now)
         return verdict
 
+    def on_no_target(self, now: float) -> bool:
+        """Takes over that nothing listens where the target would.
+
+        Args:
+            now: Present time, seconds.
+
+        Returns:
+            Whether that is believed; not if a target has been heard.
+        """
+        heard = self.lifecycle.current is not None or self._target_heard
+        if not heard:
+            self.beginning.on_no_target(now)
+        return not heard
+
     # Datagrams of balancers.
 
     def on_frame(
@@ -246,6 +261,7 @@
         if segment is None:
             self.counts.add("malformed_packet")
             return []
+        self._target_heard = True
         if segment.returned:
             return self._on_returned(segment, data, now)
         return self._on_answer(segment, data, now)
--- a/clementinelead/relays/tests/test_holding.py
+++ b/clementinelead/relays/tests/test_holding.py
@@ -202,3 +202,70 @@
     idle = net.side_by_address[("side1", 1)]
     later = net.now + 10.0
     assert idle.work.load_ms(later) <= quick.work.load_ms(later)
+
+
+def test_answers_out_of_turn_do_not_make_a_target_look_quick():
+    # A target with two slots works on two requests for 0.1 s and turns others
+    # away after 0.02 s in its queue.
+    net = network.Network(targets=1)
+    keys = [network.flow_key(number) for number in range(1, 12)]
+    side = None
+    for key in keys:
+        side = _opened(net, key)
+    begun = net.now
+    for key in keys:
+        _request(side, key, begun)
+    for key in keys[2:]:
+        _answer(side, key, begun + 0.02)
+    for key in keys[:2]:
+        _answer(side, key, begun + 0.1)
+    assert side.working == 0
+    assert side.work.estimate.service_s >= 0.09
+
+
+def test_queued_requests_that_are_answered_in_turn_are_learned_from():
+    net = network.Network(targets=1)
+    keys = [network.flow_key(number) for number in range(1, 7)]
+    side = None
+    for key in keys:
+        side = _opened(net, key)
+    begun = net.now
+    for key in keys:
+        _request(side, key, begun)
+    for number, key in enumerate(keys):
+        _answer(side, key, begun + 0.1 * (1 + number // 2))
+    assert side.work.estimate.service_s > 0.09
+    assert side.work.estimate.service_s < 0.12
+
+
+def test_requests_that_are_given_up_do_not_put_later_ones_out_of_turn():
+    net = network.Network(targets=1)
+    keys = [network.flow_key(number) for number in range(1, 6)]
+    side = None
+    for key in keys:
+        side = _opened(net, key)
+    for key in keys[:4]:
+        _request(side, key, net.now)
+    for key in keys[:4]:
+        side._flows.forget(key, net.now + 0.01)
+    _request(side, keys[4], net.now + 0.02)
+    _answer(side, keys[4], net.now + 0.08)
+    assert side.work.estimate.proven
+
+
+def test_process_without_a_target_denies_flows_at_once():
+    side = network.Network(targets=1).new_side(first=True)
+    key = network.flow_key(1)
+    now = 100.0
+    assert _kind_of_answer(side, key, now) is frames.Kind.UNSURE
+    assert side.on_no_target(now)
+    assert _kind_of_answer(side, key, now) is frames.Kind.ABSENT
+
+
+def test_target_that_was_heard_is_not_taken_for_absent():
+    side = network.Network(targets=1).new_side(first=True)
+    key = network.flow_key(1)
+    side.on_target_packet(network.packet(key, sequence=501, length=20), 100.0)
+    assert not side.on_no_target(100.0)
+    other = network.flow_key(2)
+    assert _kind_of_answer(side, other, 100.0) is frames.Kind.UNSURE
