Search again for flows that could not be resolved

Cause: a lost flow whose search ended in silence was searched for only when its caller sent another packet, up to 1.6 s later; after a loss of all those of the first second were answered with silence, as not all side processes were known. Change: they are searched for again after 0.25, 0.5, 1 and 2 s, and at once when nobody can be missing any more; a target that has returned the packet is not handed it again, and the bound on probes holds for all searches together.

--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -19,7 +19,13 @@
 """Time that a target has to return a packet that is not its own, seconds."""
 
 UNKNOWN_S = 0.25
-"""Time that a flow counts as unknown after a search in vain, seconds."""
+"""Pause after a search in vain, seconds; it doubles with each one."""
+
+RETRY_FOR_S = 5.0
+"""Time in which a flow is searched for again without a further packet, seconds.
+
+Callers send a packet again after up to 1.6 s, and wait for seconds.
+"""
 
 MAX_PROBES = 8
 """Targets that a packet is handed to at most, first in rendezvous order.
@@ -34,11 +40,36 @@
 """Searches at a time; a burst beyond it waits for its packets' repetition."""
 
 
+class Unresolved(msgspec.Struct):
+    """A flow that nobody was known to hold, and that may be held.
+
+    Attributes:
+        segment: Header of its packet.
+        services: Services that its route names.
+        packet: The packet.
+        begun: When the first search for it began, seconds.
+        due: When the next search begins, seconds.
+        pause_s: Time from the last search to that, seconds.
+        returned: Addresses whose targets have returned the packet.
+        probes: Targets that have been handed the packet.
+    """
+
+    segment: formats.Segment
+    services: frozenset[str]
+    packet: bytes
+    begun: float
+    due: float
+    pause_s: float
+    returned: frozenset[tuple[str, int]]
+    probes: int
+
+
 class Search(msgspec.Struct):
     """A search for the owner of a flow.
 
     Attributes:
         packets: The flow's packets that have come meanwhile.
+        services: Services that its route names.
         begun: When it began, seconds.
         deadline: When to go on without what is missing, seconds.
         waiting: Addresses that have been asked and not answered.
@@ -48,12 +79,14 @@
         absent: How many have said that they do not hold it.
         silent: Addresses that have not answered in time.
         probes: Targets that have been handed the first packet.
+        returned: Addresses whose targets have returned it, now or before.
         opening: Whether the first packet opens the flow; then it is less than
             two seconds old, and at a target of its route if anywhere.
         complete: Whether all who were asked have answered.
     """
 
     packets: list[bytes]
+    services: frozenset[str]
     begun: float
     deadline: float
     waiting: set[tuple[str, int]]
@@ -62,6 +95,7 @@
     absent: int = 0
     silent: frozenset[tuple[str, int]] = frozenset()
     probes: int = 0
+    returned: frozenset[tuple[str, int]] = frozenset()
     opening: bool = False
     complete: bool = True
 
@@ -112,7 +146,9 @@
         self._counts = counts
         self._report = report
         self._search_by_key: dict[bytes, Search] = {}
-        self._unknown_until: dict[bytes, float] = {}
+        self._unresolved_by_key: dict[bytes, Unresolved] = {}
+        self._retry_due = float("inf")
+        self._complete = False
         self._rounds = query_rounds.QueryRounds(known)
 
     @property
@@ -141,26 +177,52 @@
             if len(search.packets) < MAX_PACKETS:
                 search.packets.append(data)
             return []
-        if self._unknown_until.get(key, 0.0) > now:
-            self._counts.add("unknown_flow")
-            return []
+        returned: frozenset[_Address] = frozenset()
+        unresolved = self._unresolved_by_key.get(key)
+        if unresolved is not None:
+            if unresolved.due > now:
+                self._counts.add("unknown_flow")
+                return []
+            returned = unresolved.returned
+        return self._begin(segment, services, data, returned, 0, now)
+
+    def _begin(
+        self,
+        segment: formats.Segment,
+        services: frozenset[str],
+        data: bytes,
+        returned: frozenset[_Address],
+        probes: int,
+        now: float,
+    ) -> list[outcomes.Outcome]:
+        """Begins a search; those that have returned the packet are spared."""
+        key = segment.key
         if len(self._search_by_key) >= MAX_SEARCHES:
             self._counts.add("searches_full")
             return []
-        owners = self._possible_owners(segment, services, now)
+        owners = [
+            owner
+            for owner in self._possible_owners(segment, services, now)
+            if owner[0] not in returned
+        ]
         owners, waiting = self._asked(owners, now)
-        if not waiting:
+        if not waiting and not returned:
             self._counts.add("unknown_service")
             return []
         search = Search(
             packets=[data],
+            services=services,
             begun=now,
             deadline=float("inf"),
             waiting=waiting,
             unsure=[],
+            probes=probes,
+            returned=returned,
             opening=segment.opens,
         )
         self._search_by_key[key] = search
+        if not waiting:
+            return self._end_search(key, search, now)
         self._rounds.add(key, owners, now)
         self._counts.add("searches")
         return []
@@ -224,6 +286,7 @@
         self, key: bytes, service: int, source: _Address, now: float
     ) -> Found:
         search = self._search_by_key.pop(key)
+        self._unresolved_by_key.pop(key, None)
         self._report_end(key, search, "found", source[0], now)
         # A probed target has had the first packet already.
         first = 1 if search.probed == source else 0
@@ -300,13 +363,67 @@
         known = search.opening or now >= self._directory.complete_from
         nowhere = search.complete and known
         if nowhere and not segment.resets:
+            self._unresolved_by_key.pop(key, None)
             self._report_end(key, search, "reset", None, now)
             reset = self._format.reset(segment)
             return [outcomes.ToCaller(self._format.caller(key), reset)]
-        self._unknown_until[key] = now + UNKNOWN_S
+        self._put_off(segment, search, now)
         self._report_end(key, search, "not found", None, now)
         return []
 
+    def _put_off(
+        self, segment: formats.Segment, search: Search, now: float
+    ) -> None:
+        """Lets a flow that may be held wait for its next search.
+
+        Its caller may send the next packet only seconds later.
+        """
+        last = self._unresolved_by_key.get(segment.key)
+        begun, pause_s = search.begun, UNKNOWN_S
+        if last is not None:
+            begun, pause_s = last.begun, 2 * last.pause_s
+        due = now + pause_s
+        self._unresolved_by_key[segment.key] = Unresolved(
+            segment=segment,
+            services=search.services,
+            packet=search.packets[0],
+            begun=begun,
+            due=due,
+            pause_s=pause_s,
+            returned=search.returned,
+            probes=search.probes,
+        )
+        self._retry_due = min(self._retry_due, due)
+
+    def _retry(self, now: float) -> list[outcomes.Outcome]:
+        """Searches again for flows that wait, all once nobody is missing."""
+        complete = now >= self._directory.complete_from
+        if complete and not self._complete:
+            for waiting in self._unresolved_by_key.values():
+                waiting.due = now
+            self._retry_due = now
+        self._complete = complete
+        sends: list[outcomes.Outcome] = []
+        if now < self._retry_due:
+            return sends
+        self._retry_due = float("inf")
+        for key, waiting in list(self._unresolved_by_key.items()):
+            if waiting.due > now:
+                self._retry_due = min(self._retry_due, waiting.due)
+            elif now - waiting.begun >= RETRY_FOR_S or waiting.segment.resets:
+                del self._unresolved_by_key[key]
+            elif key not in self._search_by_key:
+                self._counts.add("searched_again")
+                sends += self._begin(
+                    waiting.segment,
+                    waiting.services,
+                    waiting.packet,
+                    waiting.returned,
+                    waiting.probes,
+                    now,
+                )
+        return sends
+
     def on_returned(
         self, key: bytes, source: _Address, now: float
     ) -> list[outcomes.Outcome] | None:
@@ -321,11 +438,14 @@
         if search.probed != source:
             return []
         search.absent += 1
+        search.returned |= {source}
         return self._probe_next(key, search, now)
 
     def on_tick(self, now: float) -> list[outcomes.Outcome]:
         """Sends questions that are due; goes on without missing answers."""
-        sends, asked = self._rounds.flush(now)
+        sends = self._retry(now)
+        questions, asked = self._rounds.flush(now)
+        sends += questions
         for key in asked & self._search_by_key.keys():
             self._search_by_key[key].deadline = now + query_rounds.ANSWER_S
         for key, search in list(self._search_by_key.items()):
@@ -338,9 +458,9 @@
 
     def expire(self, now: float) -> None:
         """Forgets which flows were searched for in vain a while ago."""
-        for key, until in list(self._unknown_until.items()):
-            if until <= now:
-                del self._unknown_until[key]
+        for key, waiting in list(self._unresolved_by_key.items()):
+            if now - waiting.begun >= RETRY_FOR_S:
+                del self._unresolved_by_key[key]
 
     def _report_end(
         self,
--- a/clementinelead/relays/tests/test_searching.py
+++ b/clementinelead/relays/tests/test_searching.py
@@ -11,6 +11,7 @@
 from clementinelead.relays import outcomes
 from clementinelead.relays import query_rounds
 from clementinelead.relays import routes
+from clementinelead.relays import searching
 from clementinelead.relays import steering
 from clementinelead.relays.tests import network
 
@@ -155,3 +156,78 @@
 def test_all_targets_are_asked_while_former_services_are_not_known():
     former = former_services.FormerServices(first_start=False)
     assert OTHER in _asked_beside_another_service(former)
+
+
+def _deny_all(balancer, asked, key, now):
+    """Lets all who were asked deny a flow; returns how often it is reset."""
+    sends = []
+    for address in asked:
+        denial = frames.encode(frames.Kind.ABSENT, SERVICE, key, key)
+        sends += balancer.on_frame(denial, address, now)
+    return sum(isinstance(send, outcomes.ToCaller) for send in sends)
+
+
+def test_lost_flow_is_reset_as_soon_as_nobody_can_be_missing(balancer):
+    # After a loss of all: the caller's next packet comes 1.6 s later.
+    balancer.set_complete_from(float("inf"))
+    key = _search(balancer, 1, BEGIN)
+    asked = _questions(balancer, BEGIN + 0.004)
+    assert not _deny_all(balancer, asked, key, BEGIN + 0.01)
+    assert not _questions(balancer, BEGIN + 0.05)
+    balancer.set_complete_from(BEGIN + 0.1)
+    balancer.on_tick(BEGIN + 0.1)
+    asked = _questions(balancer, BEGIN + 0.104)
+    assert len(asked) == 3
+    assert _deny_all(balancer, asked, key, BEGIN + 0.11) == 1
+
+
+def test_flow_is_searched_for_again_while_somebody_is_silent(balancer):
+    key = _search(balancer, 1, BEGIN)
+    asked = _questions(balancer, BEGIN + 0.004)
+    assert not _deny_all(balancer, asked[1:], key, BEGIN + 0.01)
+    ended = BEGIN + 0.1
+    balancer.on_tick(ended)
+    balancer.on_tick(ended + searching.UNKNOWN_S)
+    asked = _questions(balancer, ended + searching.UNKNOWN_S + 0.004)
+    now = ended + searching.UNKNOWN_S + 0.01
+    assert _deny_all(balancer, asked, key, now) == 1
+
+
+def test_searches_in_vain_get_rarer_and_end(balancer):
+    balancer.set_complete_from(float("inf"))
+    key = _search(balancer, 1, BEGIN)
+    rounds = 0
+    for step in range(1, 2_000):
+        now = BEGIN + 0.004 * step
+        asked = _questions(balancer, now)
+        rounds += bool(asked)
+        _deny_all(balancer, asked, key, now)
+    assert 3 <= rounds <= 6
+    assert not balancer._searcher._unresolved_by_key
+
+
+def _return_probe(balancer, key, probe, now):
+    """Lets a target return the packet that it has been handed."""
+    packet = network.packet(key, length=10)
+    frame = frames.encode(frames.Kind.NOT_HELD, SERVICE, key, packet)
+    return balancer.on_frame(frame, probe.address, now)
+
+
+def test_target_that_has_returned_a_packet_is_not_handed_it_again(balancer):
+    balancer.set_complete_from(float("inf"))
+    key = _search(balancer, 1, BEGIN)
+    asked = _questions(balancer, BEGIN + 0.004)
+    now = BEGIN + 0.01
+    sends = []
+    for address in asked:
+        unsure = frames.encode(frames.Kind.UNSURE, SERVICE, key, key)
+        sends += balancer.on_frame(unsure, address, now)
+    handed = []
+    while sends:
+        [probe] = sends
+        handed.append(probe.address)
+        sends = _return_probe(balancer, key, probe, now)
+    assert sorted(handed) == sorted(asked)
+    balancer.set_complete_from(now + 0.1)
+    sends = balancer.on_tick(now + 0.1)
+    assert [type(send) for send in sends] == [outcomes.ToCaller]
