Wait less for a silent process that is beside none of the targets of before

Also, repeated searches came too rarely then (pauses doubled). Change: once nobody can be missing, a starting process that is silent and succeeds no other is given up after 0.25 s; pauses grow by 1.5 and begin anew when the view is whole. The test of 1 s stood for a whole view too; it now holds the new limit there, and a new one the old limit while somebody may be missing.

--- a/clementinelead/relays/directory.py
+++ b/clementinelead/relays/directory.py
@@ -12,6 +12,12 @@
 is out of reach for longer give their requests up.
 """
 
+SURPLUS_S = 0.25
+"""The same where all that served before are known to serve, seconds.
+
+The silent one is beside none of their targets.
+"""
+
 
 class Directory:
     """Targets by service.
@@ -78,8 +84,10 @@
         It is on a machine that was switched on without a target, or its flows
         are out of reach for longer than callers wait.
         """
-        silent = self.responsive.silent(address, now) >= ABANDONED_S
-        return silent and address in self.starting
+        if address not in self.starting:
+            return False
+        limit_s = SURPLUS_S if now >= self.complete_from else ABANDONED_S
+        return self.responsive.silent(address, now) >= limit_s
 
     def targets(self, service: str) -> tuple[candidates.Target, ...]:
         """Returns the targets of a service."""
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -19,7 +19,10 @@
 """Time that a target has to return a packet that is not its own, seconds."""
 
 UNKNOWN_S = 0.25
-"""Pause after a search in vain, seconds; it doubles with each one."""
+"""Pause after the first search in vain, seconds."""
+
+PAUSE_GROWTH = 1.5
+"""Factor between one such pause and the next."""
 
 RETRY_FOR_S = 5.0
 """Time in which a flow is searched for again without a further packet, seconds.
@@ -381,7 +384,7 @@
         last = self._unresolved_by_key.get(segment.key)
         begun, pause_s = search.begun, UNKNOWN_S
         if last is not None:
-            begun, pause_s = last.begun, 2 * last.pause_s
+            begun, pause_s = last.begun, PAUSE_GROWTH * last.pause_s
         due = now + pause_s
         self._unresolved_by_key[segment.key] = Unresolved(
             segment=segment,
@@ -401,6 +404,7 @@
         if complete and not self._complete:
             for waiting in self._unresolved_by_key.values():
                 waiting.due = now
+                waiting.pause_s = UNKNOWN_S / PAUSE_GROWTH
             self._retry_due = now
         self._complete = complete
         sends: list[outcomes.Outcome] = []
--- a/clementinelead/relays/tests/test_searching.py
+++ b/clementinelead/relays/tests/test_searching.py
@@ -108,11 +108,28 @@
     silent = ("side1", 1)
     _starting(balancer, silent)
     assert not _resets_in_vain(balancer, silent, BEGIN)
-    assert not _resets_in_vain(balancer, silent, BEGIN + 1.0)
-    late = BEGIN + directory.ABANDONED_S + 0.1
+    assert not _resets_in_vain(balancer, silent, BEGIN + 0.2)
+    late = BEGIN + directory.SURPLUS_S + 0.1
     assert _resets_in_vain(balancer, silent, late)
 
 
+def test_silent_process_is_waited_for_longer_while_others_may_be_missing():
+    known = directory.Directory("z")
+    address = ("side", 1)
+    starting = candidates.Target("s", address, "z", False, True)
+    known.set_targets(network.SERVICE, (starting,))
+    known.responsive.asked(address, BEGIN)
+    for late, complete, abandoned in (
+        (0.2, True, False),
+        (0.3, True, True),
+        (0.3, False, False),
+        (0.9, False, False),
+        (1.1, False, True),
+    ):
+        known.complete_from = BEGIN if complete else float("inf")
+        assert known.abandoned(address, BEGIN + late) is abandoned
+
+
 def test_process_that_has_served_is_waited_for(balancer):
     silent = ("side1", 1)
     assert not _resets_in_vain(balancer, silent, BEGIN)
