Take the age of an opening packet from the copies sent before it

Change: the count of copies in the packet tells how long its caller has waited; the flow is as late as that, and is refused before its caller gives up.

--- a/clementinelead/platform/packets.py
+++ b/clementinelead/platform/packets.py
@@ -17,6 +17,8 @@
 _BOUNCED = 4  # set by a target that returns a packet
 _KNOWN = _SYN | _ACK | _FIN | _RST | _BOUNCED
 
+_MAX_COPIES = 2
+
 _PAD = slice(1, 6)
 # flags, pad, len, sum, seq, ack, echo, dport, src, sport, dst
 _HEADER = struct.Struct("<B5xHIIIIH4sH4s")
@@ -124,7 +126,7 @@
         key=key,
         opens=syn and not ack,
         # On an opening packet this field counts the copies sent before.
-        repeated=syn and not ack and acknowledgement > 0,
+        copies=min(acknowledgement, _MAX_COPIES) if syn and not ack else 0,
         accepts=syn and ack,
         closes=bool(flags & _FIN),
         resets=bool(flags & _RST),
--- a/clementinelead/relays/formats.py
+++ b/clementinelead/relays/formats.py
@@ -14,7 +14,7 @@
         key: Flow key: the caller's and the service's address and port, in an
             order of the format's own. Both directions have the same key.
         opens: Whether it asks to open a flow.
-        repeated: Whether it is known to be a copy of such a packet.
+        copies: How many such packets its caller has sent for the flow before.
         accepts: Whether it answers such a packet.
         closes: Whether its sender sends nothing after it.
         resets: Whether it ends the flow at once.
@@ -26,7 +26,7 @@
 
     key: bytes
     opens: bool
-    repeated: bool
+    copies: int
     accepts: bool
     closes: bool
     resets: bool
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -114,14 +114,14 @@
             service=service,
             number=frames.service_number(service),
             packet=data,
-            begun=now,
+            begun=now - pending.waited_s(segment.copies),
             deadline=now + ANSWER_S,
             asked=[],
             waiting=set(),
             load_by_address={},
             tried=[],
             busy=set(),
-            may_be_open=may_be_open or segment.repeated,
+            may_be_open=may_be_open or segment.copies > 0,
         )
         self._placement_by_key[key] = placement
         if self._recall(key, placement, now):
--- a/clementinelead/relays/tests/test_placing.py
+++ b/clementinelead/relays/tests/test_placing.py
@@ -161,3 +161,20 @@
     near, far = ("near", 1), ("far", 1)
     assert _best({near: 40, far: 20}, busy={near}) == far
     assert _best({near: 80, far: 20}) == far
+
+
+def _rest_ms_asked(copies):
+    """Returns what is left of the objective of a flow that asks for loads."""
+    net = network.Network(targets=1)
+    balancer = net.balancer_by_address[("balancer0", 1)]
+    opening = network.packet(
+        network.flow_key(1), packets.OPENS, acknowledgement=copies
+    )
+    [question] = balancer.on_packet(opening, net.now)
+    return frames.decode(question.data).value
+
+
+def test_copy_of_an_opening_packet_is_as_late_as_its_flow():
+    objective_ms = _rest_ms_asked(0)
+    assert _rest_ms_asked(1) == max(1, objective_ms - 200)
+    assert _rest_ms_asked(2) == max(1, objective_ms - 600)
--- a/clementinelead/replays/packets.py
+++ b/clementinelead/replays/packets.py
@@ -39,7 +39,7 @@
         return formats.Segment(
             key=caller + address,
             opens=bool(flags & OPENS),
-            repeated=bool(flags & OPENS) and acknowledgement > 0,
+            copies=acknowledgement if flags & OPENS else 0,
             accepts=bool(flags & ACCEPTS),
             closes=bool(flags & CLOSES),
             resets=bool(flags & RESETS),
