Refuse a waiting flow when it is given up, not after its next pause

Change: no pause lasts beyond the time at which the flow is given up. The test fails before with three of four answer times.

--- a/clementinelead/relays/pending.py
+++ b/clementinelead/relays/pending.py
@@ -82,10 +82,14 @@
         waited_ms = (now - self.begun) * 1000
         return max(1, int(self.route.objective_ms - waited_ms))
 
+    @property
+    def latest(self) -> float:
+        """When the caller no longer waits, or soon won't, seconds."""
+        return self.begun + min(MAX_AGE_S, self.route.timeout_ms / 1000)
+
     def overdue(self, now: float) -> bool:
-        """Tells whether the caller no longer waits, or soon won't."""
-        waited_s = now - self.begun
-        return waited_s >= min(MAX_AGE_S, self.route.timeout_ms / 1000)
+        """Tells whether the flow is to be given up."""
+        return now >= self.latest
 
 
 def waited_s(copies: int) -> float:
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -254,7 +254,7 @@
         placement.tried.clear()
         placement.busy.clear()
         placement.silent.clear()
-        placement.deadline = now + placement.hold_s
+        placement.deadline = min(now + placement.hold_s, placement.latest)
         placement.hold_s *= HOLD_GROWTH
         return []
 
--- a/clementinelead/relays/tests/test_placing.py
+++ b/clementinelead/relays/tests/test_placing.py
@@ -1,5 +1,8 @@
+import pytest
+
 from clementinelead.relays import candidates
 from clementinelead.relays import frames
+from clementinelead.relays import outcomes
 from clementinelead.relays import pending
 from clementinelead.relays import routes
 from clementinelead.relays.tests import network
@@ -178,3 +181,29 @@
     objective_ms = _rest_ms_asked(0)
     assert _rest_ms_asked(1) == max(1, objective_ms - 200)
     assert _rest_ms_asked(2) == max(1, objective_ms - 600)
+
+
+@pytest.mark.parametrize("answer_s", [0.004, 0.012, 0.02, 0.028])
+def test_flow_that_no_target_takes_is_refused_when_it_is_given_up(answer_s):
+    # The pauses between questions grow; none may outlast the caller.
+    balancer = network.Network(targets=1).balancer_by_address[("balancer0", 1)]
+    key = network.flow_key(1)
+    number = frames.service_number(network.SERVICE)
+    begun = now = 100.0
+    sends = balancer.on_packet(network.packet(key, packets.OPENS), now)
+    while not any(isinstance(send, outcomes.ToCaller) for send in sends):
+        assert now < begun + 1.0 + 3 * answer_s  # the route's timeout is 1 s
+        answers = []
+        for send in sends:
+            asked = frames.decode(send.data)
+            kind = {
+                frames.Kind.ASK_LOAD: frames.Kind.BUSY,
+                frames.Kind.ASK_HELD: frames.Kind.ABSENT,
+            }[asked.kind]
+            payload = key if kind is frames.Kind.ABSENT else b""
+            answers.append(frames.encode(kind, number, key, payload, 400))
+        now += answer_s
+        sends = balancer.on_tick(now)
+        for answer in answers:
+            sends += balancer.on_frame(answer, ("side0", 1), now)
+    assert now >= begun + 1.0
