Say that a process which stops without a target has no flows

Ruled out: the count in the contact keys (63 serving of 70 named), which costs 5 s, not 20. Change: returned packets are no sign of a target; a process that began without one, has heard none since and is stopped, says that it leaves. Four tests, three of which fail before.

--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -185,6 +185,8 @@
         """
         lifecycle = self.holding.lifecycle
         if lifecycle.current is None:
+            if self.holding.leaving and self.holding.without_target:
+                return True
             return now - self._unheard_since > self._unheard_s
         return lifecycle.state in ("leaving", "dead")
 
--- a/clementinelead/processes/tests/test_relay_side.py
+++ b/clementinelead/processes/tests/test_relay_side.py
@@ -64,3 +64,30 @@
     side.on_tick(woken)
     assert _state(side) is records.State.COLD
     assert not side._target_gone(woken)
+
+
+def _stop_soon_after_the_start(side, target_listens):
+    """Lets a process be stopped that has heard no heartbeat yet."""
+    if not target_listens:
+        side.holding.on_no_target(side._ticked_at)
+    side.holding.leaving = True
+    _wait(side, 0.1)
+    return _state(side)
+
+
+def test_process_that_stops_without_a_target_says_that_it_has_no_flows(side):
+    # Else searches wait for it until it is declared dead, 12 to 20 s later,
+    # and callers of lost flows get no reset meanwhile.
+    state = _stop_soon_after_the_start(side, target_listens=False)
+    assert state is records.State.LEAVING
+
+
+def test_process_that_stops_beside_a_target_unheard_does_not_say_so(side):
+    state = _stop_soon_after_the_start(side, target_listens=True)
+    assert state is records.State.DRAINING
+
+
+def test_process_without_a_target_waits_for_one_while_it_runs(side):
+    side.holding.on_no_target(side._ticked_at)
+    _wait(side, 0.1)
+    assert _state(side) is records.State.COLD
--- a/clementinelead/relays/holding.py
+++ b/clementinelead/relays/holding.py
@@ -86,7 +86,8 @@
         self._opener_by_key: dict[bytes, tuple[_Address, float]] = {}
         self._probe_by_key: dict[bytes, tuple[_Address, float]] = {}
         self._next_expiry = now
-        self._target_heard = False
+        self._target_absent = False
+        self._target_answered = False
 
     @property
     def flows(self) -> int:
@@ -132,10 +133,20 @@
         Returns:
             Whether that is believed; not if a target has been heard.
         """
-        heard = self.lifecycle.current is not None or self._target_heard
-        if not heard:
-            self.beginning.on_no_target(now)
-        return not heard
+        if self.lifecycle.current is not None or self._target_answered:
+            return False
+        self.beginning.on_no_target(now)
+        self._target_absent = True
+        return True
+
+    @property
+    def without_target(self) -> bool:
+        """Whether there was no target at the start, and none has come since.
+
+        Who returns packets at its address answers none.
+        """
+        heard = self.lifecycle.current is not None or self._target_answered
+        return self._target_absent and not heard
 
     # Datagrams of balancers.
 
@@ -261,9 +272,9 @@
         if segment is None:
             self.counts.add("malformed_packet")
             return []
-        self._target_heard = True
         if segment.returned:
             return self._on_returned(segment, data, now)
+        self._target_answered = True
         return self._on_answer(segment, data, now)
 
     def _on_returned(
--- a/clementinelead/relays/tests/test_holding.py
+++ b/clementinelead/relays/tests/test_holding.py
@@ -269,3 +269,16 @@
     assert not side.on_no_target(100.0)
     other = network.flow_key(2)
     assert _kind_of_answer(side, other, 100.0) is frames.Kind.UNSURE
+
+
+def test_returned_packets_are_no_sign_of_a_target():
+    # A machine whose target has left may still return packets.
+    side = network.Network(targets=1).new_side(first=True)
+    packet = network.packet(network.flow_key(1), length=10)
+    side.on_target_packet(packets.returned(packet), 100.0)
+    assert side.on_no_target(100.0)
+    assert side.without_target
+    side.on_target_packet(
+        network.packet(network.flow_key(2), sequence=501, length=20), 100.1
+    )
+    assert not side.without_target
