Reset lost flows that all young side processes deny, though some stay away

Ruled out: a larger share that may be missing for all cases, as beside living targets one that is late may hold flows. Change: where all known side processes have started with the balancer, four fifths of those named serve and none has appeared for 1 s, a flow is reset if all of them know that they don't have it; an answer of doubt or a returned packet does not count, so flows of living targets wait as before.

--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -30,6 +30,12 @@
 TURN_STEPS = 64
 """Datagrams handled before other work of the process gets a turn."""
 
+YOUNG_MS = 10_000
+"""How much earlier a side process may have started in the same loss of all.
+
+Milliseconds by clocks that may differ by seconds.
+"""
+
 QUIET_S = 0.7
 """Time without callers' packets after which a stop may go on, seconds."""
 
@@ -261,9 +267,27 @@
         if not count.complete:
             sides = self.node.count_sides(now)
             self._completeness.compare(
-                sides.serving, sides.missing, count.before, now
+                sides.serving,
+                sides.missing,
+                count.before,
+                now,
+                self._sides_are_young(),
             )
-        self.steering.set_complete_from(self._completeness.since)
+        self._tell_completeness()
+
+    def _sides_are_young(self) -> bool:
+        """Tells whether all side processes have started with this one."""
+        own = self.node.gossiper.own
+        return all(
+            record.incarnation >= own.incarnation - YOUNG_MS
+            for record in self.node.gossiper.table.living()
+            if record.role is records.Role.SIDE
+        )
+
+    def _tell_completeness(self) -> None:
+        view = self._completeness
+        self.steering.set_complete_from(view.since)
+        self.steering.set_denials_count_from(view.denials_count_from)
 
     def on_routes(self, table: routes.RoutingTable, now: float) -> None:
         """Puts new routes in force."""
@@ -300,4 +324,4 @@
                 self._completeness.on_died(now)
         elif change.old is None:
             self._completeness.on_appeared(now)
-        self.steering.set_complete_from(self._completeness.since)
+        self._tell_completeness()
--- a/clementinelead/relays/completeness.py
+++ b/clementinelead/relays/completeness.py
@@ -24,6 +24,12 @@
 Some leave, or are lost with their machine, without a word to the store.
 """
 
+LOST_SHARE = 0.2
+"""The same after a loss of all processes, for flows that all others deny.
+
+After a loss of power nobody has flows of before; some machines never come back.
+"""
+
 MIN_FOR_ONE = 10
 """Side processes from which on one may be missing whatever its share is."""
 
@@ -39,10 +45,13 @@
 
     Attributes:
         since: From when on all are known, seconds; infinite before the join.
+        denials_count_from: From when on a flow is surely nowhere if all
+            known ones, all of them young, know that they don't have it.
     """
 
     def __init__(self) -> None:
         self.since = float("inf")
+        self.denials_count_from = float("inf")
         self._appeared_at = float("-inf")
         self._reached = False
 
@@ -54,10 +63,12 @@
     def on_appeared(self, now: float) -> None:
         """Notes that a side process has appeared that was not known."""
         self.since = max(self.since, now + VIEW_S)
+        self.denials_count_from = float("inf")
         self._appeared_at = now
 
     def on_died(self, now: float) -> None:
         """Notes that a side process was declared dead; it may come back."""
+        self.denials_count_from = float("inf")
         self.since = max(self.since, now + members.RETURN_S)
 
     def reached(self, now: float) -> bool:
@@ -66,7 +77,12 @@
         return self._reached
 
     def compare(
-        self, serving: int, missing: int, before: int, now: float
+        self,
+        serving: int,
+        missing: int,
+        before: int,
+        now: float,
+        young: bool = False,
     ) -> None:
         """Compares the side processes with how many there were before.
 
@@ -78,6 +94,7 @@
             missing: Known ones that died and may come back.
             before: How many there were, 0 if that is not known.
             now: Present time, seconds.
+            young: Whether all that serve have started with this process.
         """
         if self.reached(now) or self.since == float("inf"):
             return
@@ -90,3 +107,5 @@
         enough = serving >= before - spared
         if serving == before or (calm and enough):
             self.since = now
+        elif calm and young and serving >= before * (1.0 - LOST_SHARE):
+            self.denials_count_from = min(self.denials_count_from, now)
--- a/clementinelead/relays/directory.py
+++ b/clementinelead/relays/directory.py
@@ -27,6 +27,8 @@
         by_service: Targets whose side processes live, by service.
         responsive: Which side processes answer.
         complete_from: From when on all side processes are known, seconds.
+        denials_count_from: From when on a flow is nowhere if all that are
+            known deny it without a doubt, seconds.
     """
 
     def __init__(self, zone: str):
@@ -34,6 +36,7 @@
         self.by_service: dict[str, tuple[candidates.Target, ...]] = {}
         self.responsive = responsiveness.Responsiveness()
         self.complete_from = float("inf")
+        self.denials_count_from = float("inf")
         self._near: frozenset[tuple[str, int]] | None = None
         self._starting: frozenset[tuple[str, int]] | None = None
 
@@ -86,9 +89,13 @@
         """
         if address not in self.starting:
             return False
-        limit_s = SURPLUS_S if now >= self.complete_from else ABANDONED_S
+        limit_s = SURPLUS_S if self.settled(now) else ABANDONED_S
         return self.responsive.silent(address, now) >= limit_s
 
+    def settled(self, now: float) -> bool:
+        """Tells whether some flows are known to be nowhere."""
+        return now >= min(self.complete_from, self.denials_count_from)
+
     def targets(self, service: str) -> tuple[candidates.Target, ...]:
         """Returns the targets of a service."""
         return self.by_service.get(service, ())
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -363,8 +363,7 @@
         del self._search_by_key[key]
         segment = self._format.from_caller(search.packets[0])
         assert segment is not None, "a search's packet was parsed before"
-        known = search.opening or now >= self._directory.complete_from
-        nowhere = search.complete and known
+        nowhere = search.complete and self._all_known(search, now)
         if nowhere and not segment.resets:
             self._unresolved_by_key.pop(key, None)
             self._report_end(key, search, "reset", None, now)
@@ -374,6 +373,14 @@
         self._report_end(key, search, "not found", None, now)
         return []
 
+    def _all_known(self, search: Search, now: float) -> bool:
+        """Tells whether nobody but those asked may hold a flow."""
+        if search.opening or now >= self._directory.complete_from:
+            return True
+        # Who hands a packet to its target does not know the target's flows.
+        doubted = search.probes > 0 or bool(search.returned)
+        return not doubted and now >= self._directory.denials_count_from
+
     def _put_off(
         self, segment: formats.Segment, search: Search, now: float
     ) -> None:
@@ -400,7 +407,7 @@
 
     def _retry(self, now: float) -> list[outcomes.Outcome]:
         """Searches again for flows that wait, all once nobody is missing."""
-        complete = now >= self._directory.complete_from
+        complete = self._directory.settled(now)
         if complete and not self._complete:
             for waiting in self._unresolved_by_key.values():
                 waiting.due = now
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -113,6 +113,14 @@
         """
         self._directory.complete_from = moment
 
+    def set_denials_count_from(self, moment: float) -> None:
+        """Takes over from when on denials by all known ones are enough.
+
+        Args:
+            moment: That time, seconds; infinite if it is not known.
+        """
+        self._directory.denials_count_from = moment
+
     def set_behind(self, behind: bool) -> None:
         """Takes over whether this balancer has more to do than it can.
 
--- a/clementinelead/relays/tests/test_completeness.py
+++ b/clementinelead/relays/tests/test_completeness.py
@@ -95,3 +95,35 @@
 def test_two_of_ten_or_one_of_nine_are_waited_for(joined, serving, before):
     joined.compare(serving, 0, before, 103.0)
     assert joined.since == 100.0 + VIEW_S
+
+
+def test_denials_count_after_a_loss_of_all_though_some_stay_away(joined):
+    # Targets that left while the store was away are still counted.
+    joined.on_appeared(100.5)
+    calm = 100.5 + completeness.CALM_S
+    joined.compare(63, 0, 70, calm - 0.1, young=True)
+    assert joined.denials_count_from == float("inf")
+    joined.compare(63, 0, 70, calm, young=True)
+    assert joined.denials_count_from == calm
+    assert joined.since == 100.5 + VIEW_S
+
+
+@pytest.mark.parametrize(
+    ("serving", "missing", "before", "young"),
+    [
+        (63, 0, 70, False),  # the others ran on, and know all their flows
+        (50, 0, 70, True),  # too many are away
+        (63, 1, 70, True),  # a known one may come back
+        (63, 0, 0, True),  # nobody knows how many there were
+    ],
+)
+def test_denials_that_prove_nothing(joined, serving, missing, before, young):
+    joined.compare(serving, missing, before, 103.0, young)
+    assert joined.denials_count_from == float("inf")
+
+
+def test_denials_count_no_longer_when_one_more_appears(joined):
+    joined.compare(9, 0, 11, 102.0, young=True)
+    assert joined.denials_count_from == 102.0
+    joined.on_appeared(102.5)
+    assert joined.denials_count_from == float("inf")
--- a/clementinelead/relays/tests/test_searching.py
+++ b/clementinelead/relays/tests/test_searching.py
@@ -248,3 +248,25 @@
     balancer.set_complete_from(now + 0.1)
     sends = balancer.on_tick(now + 0.1)
     assert [type(send) for send in sends] == [outcomes.ToCaller]
+
+
+def test_denials_of_all_that_are_young_are_enough(balancer):
+    balancer.set_complete_from(float("inf"))
+    balancer.set_denials_count_from(BEGIN)
+    key = _search(balancer, 1, BEGIN)
+    asked = _questions(balancer, BEGIN + 0.004)
+    assert _deny_all(balancer, asked, key, BEGIN + 0.01) == 1
+
+
+def test_returned_packet_is_no_denial_of_a_process_that_knows(balancer):
+    # Targets that live on have flows of before, and one may be missing.
+    balancer.set_complete_from(float("inf"))
+    balancer.set_denials_count_from(BEGIN)
+    key = _search(balancer, 1, BEGIN)
+    first, *others = _questions(balancer, BEGIN + 0.004)
+    now = BEGIN + 0.01
+    unsure = frames.encode(frames.Kind.UNSURE, SERVICE, key, key)
+    balancer.on_frame(unsure, first, now)
+    assert _deny_all(balancer, others, key, now) == 0
+    probe = outcomes.ToPeer(first, b"")
+    assert not _return_probe(balancer, key, probe, now)
