--- a/clementinelead/relays/workload.py
+++ b/clementinelead/relays/workload.py
@@ -78,15 +78,10 @@
 
     def completion_ms(self, now: float) -> float:
         """Returns when work that comes now would be done, milliseconds."""
-        return float(self.estimate.completion_ms(now)) * self._slowness(now)
-
-    def _slowness(self, now: float) -> float:
-        """Returns how much longer work takes than the estimate says.
-
-        What a cold target has shown itself is as slow as it is.
-        """
-        unproven = not self.estimate.proven
-        return COLD_FACTOR if unproven and now < self._cold_until else 1.0
+        completion = float(self.estimate.completion_ms(now))
+        return (
+            completion * COLD_FACTOR if now < self._cold_until else completion
+        )
 
     def busy(self, objective_ms: int, now: float) -> bool:
         """Tells whether a new flow had better wait, or go elsewhere.
@@ -104,7 +99,8 @@
         rounds = 1.0 + wait_s / service_s
         if not self.estimate.proven:
             service_s = DOUBTED_S
-        service_s *= self._slowness(now)
+        if now < self._cold_until:
+            service_s *= COLD_FACTOR
         return rounds * service_s * 1000 > BUSY_SHARE * objective_ms
 
     def opened(self, now: float) -> int:
