--- a/bench/experiments/command.py
+++ b/bench/experiments/command.py
@@ -16,7 +16,9 @@
 import typer
 
 from bench.experiments import comparisons
+from bench.experiments import mechanisms
 from bench.experiments import plays
+from clementinelead.replays import patterns
 
 __all__ = ["main"]
 
@@ -198,6 +200,24 @@
         raise typer.Exit(1)
 
 
+@_application.command()
+def replays(
+    seeds: typing.Annotated[int, typer.Option(min=1)] = 2,
+    seconds: typing.Annotated[float, typer.Option(min=1.0)] = 8.0,
+) -> None:
+    """Replays load patterns with and without each mechanism; no bench."""
+    scale = patterns.Scale(seconds=seconds)
+    row: list[str] = []
+    print("mechanism".ljust(28), *(name[-12:] for name in mechanisms.PATTERNS))
+    for found in mechanisms.worth(mechanisms.PATTERNS, scale, seeds):
+        row.append(
+            f"{found.on - found.off:+.3f}".rjust(len(found.pattern[-12:]))
+        )
+        if len(row) == len(mechanisms.PATTERNS):
+            print(found.mechanism.ljust(28), *row, flush=True)
+            row = []
+
+
 def main() -> None:
     """Runs the command."""
     _application()
