Take copies of opening packets last while behind

Hypothesis: above capacity a balancer that takes the newest packets first serves copies of flows that are late already.

--- a/clementinelead/platform/packets.py
+++ b/clementinelead/platform/packets.py
@@ -23,6 +23,7 @@
 # flags, pad, len, sum, seq, ack, echo, dport, src, sport, dst
 _HEADER = struct.Struct("<B5xHIIIIH4sH4s")
 _LENGTH_OFFSET = 6
+_ACKNOWLEDGED = slice(16, 20)
 _KEY = slice(24, 36)  # dport, src, sport, dst: contiguous in the header
 _DPORT = slice(24, 26)
 _SRC = slice(26, 30)
@@ -70,9 +71,11 @@
         """Returns the header of a caller's packet, None if malformed."""
         return _segment(data, data[_KEY])
 
-    def opening(self, data: bytes) -> bool:
-        """Tells whether a caller's packet asks to open a flow."""
-        return bool(data) and data[0] & (_SYN | _ACK) == _SYN
+    def opening_copies(self, data: bytes) -> int | None:
+        """Returns how many copies of an opening packet were sent before it."""
+        if not data or data[0] & (_SYN | _ACK) != _SYN:
+            return None
+        return min(int.from_bytes(data[_ACKNOWLEDGED], "little"), _MAX_COPIES)
 
     def from_target(self, data: bytes) -> formats.Segment | None:
         """Returns the header of a target's packet, None if malformed.
--- a/clementinelead/relays/intake.py
+++ b/clementinelead/relays/intake.py
@@ -6,7 +6,8 @@
 which keeps the process behind. So answers are read before the packets of
 callers and before anybody is found silent, and packets of open flows go before
 those that open one. While it is behind, a balancer takes the newest opening
-packets first: theirs are the flows that can still be in time.
+packets first, and copies of older ones last: the others are of the flows that
+can still be in time.
 """
 
 import collections
@@ -38,6 +39,7 @@
 """Packets of either sort that wait; the oldest are dropped beyond it."""
 
 _Datagram = tuple[bytes, tuple[str, int]]
+_Opening = tuple[float, bytes]  # when it was read, and the packet
 
 
 class Source(typing.Protocol):
@@ -80,14 +82,14 @@
         self._callers_due = 0.0
         self._tick_due = 0.0
         self._continuing: collections.deque[bytes] = collections.deque()
-        self._opening: collections.deque[tuple[float, bytes]] = (
-            collections.deque()
-        )
+        self._opening: collections.deque[_Opening] = collections.deque()
+        self._copies: collections.deque[_Opening] = collections.deque()
 
     @property
     def waiting(self) -> int:
         """Packets of callers that have been read and not handled."""
-        return len(self._continuing) + len(self._opening)
+        opening = len(self._opening) + len(self._copies)
+        return len(self._continuing) + opening
 
     def wake(self) -> None:
         """Notes that a source has something."""
@@ -127,13 +129,15 @@
                 self._callers_due = now + POLL_S
                 return
             data = datagram[0]
-            if self._format.opening(data):
-                self._opening.append((now, data))
-            else:
+            copies = self._format.opening_copies(data)
+            if copies is None:
                 self._continuing.append(data)
-        while len(self._opening) > MAX_WAITING:
-            self._opening.popleft()
-            self.counts.add("opening_dropped_full")
+            else:
+                (self._copies if copies else self._opening).append((now, data))
+        for openings in (self._opening, self._copies):
+            while len(openings) > MAX_WAITING:
+                openings.popleft()
+                self.counts.add("opening_dropped_full")
         while len(self._continuing) > MAX_WAITING:
             self._continuing.popleft()
             self.counts.add("packet_dropped_full")
@@ -142,16 +146,19 @@
         """Returns the next packet of a caller."""
         if self._continuing:
             return self._continuing.popleft()
-        while self._opening and now - self._opening[0][0] >= REPEATED_S:
-            self._opening.popleft()
-            self.counts.add("opening_dropped_old")
-        late = bool(self._opening) and now - self._opening[0][0] >= BEHIND_S
+        queues = (self._opening, self._copies)
+        for queue in queues:
+            while queue and now - queue[0][0] >= REPEATED_S:
+                queue.popleft()
+                self.counts.add("opening_dropped_old")
+        late = any(queue and now - queue[0][0] >= BEHIND_S for queue in queues)
         if late is not self.behind:
             self.behind = late
             self._decisions.set_behind(late)
-        if not self._opening:
+        queue = self._opening or self._copies
+        if not queue:
             return None
         if not late:
-            return self._opening.popleft()[1]
+            return queue.popleft()[1]
         self.counts.add("opening_newest_first")
-        return self._opening.pop()[1]
+        return queue.pop()[1]
--- a/clementinelead/relays/tests/test_intake.py
+++ b/clementinelead/relays/tests/test_intake.py
@@ -121,6 +121,21 @@
     assert decisions.told_behind == [True, False]
 
 
+def test_copies_go_last_when_behind(read, decisions, callers):
+    for data in (_opening(1), _opening(2, copies=1), _opening(3, copies=2)):
+        callers.waiting.append((data, packets.CALLER))
+    read.next(NOW)
+    callers.waiting.append((_opening(4), packets.CALLER))
+    read.wake()
+    _all(read, NOW + intake.BEHIND_S + 0.01)
+    assert decisions.handed == [
+        _opening(1),
+        _opening(4),
+        _opening(3, copies=2),
+        _opening(2, copies=1),
+    ]
+
+
 def test_opening_packet_whose_copy_has_come_is_dropped(
     read, decisions, callers
 ):
--- a/clementinelead/replays/packets.py
+++ b/clementinelead/replays/packets.py
@@ -51,9 +51,10 @@
 
     from_target = from_caller
 
-    def opening(self, data: bytes) -> bool:
-        """Tells whether a caller's packet asks to open a flow."""
-        return len(data) > _FLAGS_AT and bool(data[_FLAGS_AT] & OPENS)
+    def opening_copies(self, data: bytes) -> int | None:
+        """Returns how many copies of an opening packet were sent before it."""
+        segment = self.from_caller(data)
+        return segment.copies if segment is not None and segment.opens else None
 
     def service_address(self, key: bytes) -> bytes:
         """Returns the address that a caller of a flow has called."""
--- a/clementinelead/replays/patterns.py
+++ b/clementinelead/replays/patterns.py
@@ -17,6 +17,9 @@
 BALANCER_SHARE = 0.1
 """Share of a processor that a balancer has where that is short."""
 
+BALANCED_PER_S = 550.0
+"""New flows that two such balancers place a second."""
+
 LISTENING_AFTER_S = 0.5
 SERVING_AFTER_S = 1.5
 """Times from a kill of a balancer until it takes and reads datagrams."""
@@ -232,6 +235,24 @@
     return _restart("restart-in-surge", scale, generator, 3.0)
 
 
+def overload(
+    scale: Scale, generator: np.random.Generator, factor: float = 1.0
+) -> loads.Load:
+    """More than slow balancers can place, for all the time.
+
+    Args:
+        scale: Its size.
+        generator: Source of randomness.
+        factor: Load, as a multiple of what the balancers can just place.
+    """
+    targets = _targets(scale)
+    balanced = BALANCED_PER_S / _capacity(targets)
+    usual = dataclasses.replace(scale, utilisation=balanced * factor)
+    load = _load("overload", usual, _arrivals(usual, generator))
+    slow = loads.BalancerSpec(BALANCER_SHARE)
+    return dataclasses.replace(load, balancers=slow)
+
+
 PATTERNS = (
     calm,
     burst,
--- a/clementinelead/replays/tests/test_replays.py
+++ b/clementinelead/replays/tests/test_replays.py
@@ -2,6 +2,7 @@
 
 import functools
 
+import numpy as np
 import pytest
 
 from clementinelead import exceptions
@@ -112,6 +113,23 @@
     assert share >= QUIET_SHARE
 
 
+def _goodput(factor):
+    """Returns requests served in time a second, at a multiple of capacity."""
+    scale = patterns.Scale(targets=60, seconds=2.0)
+    generator = np.random.default_rng(SEED)
+    load = patterns.overload(scale, generator, factor)
+    run = simulations.replay(load, "relayed", SEED)
+    served = summaries.share_in_time(run, 0.0, scale.seconds)
+    return served * len(load.arrivals) / scale.seconds
+
+
+def test_goodput_of_balancers_stays_flat_above_their_capacity():
+    at_capacity = _goodput(1.0)
+    assert at_capacity >= 0.9 * patterns.BALANCED_PER_S
+    for factor in (2.0, 5.0, 10.0):
+        assert _goodput(factor) >= 0.9 * at_capacity
+
+
 def test_callers_that_move_between_zones_notice_nothing():
     assert _summary("moving", "relayed").failed == 0
     assert _summary("moving", "relayed").refused == 0
