Let denials count that follow doubt; bound the flows that wait for a search

And nothing bounded the flows that wait. Tests: denials after doubt (fails before), a flood of unknown flows.

--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -24,9 +24,13 @@
 from clementinelead.relays import outcomes
 from clementinelead.relays import routes
 from clementinelead.relays import steering
+from clementinelead.telemetry import logs
 
 __all__ = ["RelayBalancer"]
 
+BEHIND_LINES_PER_S = 4.0
+"""Lines a second on being behind and no longer so."""
+
 TURN_STEPS = 64
 """Datagrams handled before other work of the process gets a turn."""
 
@@ -99,6 +103,7 @@
         self._turn: asyncio.Handle | None = None
         self._turn_due = 0.0
         self._behind = False
+        self._behind_lines = logs.RateLimit(BEHIND_LINES_PER_S)
         self._targets = known_targets.KnownTargets(self.node.gossiper.table)
         self._completeness = completeness.Completeness()
         self._settling = False
@@ -238,8 +243,12 @@
         if self._behind == self._intake.behind:
             return
         self._behind = self._intake.behind
+        if not self._behind_lines.allows(self._loop.time()):
+            return
         loguru.logger.bind(
-            waiting=self._intake.waiting, **self._intake.counts.by_cause
+            waiting=self._intake.waiting,
+            left_out=self._behind_lines.take_left_out(),
+            **self._intake.counts.by_cause,
         ).info("behind with packets" if self._behind else "no longer behind")
 
     def _send(self, several: list[outcomes.Outcome]) -> None:
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -11,6 +11,7 @@
 from clementinelead.relays import frames
 from clementinelead.relays import outcomes
 from clementinelead.relays import query_rounds
+from clementinelead.relays import unresolved
 from clementinelead.telemetry import counters
 
 __all__ = ["Found", "Search", "Searcher"]
@@ -18,18 +19,6 @@
 PROBE_S = 0.06
 """Time that a target has to return a packet that is not its own, seconds."""
 
-UNKNOWN_S = 0.25
-"""Pause after the first search in vain, seconds."""
-
-PAUSE_GROWTH = 1.5
-"""Factor between one such pause and the next."""
-
-RETRY_FOR_S = 5.0
-"""Time in which a flow is searched for again without a further packet, seconds.
-
-Callers send a packet again after up to 1.6 s, and wait for seconds.
-"""
-
 MAX_PROBES = 8
 """Targets that a packet is handed to at most, first in rendezvous order.
 
@@ -43,30 +32,6 @@
 """Searches at a time; a burst beyond it waits for its packets' repetition."""
 
 
-class Unresolved(msgspec.Struct):
-    """A flow that nobody was known to hold, and that may be held.
-
-    Attributes:
-        segment: Header of its packet.
-        services: Services that its route names.
-        packet: The packet.
-        begun: When the first search for it began, seconds.
-        due: When the next search begins, seconds.
-        pause_s: Time from the last search to that, seconds.
-        returned: Addresses whose targets have returned the packet.
-        probes: Targets that have been handed the packet.
-    """
-
-    segment: formats.Segment
-    services: frozenset[str]
-    packet: bytes
-    begun: float
-    due: float
-    pause_s: float
-    returned: frozenset[tuple[str, int]]
-    probes: int
-
-
 class Search(msgspec.Struct):
     """A search for the owner of a flow.
 
@@ -83,6 +48,7 @@
         silent: Addresses that have not answered in time.
         probes: Targets that have been handed the first packet.
         returned: Addresses whose targets have returned it, now or before.
+        doubted: Whether somebody has answered that it is not sure.
         opening: Whether the first packet opens the flow; then it is less than
             two seconds old, and at a target of its route if anywhere.
         complete: Whether all who were asked have answered.
@@ -99,6 +65,7 @@
     silent: frozenset[tuple[str, int]] = frozenset()
     probes: int = 0
     returned: frozenset[tuple[str, int]] = frozenset()
+    doubted: bool = False
     opening: bool = False
     complete: bool = True
 
@@ -149,9 +116,7 @@
         self._counts = counts
         self._report = report
         self._search_by_key: dict[bytes, Search] = {}
-        self._unresolved_by_key: dict[bytes, Unresolved] = {}
-        self._retry_due = float("inf")
-        self._complete = False
+        self._unresolved = unresolved.UnresolvedFlows()
         self._rounds = query_rounds.QueryRounds(known)
 
     @property
@@ -181,12 +146,12 @@
                 search.packets.append(data)
             return []
         returned: frozenset[_Address] = frozenset()
-        unresolved = self._unresolved_by_key.get(key)
-        if unresolved is not None:
-            if unresolved.due > now:
+        waiting = self._unresolved.get(key)
+        if waiting is not None:
+            if waiting.due > now:
                 self._counts.add("unknown_flow")
                 return []
-            returned = unresolved.returned
+            returned = waiting.returned
         return self._begin(segment, services, data, returned, 0, now)
 
     def _begin(
@@ -198,18 +163,24 @@
         probes: int,
         now: float,
     ) -> list[outcomes.Outcome]:
-        """Begins a search; those that have returned the packet are spared."""
+        """Begins a search.
+
+        Args:
+            segment: Header of the packet.
+            services: Services that the flow's route names.
+            data: The packet.
+            returned: Addresses whose targets have returned it; they are asked,
+                as they may know better now, and not handed it again.
+            probes: Targets that have been handed it.
+            now: Present time, seconds.
+        """
         key = segment.key
         if len(self._search_by_key) >= MAX_SEARCHES:
             self._counts.add("searches_full")
             return []
-        owners = [
-            owner
-            for owner in self._possible_owners(segment, services, now)
-            if owner[0] not in returned
-        ]
+        owners = self._possible_owners(segment, services, now)
         owners, waiting = self._asked(owners, now)
-        if not waiting and not returned:
+        if not waiting:
             self._counts.add("unknown_service")
             return []
         search = Search(
@@ -224,8 +195,6 @@
             opening=segment.opens,
         )
         self._search_by_key[key] = search
-        if not waiting:
-            return self._end_search(key, search, now)
         self._rounds.add(key, owners, now)
         self._counts.add("searches")
         return []
@@ -289,7 +258,7 @@
         self, key: bytes, service: int, source: _Address, now: float
     ) -> Found:
         search = self._search_by_key.pop(key)
-        self._unresolved_by_key.pop(key, None)
+        self._unresolved.resolve(key)
         self._report_end(key, search, "found", source[0], now)
         # A probed target has had the first packet already.
         first = 1 if search.probed == source else 0
@@ -312,7 +281,9 @@
             if search is None or source not in search.waiting:
                 continue
             search.waiting.discard(source)
-            if frame.kind is _Kind.UNSURE:
+            doubts = frame.kind is _Kind.UNSURE
+            search.doubted |= doubts
+            if doubts and source not in search.returned:
                 search.unsure.append((source, frame.service))
             else:
                 search.absent += 1
@@ -365,7 +336,7 @@
         assert segment is not None, "a search's packet was parsed before"
         nowhere = search.complete and self._all_known(search, now)
         if nowhere and not segment.resets:
-            self._unresolved_by_key.pop(key, None)
+            self._unresolved.resolve(key)
             self._report_end(key, search, "reset", None, now)
             reset = self._format.reset(segment)
             return [outcomes.ToCaller(self._format.caller(key), reset)]
@@ -377,9 +348,8 @@
         """Tells whether nobody but those asked may hold a flow."""
         if search.opening or now >= self._directory.complete_from:
             return True
-        # Who hands a packet to its target does not know the target's flows.
-        doubted = search.probes > 0 or bool(search.returned)
-        return not doubted and now >= self._directory.denials_count_from
+        settled = now >= self._directory.denials_count_from
+        return settled and not search.doubted
 
     def _put_off(
         self, segment: formats.Segment, search: Search, now: float
@@ -388,52 +358,31 @@
 
         Its caller may send the next packet only seconds later.
         """
-        last = self._unresolved_by_key.get(segment.key)
-        begun, pause_s = search.begun, UNKNOWN_S
-        if last is not None:
-            begun, pause_s = last.begun, PAUSE_GROWTH * last.pause_s
-        due = now + pause_s
-        self._unresolved_by_key[segment.key] = Unresolved(
+        flow = unresolved.Unresolved(
             segment=segment,
             services=search.services,
             packet=search.packets[0],
-            begun=begun,
-            due=due,
-            pause_s=pause_s,
+            begun=search.begun,
             returned=search.returned,
             probes=search.probes,
         )
-        self._retry_due = min(self._retry_due, due)
-
-    def _retry(self, now: float) -> list[outcomes.Outcome]:
-        """Searches again for flows that wait, all once nobody is missing."""
-        complete = self._directory.settled(now)
-        if complete and not self._complete:
-            for waiting in self._unresolved_by_key.values():
-                waiting.due = now
-                waiting.pause_s = UNKNOWN_S / PAUSE_GROWTH
-            self._retry_due = now
-        self._complete = complete
-        sends: list[outcomes.Outcome] = []
-        if now < self._retry_due:
-            return sends
-        self._retry_due = float("inf")
-        for key, waiting in list(self._unresolved_by_key.items()):
-            if waiting.due > now:
-                self._retry_due = min(self._retry_due, waiting.due)
-            elif now - waiting.begun >= RETRY_FOR_S or waiting.segment.resets:
-                del self._unresolved_by_key[key]
-            elif key not in self._search_by_key:
+        if not self._unresolved.keep(flow, now):
+            self._counts.add("unresolved_full")
+
+    def _retry(self, now: float) -> None:
+        """Searches again for flows that are due."""
+        settled = self._directory.settled(now)
+        for flow in self._unresolved.due(settled, now):
+            if flow.segment.key not in self._search_by_key:
                 self._counts.add("searched_again")
-                sends += self._begin(
-                    waiting.segment,
-                    waiting.services,
-                    waiting.packet,
-                    waiting.returned,
-                    waiting.probes,
+                self._begin(
+                    flow.segment,
+                    flow.services,
+                    flow.packet,
+                    flow.returned,
+                    flow.probes,
                     now,
                 )
-        return sends
 
     def on_returned(
         self, key: bytes, source: _Address, now: float
@@ -454,9 +403,8 @@
 
     def on_tick(self, now: float) -> list[outcomes.Outcome]:
         """Sends questions that are due; goes on without missing answers."""
-        sends = self._retry(now)
-        questions, asked = self._rounds.flush(now)
-        sends += questions
+        self._retry(now)
+        sends, asked = self._rounds.flush(now)
         for key in asked & self._search_by_key.keys():
             self._search_by_key[key].deadline = now + query_rounds.ANSWER_S
         for key, search in list(self._search_by_key.items()):
@@ -469,9 +417,7 @@
 
     def expire(self, now: float) -> None:
         """Forgets which flows were searched for in vain a while ago."""
-        for key, waiting in list(self._unresolved_by_key.items()):
-            if now - waiting.begun >= RETRY_FOR_S:
-                del self._unresolved_by_key[key]
+        self._unresolved.expire(now)
 
     def _report_end(
         self,
--- a/clementinelead/relays/tests/test_searching.py
+++ b/clementinelead/relays/tests/test_searching.py
@@ -11,8 +11,8 @@
 from clementinelead.relays import outcomes
 from clementinelead.relays import query_rounds
 from clementinelead.relays import routes
-from clementinelead.relays import searching
 from clementinelead.relays import steering
+from clementinelead.relays import unresolved
 from clementinelead.relays.tests import network
 
 BEGIN = 100.0
@@ -204,9 +204,9 @@
     assert not _deny_all(balancer, asked[1:], key, BEGIN + 0.01)
     ended = BEGIN + 0.1
     balancer.on_tick(ended)
-    balancer.on_tick(ended + searching.UNKNOWN_S)
-    asked = _questions(balancer, ended + searching.UNKNOWN_S + 0.004)
-    now = ended + searching.UNKNOWN_S + 0.01
+    balancer.on_tick(ended + unresolved.UNKNOWN_S)
+    asked = _questions(balancer, ended + unresolved.UNKNOWN_S + 0.004)
+    now = ended + unresolved.UNKNOWN_S + 0.01
     assert _deny_all(balancer, asked, key, now) == 1
 
 
@@ -220,7 +220,8 @@
         rounds += bool(asked)
         _deny_all(balancer, asked, key, now)
     assert 3 <= rounds <= 6
-    assert not balancer._searcher._unresolved_by_key
+    balancer.on_tick(now + 1.0)
+    assert balancer._searcher._unresolved.get(key) is None
 
 
 def _return_probe(balancer, key, probe, now):
@@ -246,7 +247,13 @@
         sends = _return_probe(balancer, key, probe, now)
     assert sorted(handed) == sorted(asked)
     balancer.set_complete_from(now + 0.1)
-    sends = balancer.on_tick(now + 0.1)
+    balancer.on_tick(now + 0.1)
+    again = _questions(balancer, now + 0.104)
+    assert sorted(again) == sorted(asked)
+    sends = []
+    for address in again:
+        unsure = frames.encode(frames.Kind.UNSURE, SERVICE, key, key)
+        sends += balancer.on_frame(unsure, address, now + 0.11)
     assert [type(send) for send in sends] == [outcomes.ToCaller]
 
 
@@ -270,3 +277,36 @@
     assert _deny_all(balancer, others, key, now) == 0
     probe = outcomes.ToPeer(first, b"")
     assert not _return_probe(balancer, key, probe, now)
+
+
+def test_denials_count_after_an_earlier_search_met_doubt(balancer):
+    # Side processes that have just started can't deny before their targets
+    # announce themselves.
+    balancer.set_complete_from(float("inf"))
+    key = _search(balancer, 1, BEGIN)
+    asked = _questions(balancer, BEGIN + 0.004)
+    sends = []
+    for address in asked:
+        unsure = frames.encode(frames.Kind.UNSURE, SERVICE, key, key)
+        sends += balancer.on_frame(unsure, address, BEGIN + 0.01)
+    while sends:
+        [probe] = sends
+        sends = _return_probe(balancer, key, probe, BEGIN + 0.02)
+    balancer.set_denials_count_from(BEGIN + 0.1)
+    balancer.on_tick(BEGIN + 0.1)
+    again = _questions(balancer, BEGIN + 0.104)
+    assert _deny_all(balancer, again, key, BEGIN + 0.11) == 1
+
+
+def test_flood_of_unknown_flows_is_bounded(balancer, monkeypatch):
+    monkeypatch.setattr(unresolved, "MAX_FLOWS", 10)
+    balancer.set_complete_from(float("inf"))
+    keys = [_search(balancer, number, BEGIN) for number in range(50)]
+    asked = _questions(balancer, BEGIN + 0.004)
+    for key in keys:
+        _deny_all(balancer, asked, key, BEGIN + 0.01)
+    assert balancer.counts.by_cause["unresolved_full"] == 40
+    kept = sum(
+        balancer._searcher._unresolved.get(key) is not None for key in keys
+    )
+    assert kept == 10
