End the search for a flow when its opening packet comes

Cause, found on reading: a search for a flow, or the next one that was planned for it, went on while a repeated opening packet placed the flow anew. Ruled out: the owner's answer alone, which it may have sent before the packet reached it. Change: an opening packet gives up the search and what is planned for its flow. Tests: both cases fail before, and pass.

--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -415,6 +415,11 @@
                 sends.extend(self._probe_next(key, search, now))
         return sends
 
+    def forget(self, key: bytes) -> None:
+        """Gives up the search for a flow, and those that would follow."""
+        self._search_by_key.pop(key, None)
+        self._unresolved.resolve(key)
+
     def expire(self, now: float) -> None:
         """Forgets which flows were searched for in vain a while ago."""
         self._unresolved.expire(now)
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -198,7 +198,11 @@
         now: float,
         may_be_open: bool,
     ) -> list[outcomes.Outcome]:
-        """Places a new flow, or refuses one that no route allows."""
+        """Places a new flow, or refuses one that no route allows.
+
+        Denials of before are no news about a flow that may open now.
+        """
+        self._searcher.forget(segment.key)
         address = self._format.service_address(segment.key)
         route = self._by_address.get(address)
         if route is not None:
--- a/clementinelead/relays/tests/test_searching.py
+++ b/clementinelead/relays/tests/test_searching.py
@@ -14,6 +14,7 @@
 from clementinelead.relays import steering
 from clementinelead.relays import unresolved
 from clementinelead.relays.tests import network
+from clementinelead.replays import packets
 
 BEGIN = 100.0
 SERVICE = frames.service_number(network.SERVICE)
@@ -310,3 +311,30 @@
         balancer._searcher._unresolved.get(key) is not None for key in keys
     )
     assert kept == 10
+
+
+def _place(balancer, key, address, now):
+    """Lets a caller open a flow, and a target accept it."""
+    opening = network.packet(key, packets.OPENS, acknowledgement=1)
+    balancer.on_packet(opening, now)
+    accepted = frames.encode(frames.Kind.ACCEPTED, SERVICE, key, value=500)
+    balancer.on_frame(accepted, address, now)
+
+
+def test_flow_that_opens_during_a_search_is_not_reset(balancer):
+    # The denials were true when they were sent.
+    key = _search(balancer, 1, BEGIN)
+    asked = _questions(balancer, BEGIN + 0.004)
+    _place(balancer, key, asked[0], BEGIN + 0.005)
+    assert _deny_all(balancer, asked, key, BEGIN + 0.006) == 0
+
+
+def test_flow_that_opens_between_searches_is_not_searched_for(balancer):
+    balancer.set_complete_from(float("inf"))
+    key = _search(balancer, 1, BEGIN)
+    asked = _questions(balancer, BEGIN + 0.004)
+    _deny_all(balancer, asked, key, BEGIN + 0.01)
+    _place(balancer, key, asked[0], BEGIN + 0.02)
+    balancer.set_complete_from(BEGIN + 0.1)
+    balancer.on_tick(BEGIN + 0.1)
+    assert not _questions(balancer, BEGIN + 0.104)
