Bound what waits at a balancer at every read; parse each packet once

Cause, found on reading: the bounds on waiting packets were applied only when a read did not find its source empty, so a queue that grew little by little was not bounded, and a balancer busy with open flows did not notice that new ones waited. Change: bounded queues, the delay is looked at before each packet; packets wait with their parsed header, so opening_copies of the formats goes; the times of the callers' copies stand once (relays/opening_copies.py; four places before). Tests: both cases fail before, and pass.

--- a/bench/experiments/mechanisms.py
+++ b/bench/experiments/mechanisms.py
@@ -14,6 +14,7 @@
 from clementinelead.relays import candidates
 from clementinelead.relays import held_flows
 from clementinelead.relays import intake
+from clementinelead.relays import opening_copies
 from clementinelead.relays import pending
 from clementinelead.relays import placing
 from clementinelead.relays import recent_loads
@@ -59,10 +60,10 @@
 
 MECHANISMS = (
     Mechanism("newest first, older loads", intake, "BEHIND_S", NEVER),
-    Mechanism("old opening packets dropped", intake, "REPEATED_S", NEVER),
+    Mechanism("old opening packets dropped", intake, "OLD_S", NEVER),
     Mechanism("loads told lately", recent_loads, "FRESH_S", -1.0),
     Mechanism("placed flows make dearer", recent_loads, "PLACED_SHARE", 0.0),
-    Mechanism("age from copies", pending, "COPIES_AFTER_S", (0.0, 0.0)),
+    Mechanism("age from copies", opening_copies, "COPIES_AFTER_S", (0.0, 0.0)),
     Mechanism("near targets first", candidates, "ASKED_NEAR", 0),
     Mechanism("cost of another zone", pending, "OTHER_ZONE_MS", 0),
     Mechanism("four asked, not two", candidates, "ASKED", 2),
--- a/clementinelead/platform/packets.py
+++ b/clementinelead/platform/packets.py
@@ -17,13 +17,10 @@
 _BOUNCED = 4  # set by a target that returns a packet
 _KNOWN = _SYN | _ACK | _FIN | _RST | _BOUNCED
 
-_MAX_COPIES = 2
-
 _PAD = slice(1, 6)
 # flags, pad, len, sum, seq, ack, echo, dport, src, sport, dst
 _HEADER = struct.Struct("<B5xHIIIIH4sH4s")
 _LENGTH_OFFSET = 6
-_ACKNOWLEDGED = slice(16, 20)
 _KEY = slice(24, 36)  # dport, src, sport, dst: contiguous in the header
 _DPORT = slice(24, 26)
 _SRC = slice(26, 30)
@@ -71,12 +68,6 @@
         """Returns the header of a caller's packet, None if malformed."""
         return _segment(data, data[_KEY])
 
-    def opening_copies(self, data: bytes) -> int | None:
-        """Returns how many copies of an opening packet were sent before it."""
-        if not data or data[0] & (_SYN | _ACK) != _SYN:
-            return None
-        return min(int.from_bytes(data[_ACKNOWLEDGED], "little"), _MAX_COPIES)
-
     def from_target(self, data: bytes) -> formats.Segment | None:
         """Returns the header of a target's packet, None if malformed.
 
@@ -129,7 +120,7 @@
         key=key,
         opens=syn and not ack,
         # On an opening packet this field counts the copies sent before.
-        copies=min(acknowledgement, _MAX_COPIES) if syn and not ack else 0,
+        copies=acknowledgement if syn and not ack else 0,
         accepts=syn and ack,
         closes=bool(flags & _FIN),
         resets=bool(flags & _RST),
--- a/clementinelead/relays/formats.py
+++ b/clementinelead/relays/formats.py
@@ -42,15 +42,6 @@
     def from_caller(self, data: bytes) -> Segment | None:
         """Returns the header of a caller's packet, None if malformed."""
 
-    def opening_copies(self, data: bytes) -> int | None:
-        """Returns how many copies of an opening packet were sent before it.
-
-        It reads two fields, and may be wrong about a malformed packet.
-
-        Returns:
-            That number, or None if the packet does not ask to open a flow.
-        """
-
     def from_target(self, data: bytes) -> Segment | None:
         """Returns the header of a target's packet, None if malformed."""
 
--- a/clementinelead/relays/intake.py
+++ b/clementinelead/relays/intake.py
@@ -13,7 +13,10 @@
 import collections
 import typing
 
+import msgspec
+
 from clementinelead.relays import formats
+from clementinelead.relays import opening_copies
 from clementinelead.relays import outcomes
 from clementinelead.relays import steering
 from clementinelead.telemetry import counters
@@ -29,17 +32,33 @@
 BEHIND_S = 0.02
 """Wait of an opening packet from which on this process is behind, seconds."""
 
-REPEATED_S = 0.2
+OLD_S = opening_copies.FIRST_COPY_S
 """Wait after which an opening packet is dropped, seconds.
 
 Its caller has sent a copy by then.
 """
 
 MAX_WAITING = 1_024
-"""Packets of either sort that wait; the oldest are dropped beyond it."""
+"""Packets of each sort that wait; the oldest are dropped beyond it."""
 
 _Datagram = tuple[bytes, tuple[str, int]]
-_Opening = tuple[float, bytes]  # when it was read, and the packet
+
+
+class _Waiting(msgspec.Struct, frozen=True):
+    """A caller's packet that has not been handled.
+
+    Attributes:
+        data: The packet.
+        segment: Its header, None if it is malformed.
+        read_at: When it was read, seconds.
+    """
+
+    data: bytes
+    segment: formats.Segment | None
+    read_at: float
+
+
+_Queue = collections.deque[_Waiting]
 
 
 class Source(typing.Protocol):
@@ -81,9 +100,9 @@
         self._peers_due = 0.0
         self._callers_due = 0.0
         self._tick_due = 0.0
-        self._continuing: collections.deque[bytes] = collections.deque()
-        self._opening: collections.deque[_Opening] = collections.deque()
-        self._copies: collections.deque[_Opening] = collections.deque()
+        self._continuing: _Queue = collections.deque(maxlen=MAX_WAITING)
+        self._opening: _Queue = collections.deque(maxlen=MAX_WAITING)
+        self._copies: _Queue = collections.deque(maxlen=MAX_WAITING)
 
     @property
     def waiting(self) -> int:
@@ -116,10 +135,11 @@
             return self._decisions.on_tick(now)
         if now >= self._callers_due:
             self._read_callers(now)
-        packet = self._take(now)
-        if packet is None:
+        self._drop_old(now)
+        waiting = self._take()
+        if waiting is None:
             return None
-        return self._decisions.on_packet(packet, now)
+        return self._decisions.on_segment(waiting.segment, waiting.data, now)
 
     def _read_callers(self, now: float) -> None:
         """Reads what callers have sent, so that its age is known."""
@@ -128,37 +148,41 @@
             if datagram is None:
                 self._callers_due = now + POLL_S
                 return
-            data = datagram[0]
-            copies = self._format.opening_copies(data)
-            if copies is None:
-                self._continuing.append(data)
-            else:
-                (self._copies if copies else self._opening).append((now, data))
-        for openings in (self._opening, self._copies):
-            while len(openings) > MAX_WAITING:
-                openings.popleft()
-                self.counts.add("opening_dropped_full")
-        while len(self._continuing) > MAX_WAITING:
-            self._continuing.popleft()
-            self.counts.add("packet_dropped_full")
-
-    def _take(self, now: float) -> bytes | None:
+            data, _ = datagram
+            segment = self._format.from_caller(data)
+            queue = self._queue(segment)
+            if len(queue) == MAX_WAITING:
+                self.counts.add("dropped_full")
+            queue.append(_Waiting(data, segment, now))
+
+    def _queue(self, segment: formats.Segment | None) -> _Queue:
+        """Returns where a packet waits."""
+        if segment is None or not segment.opens:
+            return self._continuing
+        return self._copies if segment.copies else self._opening
+
+    def _drop_old(self, now: float) -> None:
+        """Drops opening packets that have been repeated; notes the delay."""
+        oldest = now
+        for queue in (self._opening, self._copies):
+            while queue and now - queue[0].read_at >= OLD_S:
+                queue.popleft()
+                self.counts.add("opening_dropped_old")
+            if queue:
+                oldest = min(oldest, queue[0].read_at)
+        behind = now - oldest >= BEHIND_S
+        if behind is not self.behind:
+            self.behind = behind
+            self._decisions.set_behind(behind)
+
+    def _take(self) -> _Waiting | None:
         """Returns the next packet of a caller."""
         if self._continuing:
             return self._continuing.popleft()
-        queues = (self._opening, self._copies)
-        for queue in queues:
-            while queue and now - queue[0][0] >= REPEATED_S:
-                queue.popleft()
-                self.counts.add("opening_dropped_old")
-        late = any(queue and now - queue[0][0] >= BEHIND_S for queue in queues)
-        if late is not self.behind:
-            self.behind = late
-            self._decisions.set_behind(late)
         queue = self._opening or self._copies
         if not queue:
             return None
-        if not late:
-            return queue.popleft()[1]
+        if not self.behind:
+            return queue.popleft()
         self.counts.add("opening_newest_first")
-        return queue.pop()[1]
+        return queue.pop()
--- a/clementinelead/relays/pending.py
+++ b/clementinelead/relays/pending.py
@@ -5,7 +5,7 @@
 from clementinelead.relays import frames
 from clementinelead.relays import routes
 
-__all__ = ["Placement", "best", "waited_s"]
+__all__ = ["Placement", "best"]
 
 FIRST_HOLD_S = 0.03
 """Time after which the targets are asked again, seconds."""
@@ -23,9 +23,6 @@
 of them takes all while others idle.
 """
 
-COPIES_AFTER_S = (0.2, 0.6)
-"""Times after its opening packet at which a caller sends it again, seconds."""
-
 MAX_AGE_S = 1.2
 """Time that a flow waits for a target at most, seconds.
 
@@ -92,24 +89,6 @@
         return now >= self.latest
 
 
-def waited_s(copies: int) -> float:
-    """Returns how long the caller of a flow has waited at least, seconds.
-
-    Load pattern: all balancers were away, and the flows of that time come
-    together with new ones, of which more can still be in time.
-
-    Args:
-        copies: Opening packets that it had sent before.
-
-    Examples:
-        >>> waited_s(0), waited_s(1), waited_s(2), waited_s(9)
-        (0.0, 0.2, 0.6, 0.6)
-    """
-    if copies <= 0:
-        return 0.0
-    return COPIES_AFTER_S[min(copies, len(COPIES_AFTER_S)) - 1]
-
-
 def best(
     placement: Placement, near: frozenset[tuple[str, int]]
 ) -> tuple[str, int] | None:
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -6,6 +6,7 @@
 from clementinelead.relays import directory
 from clementinelead.relays import formats
 from clementinelead.relays import frames
+from clementinelead.relays import opening_copies
 from clementinelead.relays import outcomes
 from clementinelead.relays import pending
 from clementinelead.relays import recent_loads
@@ -33,13 +34,6 @@
 free: theirs are the answers that can still be in time.
 """
 
-COPY_S = 0.2
-"""Time after which callers send a copy of an opening packet, seconds.
-
-From then on the flow may be open through another balancer.
-"""
-
-
 _Kind = frames.Kind
 _Address = tuple[str, int]
 _Search = collections.abc.Callable[
@@ -114,7 +108,7 @@
             service=service,
             number=frames.service_number(service),
             packet=data,
-            begun=now - pending.waited_s(segment.copies),
+            begun=now - opening_copies.waited_s(segment.copies),
             deadline=now + ANSWER_S,
             asked=[],
             waiting=set(),
@@ -341,7 +335,7 @@
         del self._placement_by_key[key]
         segment = self._format.from_caller(placement.packet)
         assert segment is not None, "a placement's packet was parsed before"
-        copied = now - placement.begun >= COPY_S
+        copied = now - placement.begun >= opening_copies.FIRST_COPY_S
         if copied or placement.may_be_open or placement.sent_to:
             self._report_decision(key, placement, "searched for", now)
             services = frozenset((placement.service,))
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -15,6 +15,7 @@
 from clementinelead.relays import formats
 from clementinelead.relays import former_services
 from clementinelead.relays import frames
+from clementinelead.relays import opening_copies
 from clementinelead.relays import outcomes
 from clementinelead.relays import placing
 from clementinelead.relays import routes
@@ -143,8 +144,19 @@
             data: The packet.
             now: Present time, seconds.
         """
+        return self.on_segment(self._format.from_caller(data), data, now)
+
+    def on_segment(
+        self, segment: formats.Segment | None, data: bytes, now: float
+    ) -> list[outcomes.Outcome]:
+        """Returns what to do with a caller's packet that has been parsed.
+
+        Args:
+            segment: Header of the packet, None if it is malformed.
+            data: The packet.
+            now: Present time, seconds.
+        """
         self._note_activity(now)
-        segment = self._format.from_caller(data)
         if segment is None or segment.accepts or segment.returned:
             self.counts.add("malformed")
             return []
@@ -160,7 +172,7 @@
 
         Packets that have waited meanwhile may be late copies.
         """
-        if now - self._active_at >= placing.COPY_S:
+        if now - self._active_at >= opening_copies.FIRST_COPY_S:
             self._doubted_until = now + DOUBT_S
         self._active_at = now
 
--- a/clementinelead/relays/tests/test_intake.py
+++ b/clementinelead/relays/tests/test_intake.py
@@ -34,7 +34,7 @@
 
     busy = property(lambda self: self.has_timer)
 
-    def on_packet(self, data, now):
+    def on_segment(self, segment, data, now):
         self.handed.append(data)
         return []
 
@@ -140,7 +140,7 @@
     read, decisions, callers
 ):
     _leave_waiting(read, callers, (1, 2))
-    later = NOW + intake.REPEATED_S + 0.01
+    later = NOW + intake.OLD_S + 0.01
     callers.waiting.append((_opening(2, copies=1), packets.CALLER))
     read.wake()
     _all(read, later)
@@ -165,6 +165,28 @@
     assert _data(1) in decisions.handed
 
 
+def test_what_waits_is_bounded_when_it_comes_little_by_little(read, callers):
+    # Each read finds its source empty in the end.
+    for step in range(40):
+        for number in range(100):
+            opening = _opening(step * 100 + number)
+            callers.waiting.append((opening, packets.CALLER))
+        read.wake()
+        read.next(NOW)
+    assert read.waiting <= intake.MAX_WAITING
+
+
+def test_new_flows_wait_behind_open_ones_but_the_delay_is_noticed(
+    read, decisions, callers
+):
+    callers.waiting.append((_opening(1), packets.CALLER))
+    for number in range(2, 12):
+        callers.waiting.append((_data(number), packets.CALLER))
+    read.next(NOW)
+    read.next(NOW + intake.BEHIND_S + 0.01)
+    assert decisions.told_behind == [True]
+
+
 def test_malformed_packets_are_handed_on_to_be_counted(
     read, decisions, callers
 ):
--- a/clementinelead/replays/packets.py
+++ b/clementinelead/replays/packets.py
@@ -51,11 +51,6 @@
 
     from_target = from_caller
 
-    def opening_copies(self, data: bytes) -> int | None:
-        """Returns how many copies of an opening packet were sent before it."""
-        segment = self.from_caller(data)
-        return segment.copies if segment is not None and segment.opens else None
-
     def service_address(self, key: bytes) -> bytes:
         """Returns the address that a caller of a flow has called."""
         return key[4:]
--- a/clementinelead/replays/relayed.py
+++ b/clementinelead/replays/relayed.py
@@ -10,6 +10,7 @@
 from clementinelead.relays import former_services
 from clementinelead.relays import holding
 from clementinelead.relays import intake
+from clementinelead.relays import opening_copies
 from clementinelead.relays import outcomes
 from clementinelead.relays import routes
 from clementinelead.relays import steering
@@ -25,9 +26,6 @@
 
 SERVICE = "replayed"
 SERVICE_ADDRESS = b"S1"
-COPIES_AT_S = (0.2, 0.6)
-"""When a caller sends its opening packet again, seconds."""
-
 IDLE_TICK_S = 0.05
 """Timer as the processes have it, seconds."""
 
@@ -233,7 +231,7 @@
         flow = _Flow(call, call.attempts)
         self._flow_by_key[key] = flow
         self._send_opening(key, flow, 0)
-        for copies, pause in enumerate(COPIES_AT_S, start=1):
+        for copies, pause in enumerate(opening_copies.COPIES_AFTER_S, start=1):
             self._agenda.at(
                 self._agenda.now + pause,
                 functools.partial(self._send_opening, key, flow, copies),
