Split searching and placing by job

Now apart: whom to ask for loads (load_questions), who may hold a flow (possible_owners), the state of a search (searches); a flow that waits for its next search keeps its last search in place of copies of its fields, and a search keeps its parsed header in place of parsing again.

--- a/bench/experiments/mechanisms.py
+++ b/bench/experiments/mechanisms.py
@@ -14,6 +14,7 @@
 from clementinelead.relays import candidates
 from clementinelead.relays import held_flows
 from clementinelead.relays import intake
+from clementinelead.relays import load_questions
 from clementinelead.relays import opening_copies
 from clementinelead.relays import pending
 from clementinelead.relays import placing
@@ -70,7 +71,7 @@
     Mechanism("equals share flows", pending, "EQUAL_SHARE", 0.0),
     Mechanism("busy targets hold back", workload, "BUSY_SHARE", NEVER),
     Mechanism("rarer questions", placing, "HOLD_GROWTH", 1.0),
-    Mechanism("others asked after 30 ms", placing, "ANSWER_S", 1.0),
+    Mechanism("others asked after 30 ms", load_questions, "ANSWER_S", 1.0),
     Mechanism("another tried after 80 ms", placing, "ACCEPT_S", 5.0),
     Mechanism("silent ones passed over", responsiveness, "SUSPECT_AFTER_S", 60),
     Mechanism("utilisation in loads", workload, "MAX_UTILISATION", 0.0),
--- a/clementinelead/relays/pending.py
+++ b/clementinelead/relays/pending.py
@@ -88,6 +88,21 @@
         """Tells whether the flow is to be given up."""
         return now >= self.latest
 
+    def report(self, now: float) -> dict[str, object]:
+        """Returns what a decision was made from, for the log."""
+        unanswered = self.waiting | self.silent
+        return {
+            "service": self.service,
+            "target": self.chosen[0] if self.chosen else None,
+            "loads_ms": {
+                address[0]: load
+                for address, load in self.load_by_address.items()
+            },
+            "unanswered": [address[0] for address in unanswered],
+            "tried": len(self.tried),
+            "age_ms": round((now - self.begun) * 1000, 1),
+        }
+
 
 def best(
     placement: Placement, near: frozenset[tuple[str, int]]
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -2,14 +2,13 @@
 
 import collections.abc
 
-from clementinelead.relays import candidates
 from clementinelead.relays import directory
 from clementinelead.relays import formats
 from clementinelead.relays import frames
+from clementinelead.relays import load_questions
 from clementinelead.relays import opening_copies
 from clementinelead.relays import outcomes
 from clementinelead.relays import pending
-from clementinelead.relays import recent_loads
 from clementinelead.relays import routes
 from clementinelead.telemetry import counters
 
@@ -21,9 +20,6 @@
 Two round trips between availability zones and some processor time.
 """
 
-ANSWER_S = 0.03
-"""Time after which other targets are asked too, seconds."""
-
 ACCEPT_S = 0.08
 """Time that a chosen target has to answer the opening packet, seconds."""
 
@@ -69,11 +65,11 @@
         self._report = report
         self._search = search
         self._placement_by_key: dict[bytes, pending.Placement] = {}
-        self._recent = recent_loads.RecentLoads()
+        self._questions = load_questions.LoadQuestions(known, counts)
 
     def set_behind(self, behind: bool) -> None:
         """Takes over whether this balancer has more to do than it can."""
-        self._recent.behind = behind
+        self._questions.recent.behind = behind
 
     @property
     def busy(self) -> bool:
@@ -109,7 +105,7 @@
             number=frames.service_number(service),
             packet=data,
             begun=now - opening_copies.waited_s(segment.copies),
-            deadline=now + ANSWER_S,
+            deadline=now + load_questions.ANSWER_S,
             asked=[],
             waiting=set(),
             load_by_address={},
@@ -118,80 +114,16 @@
             may_be_open=may_be_open or segment.copies > 0,
         )
         self._placement_by_key[key] = placement
-        if self._recall(key, placement, now):
+        if self._questions.recall(key, placement, now):
             return self._decide(key, placement, now)
-        asked = self._ask_more(key, placement, now)
+        asked = self._questions.ask(key, placement, now)
         return asked or self._decide_later(key, placement, now)
 
-    def _recall(
-        self, key: bytes, placement: pending.Placement, now: float
-    ) -> bool:
-        """Uses what the flow's first targets have told lately, if all have."""
-        targets = self._directory.targets(placement.service)
-        able = [
-            target
-            for target in candidates.ranked(key, targets)
-            if target.accepting
-            and not self._directory.responsive.suspect(target.address, now)
-        ]
-        load_by_address = {}
-        for target in candidates.asked(able, self._directory.zone):
-            load = self._recent.load_ms(target.address, now)
-            if load is None:
-                return False
-            load_by_address[target.address] = load
-        if not load_by_address:
-            return False
-        placement.load_by_address.update(load_by_address)
-        placement.asked.extend(load_by_address)
-        self._counts.add("loads_recalled")
-        return True
-
-    def _ask_more(
-        self, key: bytes, placement: pending.Placement, now: float
-    ) -> list[outcomes.Outcome]:
-        """Asks targets that have not been asked yet for this flow."""
-        known = placement.waiting | placement.silent
-        known |= set(placement.load_by_address)
-        able: list[candidates.Target] = []
-        suspects: list[candidates.Target] = []
-        targets = self._directory.targets(placement.service)
-        for target in candidates.ranked(key, targets):
-            if not target.accepting or target.address in known:
-                continue
-            suspect = self._directory.responsive.suspect(target.address, now)
-            (suspects if suspect else able).append(target)
-        chosen = candidates.asked(able, self._directory.zone)
-        due = [
-            target
-            for target in suspects
-            if not chosen
-            or self._directory.responsive.retry_due(target.address, now)
-        ]
-        asked: list[outcomes.Outcome] = []
-        message = frames.encode(
-            _Kind.ASK_LOAD,
-            placement.number,
-            key,
-            value=placement.rest_ms(now),
-        )
-        for target in chosen + due[:1]:
-            if target.address not in placement.asked:
-                placement.asked.append(target.address)
-            placement.waiting.add(target.address)
-            self._directory.responsive.asked(target.address, now)
-            asked.append(outcomes.ToPeer(target.address, message))
-        placement.deadline = now + ANSWER_S
-        return asked
-
     def on_load(
         self, frame: frames.Frame, source: _Address, now: float
     ) -> list[outcomes.Outcome]:
         """Takes a target's answer to the question for its load."""
-        if frame.kind is _Kind.LOAD and frame.value != frames.NOT_ACCEPTING:
-            self._recent.told(source, frame.value, now)
-        else:
-            self._recent.forget(source)
+        self._questions.told(frame, source, now)
         placement = self._placement_by_key.get(frame.key)
         if placement is None or placement.chosen is not None:
             return []
@@ -216,7 +148,7 @@
         placement.chosen = address
         placement.tried.append(address)
         placement.sent_to.add(address)
-        self._recent.placed(address)
+        self._questions.recent.placed(address)
         placement.deadline = now + ACCEPT_S
         self._directory.responsive.asked(address, now)
         self._report_decision(key, placement, "sent", now)
@@ -234,11 +166,11 @@
     ) -> list[outcomes.Outcome]:
         """Goes on where no target that has answered takes the flow now."""
         placement.chosen = None
-        asked = self._ask_more(key, placement, now)
+        asked = self._questions.ask(key, placement, now)
         if asked:
             return asked
         if placement.waiting:
-            placement.deadline = now + ANSWER_S
+            placement.deadline = now + load_questions.ANSWER_S
             return []
         waits = placement.busy or placement.silent
         if not waits and not self._may_come(placement):
@@ -296,7 +228,7 @@
     ) -> list[outcomes.Outcome]:
         """Goes on after the chosen target has not had the opening packet."""
         assert placement.chosen is not None, "a target was chosen"
-        self._recent.forget(placement.chosen)
+        self._questions.recent.forget(placement.chosen)
         placement.sent_to.discard(placement.chosen)
         placement.load_by_address[placement.chosen] = load
         placement.chosen = None
@@ -372,19 +304,5 @@
         outcome: str,
         now: float,
     ) -> None:
-        loads = {
-            address[0]: load
-            for address, load in placement.load_by_address.items()
-        }
-        inputs: dict[str, object] = {
-            "service": placement.service,
-            "version": self.version,
-            "target": placement.chosen[0] if placement.chosen else None,
-            "loads_ms": loads,
-            "unanswered": [
-                address[0] for address in placement.waiting | placement.silent
-            ],
-            "tried": len(placement.tried),
-            "age_ms": round((now - placement.begun) * 1000, 1),
-        }
+        inputs = {"version": self.version, **placement.report(now)}
         self._report(outcomes.Decision("placement", outcome, key, inputs))
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -2,19 +2,18 @@
 
 import collections.abc
 
-import msgspec
-
-from clementinelead.relays import candidates
 from clementinelead.relays import directory
 from clementinelead.relays import formats
 from clementinelead.relays import former_services
 from clementinelead.relays import frames
 from clementinelead.relays import outcomes
+from clementinelead.relays import possible_owners
 from clementinelead.relays import query_rounds
+from clementinelead.relays import searches
 from clementinelead.relays import unresolved
 from clementinelead.telemetry import counters
 
-__all__ = ["Found", "Search", "Searcher"]
+__all__ = ["Searcher"]
 
 PROBE_S = 0.06
 """Time that a target has to return a packet that is not its own, seconds."""
@@ -32,64 +31,10 @@
 """Searches at a time; a burst beyond it waits for its packets' repetition."""
 
 
-class Search(msgspec.Struct):
-    """A search for the owner of a flow.
-
-    Attributes:
-        packets: The flow's packets that have come meanwhile.
-        services: Services that its route names.
-        begun: When it began, seconds.
-        deadline: When to go on without what is missing, seconds.
-        waiting: Addresses that have been asked and not answered.
-        unsure: Addresses, with the service's number, whose target may hold
-            the flow.
-        probed: The address whose target has been handed the first packet.
-        absent: How many have said that they do not hold it.
-        silent: Addresses that have not answered in time.
-        probes: Targets that have been handed the first packet.
-        returned: Addresses whose targets have returned it, now or before.
-        doubted: Whether somebody has answered that it is not sure.
-        opening: Whether the first packet opens the flow; then it is less than
-            two seconds old, and at a target of its route if anywhere.
-        complete: Whether all who were asked have answered.
-    """
-
-    packets: list[bytes]
-    services: frozenset[str]
-    begun: float
-    deadline: float
-    waiting: set[tuple[str, int]]
-    unsure: list[tuple[tuple[str, int], int]]
-    probed: tuple[str, int] | None = None
-    absent: int = 0
-    silent: frozenset[tuple[str, int]] = frozenset()
-    probes: int = 0
-    returned: frozenset[tuple[str, int]] = frozenset()
-    doubted: bool = False
-    opening: bool = False
-    complete: bool = True
-
-
 _Kind = frames.Kind
 _Address = tuple[str, int]
 
 
-class Found(msgspec.Struct, frozen=True):
-    """A flow that a search has found.
-
-    Attributes:
-        key: Flow key.
-        owner: Address of its side process.
-        service: Number of its service.
-        sends: Its packets that have waited, for the owner.
-    """
-
-    key: bytes
-    owner: tuple[str, int]
-    service: int
-    sends: tuple[outcomes.Outcome, ...]
-
-
 class Searcher:
     """Asks the side processes for flows that the cache does not know."""
 
@@ -112,10 +57,12 @@
         """
         self._format = packet_format
         self._directory = known
-        self._former = former
+        self._owners = possible_owners.PossibleOwners(
+            packet_format, known, former
+        )
         self._counts = counts
         self._report = report
-        self._search_by_key: dict[bytes, Search] = {}
+        self._search_by_key: dict[bytes, searches.Search] = {}
         self._unresolved = unresolved.UnresolvedFlows()
         self._rounds = query_rounds.QueryRounds(known)
 
@@ -146,13 +93,14 @@
                 search.packets.append(data)
             return []
         returned: frozenset[_Address] = frozenset()
-        waiting = self._unresolved.get(key)
-        if waiting is not None:
-            if waiting.due > now:
+        last = self._unresolved.get(key)
+        if last is not None:
+            if last.due > now:
                 self._counts.add("unknown_flow")
                 return []
-            returned = waiting.returned
-        return self._begin(segment, services, data, returned, 0, now)
+            returned = last.search.returned
+        self._begin(segment, services, data, returned, 0, now)
+        return []
 
     def _begin(
         self,
@@ -162,7 +110,7 @@
         returned: frozenset[_Address],
         probes: int,
         now: float,
-    ) -> list[outcomes.Outcome]:
+    ) -> None:
         """Begins a search.
 
         Args:
@@ -174,78 +122,30 @@
             probes: Targets that have been handed it.
             now: Present time, seconds.
         """
-        key = segment.key
         if len(self._search_by_key) >= MAX_SEARCHES:
             self._counts.add("searches_full")
-            return []
-        owners = self._possible_owners(segment, services, now)
-        owners, waiting = self._asked(owners, now)
+            return
+        owners, waiting = self._owners.asked(segment, services, now)
         if not waiting:
             self._counts.add("unknown_service")
-            return []
-        search = Search(
-            packets=[data],
+            return
+        self._search_by_key[segment.key] = searches.Search(
+            segment=segment,
             services=services,
+            packets=[data],
             begun=now,
             deadline=float("inf"),
             waiting=waiting,
             unsure=[],
             probes=probes,
             returned=returned,
-            opening=segment.opens,
         )
-        self._search_by_key[key] = search
-        self._rounds.add(key, owners, now)
+        self._rounds.add(segment.key, owners, now)
         self._counts.add("searches")
-        return []
-
-    def _possible_owners(
-        self,
-        segment: formats.Segment,
-        services: frozenset[str],
-        now: float,
-    ) -> list[tuple[_Address, int]]:
-        """Returns who may hold a flow, with their services' numbers.
-
-        These are the side processes of the services that the flow's address
-        has and had. After a loss of all processes nobody knows which it had,
-        so for some time all services are asked.
-
-        Args:
-            segment: Header of the flow's packet.
-            services: Services that its route names.
-            now: Present time, seconds.
-        """
-        address = self._format.service_address(segment.key)
-        asked = services | self._former.services(address)
-        if now < self._former.complete_from and asked and not segment.opens:
-            asked = frozenset(self._directory.by_service)
-        return [
-            (target.address, frames.service_number(service))
-            for service in asked
-            for target in self._directory.targets(service)
-        ]
-
-    def _asked(
-        self, owners: list[tuple[_Address, int]], now: float
-    ) -> tuple[list[tuple[_Address, int]], set[_Address]]:
-        """Returns whom to ask, and whose answers to wait for.
-
-        An abandoned process is asked now and then, in case it is back.
-        """
-        asked = []
-        waiting = set()
-        for address, number in owners:
-            if not self._directory.abandoned(address, now):
-                waiting.add(address)
-            elif not self._directory.responsive.retry_due(address, now):
-                continue
-            asked.append((address, number))
-        return asked, waiting
 
     def on_held(
         self, frame: frames.Frame, source: _Address, now: float
-    ) -> list[Found]:
+    ) -> list[searches.Found]:
         """Ends searches: a side process holds these flows."""
         self._rounds.answered(source, now)
         return [
@@ -256,7 +156,7 @@
 
     def _found(
         self, key: bytes, service: int, source: _Address, now: float
-    ) -> Found:
+    ) -> searches.Found:
         search = self._search_by_key.pop(key)
         self._unresolved.resolve(key)
         self._report_end(key, search, "found", source[0], now)
@@ -268,7 +168,7 @@
             )
             for packet in search.packets[first:]
         )
-        return Found(key, source, service, sends)
+        return searches.Found(key, source, service, sends)
 
     def on_absent(
         self, frame: frames.Frame, source: _Address, now: float
@@ -292,7 +192,7 @@
         return sends
 
     def _probe_next(
-        self, key: bytes, search: Search, now: float
+        self, key: bytes, search: searches.Search, now: float
     ) -> list[outcomes.Outcome]:
         """Hands the first packet to the next target that may hold the flow.
 
@@ -304,7 +204,7 @@
         if not search.unsure:
             return self._end_search(key, search, now)
         if search.probed is None:
-            self._rank(key, search)
+            search.unsure = self._owners.likely_first(key, search.unsure)
         address, number = search.unsure.pop(0)
         search.probed = address
         search.probes += 1
@@ -313,18 +213,8 @@
         message = frames.encode(_Kind.PROBE, number, key, search.packets[0])
         return [outcomes.ToPeer(address, message)]
 
-    def _rank(self, key: bytes, search: Search) -> None:
-        """Puts the likely owners of a flow first."""
-        place_by_address = {
-            target.address: place
-            for targets in self._directory.by_service.values()
-            for place, target in enumerate(candidates.ranked(key, targets))
-        }
-        last = len(place_by_address)
-        search.unsure.sort(key=lambda one: place_by_address.get(one[0], last))
-
     def _end_search(
-        self, key: bytes, search: Search, now: float
+        self, key: bytes, search: searches.Search, now: float
     ) -> list[outcomes.Outcome]:
         """Gives up a search; resets a flow that surely nobody holds.
 
@@ -332,55 +222,37 @@
         has not answered, or somebody may not be known, there is silence.
         """
         del self._search_by_key[key]
-        segment = self._format.from_caller(search.packets[0])
-        assert segment is not None, "a search's packet was parsed before"
         nowhere = search.complete and self._all_known(search, now)
-        if nowhere and not segment.resets:
+        if nowhere and not search.segment.resets:
             self._unresolved.resolve(key)
             self._report_end(key, search, "reset", None, now)
-            reset = self._format.reset(segment)
+            reset = self._format.reset(search.segment)
             return [outcomes.ToCaller(self._format.caller(key), reset)]
-        self._put_off(segment, search, now)
+        # The caller's next packet may come only seconds later.
+        if not self._unresolved.keep(search, now):
+            self._counts.add("unresolved_full")
         self._report_end(key, search, "not found", None, now)
         return []
 
-    def _all_known(self, search: Search, now: float) -> bool:
+    def _all_known(self, search: searches.Search, now: float) -> bool:
         """Tells whether nobody but those asked may hold a flow."""
         if search.opening or now >= self._directory.complete_from:
             return True
         settled = now >= self._directory.denials_count_from
         return settled and not search.doubted
 
-    def _put_off(
-        self, segment: formats.Segment, search: Search, now: float
-    ) -> None:
-        """Lets a flow that may be held wait for its next search.
-
-        Its caller may send the next packet only seconds later.
-        """
-        flow = unresolved.Unresolved(
-            segment=segment,
-            services=search.services,
-            packet=search.packets[0],
-            begun=search.begun,
-            returned=search.returned,
-            probes=search.probes,
-        )
-        if not self._unresolved.keep(flow, now):
-            self._counts.add("unresolved_full")
-
     def _retry(self, now: float) -> None:
         """Searches again for flows that are due."""
         settled = self._directory.settled(now)
-        for flow in self._unresolved.due(settled, now):
-            if flow.segment.key not in self._search_by_key:
+        for last in self._unresolved.due(settled, now):
+            if last.segment.key not in self._search_by_key:
                 self._counts.add("searched_again")
                 self._begin(
-                    flow.segment,
-                    flow.services,
-                    flow.packet,
-                    flow.returned,
-                    flow.probes,
+                    last.segment,
+                    last.services,
+                    last.packets[0],
+                    last.returned,
+                    last.probes,
                     now,
                 )
 
@@ -427,20 +299,13 @@
     def _report_end(
         self,
         key: bytes,
-        search: Search,
+        search: searches.Search,
         outcome: str,
         target: str | None,
         now: float,
     ) -> None:
         self._counts.add(f"search_{outcome.replace(' ', '_')}")
-        inputs: dict[str, object] = {
-            "target": target,
-            "absent": search.absent,
-            "waiting": len(search.waiting),
-            "unanswered": [address[0] for address in search.silent],
-            "packets": len(search.packets),
-            "age_ms": round((now - search.begun) * 1000, 1),
-        }
+        inputs = search.report(target, now)
         self._report(outcomes.Decision("search", outcome, key, inputs))
 
 
--- a/clementinelead/relays/unresolved.py
+++ b/clementinelead/relays/unresolved.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from clementinelead.relays import formats
+from clementinelead.relays import searches
 
 __all__ = ["UNKNOWN_S", "Unresolved", "UnresolvedFlows"]
 
@@ -26,24 +26,21 @@
     """A flow that nobody was known to hold, and that may be held.
 
     Attributes:
-        segment: Header of its packet.
-        services: Services that its route names.
-        packet: The packet.
-        begun: When the first search for it began, seconds.
-        returned: Addresses whose targets have returned the packet.
-        probes: Targets that have been handed the packet.
-        due: When the next search begins, seconds.
-        pause_s: Time from the last search to that, seconds.
+        search: The last search for it.
+        begun: When the first one began, seconds.
+        due: When the next one begins, seconds.
+        pause_s: Time from the last one to that, seconds.
     """
 
-    segment: formats.Segment
-    services: frozenset[str]
-    packet: bytes
+    search: searches.Search
     begun: float
-    returned: frozenset[tuple[str, int]]
-    probes: int
-    due: float = 0.0
-    pause_s: float = UNKNOWN_S
+    due: float
+    pause_s: float
+
+    def given_up(self, now: float) -> bool:
+        """Tells whether nobody waits for an answer in the flow any more."""
+        resets = self.search.segment.resets
+        return resets or now - self.begun >= RETRY_FOR_S
 
 
 class UnresolvedFlows:
@@ -58,34 +55,33 @@
         """Returns a flow, None if it is not kept."""
         return self._flow_by_key.get(key)
 
-    def keep(self, flow: Unresolved, now: float) -> bool:
+    def keep(self, search: searches.Search, now: float) -> bool:
         """Plans the next search for a flow.
 
         Args:
-            flow: The flow, after a search in vain.
+            search: A search in vain.
             now: Present time, seconds.
 
         Returns:
-            Whether there is room for it.
+            Whether there is room for the flow.
         """
-        key = flow.segment.key
+        key = search.segment.key
         last = self._flow_by_key.get(key)
-        if last is not None:
-            flow.begun = last.begun
-            flow.pause_s = PAUSE_GROWTH * last.pause_s
-        elif len(self._flow_by_key) >= MAX_FLOWS:
+        if last is None and len(self._flow_by_key) >= MAX_FLOWS:
             return False
-        flow.due = now + flow.pause_s
-        self._flow_by_key[key] = flow
-        self._next_due = min(self._next_due, flow.due)
+        begun = search.begun if last is None else last.begun
+        pause_s = UNKNOWN_S if last is None else PAUSE_GROWTH * last.pause_s
+        due = now + pause_s
+        self._flow_by_key[key] = Unresolved(search, begun, due, pause_s)
+        self._next_due = min(self._next_due, due)
         return True
 
     def resolve(self, key: bytes) -> None:
         """Forgets a flow that has been found, or is nowhere."""
         self._flow_by_key.pop(key, None)
 
-    def due(self, settled: bool, now: float) -> list[Unresolved]:
-        """Returns the flows to search for now, all once nobody is missing.
+    def due(self, settled: bool, now: float) -> list[searches.Search]:
+        """Returns searches to repeat now, all once nobody is missing.
 
         Args:
             settled: Whether some flows are known to be nowhere.
@@ -104,17 +100,12 @@
         for flow in self._flow_by_key.values():
             if flow.due > now:
                 self._next_due = min(self._next_due, flow.due)
-            elif not _given_up(flow, now):
-                found.append(flow)
+            elif not flow.given_up(now):
+                found.append(flow.search)
         return found
 
     def expire(self, now: float) -> None:
         """Forgets flows whose callers have given up or ended them."""
         for key, flow in list(self._flow_by_key.items()):
-            if _given_up(flow, now) and flow.due <= now:
+            if flow.given_up(now) and flow.due <= now:
                 del self._flow_by_key[key]
-
-
-def _given_up(flow: Unresolved, now: float) -> bool:
-    """Tells whether nobody waits for an answer in a flow any more."""
-    return flow.segment.resets or now - flow.begun >= RETRY_FOR_S
