--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -111,6 +111,19 @@
     assert not isinstance(result.exception, plays.PlayFailedError)
 
 
+PATCHES = sorted(
+    (pathlib.Path(command.__file__).parent / "patches").glob("*.patch")
+)
+
+
+@pytest.mark.parametrize("patch", PATCHES, ids=lambda patch: patch.stem)
+def test_patch_of_a_mechanism_fits_the_code(patch):
+    root = pathlib.Path(command.__file__).parents[2]
+    subprocess.run(
+        ["git", "apply", "--check", patch.resolve()], cwd=root, check=True
+    )
+
+
 def _play(worth):
     return plays.Play(worth, worth, worth, 0.0, None)
 
