--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -185,7 +185,7 @@
         """
         lifecycle = self.holding.lifecycle
         if lifecycle.current is None:
-            if self.holding.leaving and self.holding.without_target:
+            if self.holding.leaving and self.holding.beginning.without_target:
                 return True
             return now - self._unheard_since > self._unheard_s
         return lifecycle.state in ("leaving", "dead")
--- a/clementinelead/relays/beginnings.py
+++ b/clementinelead/relays/beginnings.py
@@ -35,6 +35,8 @@
         self.first = False
         self._started_ms = started_ms
         self._together = False
+        self._absent = False
+        self._heard = False
         self._learned_at = now + LEARNING_S
 
     def on_target(
@@ -50,18 +52,38 @@
             replaced: Whether this process has known another one.
             now: Present time, seconds.
         """
+        self._heard = True
         if replaced:
             self._learned_at = now
         young = announcement.born >= self._started_ms - BORN_MARGIN_MS
         self._together = young or announcement.sequence <= 1
 
-    def on_no_target(self, now: float) -> None:
+    def on_no_target(self, now: float) -> bool:
         """Takes over that there is no target yet; the next one has no flows.
 
         Args:
             now: Present time, seconds.
+
+        Returns:
+            Whether that is believed; not if a target has been heard.
         """
+        if self._heard:
+            return False
+        self._absent = True
         self._learned_at = now
+        return True
+
+    def on_answer(self) -> None:
+        """Notes that a target has sent something of its own.
+
+        Who returns packets at its address has no flow either.
+        """
+        self._heard = True
+
+    @property
+    def without_target(self) -> bool:
+        """Whether there was no target at the start, and none has come since."""
+        return self._absent and not self._heard
 
     def over(self, now: float) -> bool:
         """Tells whether the target has no flow that is not known here.
--- a/clementinelead/relays/holding.py
+++ b/clementinelead/relays/holding.py
@@ -14,6 +14,7 @@
 from clementinelead.relays import beginnings
 from clementinelead.relays import formats
 from clementinelead.relays import frames
+from clementinelead.relays import handed_packets
 from clementinelead.relays import held_flows
 from clementinelead.relays import outcomes
 from clementinelead.relays import workload
@@ -21,15 +22,6 @@
 
 __all__ = ["Holding"]
 
-RETURN_S = 0.02
-"""Time in which a target returns a packet that is not its own, seconds."""
-
-PENDING_S = 1.5
-"""Time in which a target may answer an opening packet, seconds.
-
-Callers give an attempt up after 1.4 s.
-"""
-
 SLOW_ANSWER_S = 0.1
 """An answer that takes longer gets a log line, seconds."""
 
@@ -83,11 +75,8 @@
         self._answering = answering.Answering(
             self._flows, self.beginning, self.counts
         )
-        self._opener_by_key: dict[bytes, tuple[_Address, float]] = {}
-        self._probe_by_key: dict[bytes, tuple[_Address, float]] = {}
+        self._handed = handed_packets.HandedPackets()
         self._next_expiry = now
-        self._target_absent = False
-        self._target_answered = False
 
     @property
     def flows(self) -> int:
@@ -133,20 +122,7 @@
         Returns:
             Whether that is believed; not if a target has been heard.
         """
-        if self.lifecycle.current is not None or self._target_answered:
-            return False
-        self.beginning.on_no_target(now)
-        self._target_absent = True
-        return True
-
-    @property
-    def without_target(self) -> bool:
-        """Whether there was no target at the start, and none has come since.
-
-        Who returns packets at its address answers none.
-        """
-        heard = self.lifecycle.current is not None or self._target_answered
-        return self._target_absent and not heard
+        return self.beginning.on_no_target(now)
 
     # Datagrams of balancers.
 
@@ -191,7 +167,7 @@
             return [answering.answer(_Kind.REFUSED, frame, source)]
         if flow is not None:
             flow.sender = source
-        elif key not in self._opener_by_key:
+        elif self._handed.opener(key) is None:
             objective_ms = frame.value
             if objective_ms and self.work.busy(objective_ms, now):
                 self.counts.add("deferred")
@@ -201,7 +177,7 @@
                     answering.answer(_Kind.DEFERRED, frame, source, value=load)
                 ]
             self._flows.offer(key, now)
-        self._opener_by_key[key] = (source, now + PENDING_S)
+        self._handed.open(key, source, now)
         return [outcomes.ToTarget(frame.payload)]
 
     def _on_packet(
@@ -217,7 +193,7 @@
         if flow is None:
             return self._on_unknown(frame, segment, source, now)
         if frame.kind is _Kind.PROBE:
-            self._probe_by_key[key] = (source, now + RETURN_S)
+            self._handed.probe(key, source, now)
         if not flow.settled and not segment.opens:
             if not flow.follows(segment):
                 self._flows.forget(key, now)
@@ -253,7 +229,7 @@
                 answering.answer(_Kind.NOT_HELD, frame, source, frame.payload)
             ]
         self._flows.restore(frame.key, source, now)
-        self._probe_by_key[frame.key] = (source, now + RETURN_S)
+        self._handed.probe(frame.key, source, now)
         self.counts.add("probed")
         return [outcomes.ToTarget(frame.payload)]
 
@@ -274,7 +250,7 @@
             return []
         if segment.returned:
             return self._on_returned(segment, data, now)
-        self._target_answered = True
+        self.beginning.on_answer()
         return self._on_answer(segment, data, now)
 
     def _on_returned(
@@ -282,16 +258,16 @@
     ) -> list[outcomes.Outcome]:
         """Passes on that the target does not hold or can't take a flow."""
         key = segment.key
-        self._probe_by_key.pop(key, None)
+        self._handed.end_probe(key)
         if segment.opens:
-            opener = self._opener_by_key.pop(key, None)
+            opener = self._handed.end_opening(key)
             self._flows.end_offer(key, now)
             if opener is None:
                 return []
             self.counts.add("refused")
             self._log("acceptance", "refused by the target", key, now)
             message = frames.encode(_Kind.REFUSED, self._number, key)
-            return [outcomes.ToPeer(opener[0], message)]
+            return [outcomes.ToPeer(opener, message)]
         flow = self._flows.by_key.get(key)
         if flow is None:
             return []
@@ -318,9 +294,9 @@
             flow.closing = segment.closes or segment.resets
         flow.last = now
         flow.confirmed = True
-        probe = self._probe_by_key.pop(key, None)
-        if probe is not None:
-            sends.append(self._held(key, probe[0]))
+        prober = self._handed.end_probe(key)
+        if prober is not None:
+            sends.append(self._held(key, prober))
         if segment.length and flow.working:
             self._note_answer(key, flow, now)
         if segment.closes or segment.resets:
@@ -337,7 +313,7 @@
     ) -> held_flows.HeldFlow:
         """Notes that the target has answered an opening packet."""
         key = segment.key
-        opener = self._opener_by_key.get(key)
+        opener = self._handed.opener(key)
         self._flows.end_offer(key, now)
         if flow is not None:
             # Another number means that the target has started anew.
@@ -346,15 +322,14 @@
                 self._flows.forget(key, now)
                 flow = None
         if flow is None:
-            sender = opener[0] if opener else None
-            flow = self._flows.open(key, segment.sequence, sender, now)
+            flow = self._flows.open(key, segment.sequence, opener, now)
             self.counts.add("accepted")
             self._log("acceptance", "accepted", key, now)
         if opener is not None:
             message = frames.encode(
                 _Kind.ACCEPTED, self._number, key, value=segment.sequence
             )
-            sends.append(outcomes.ToPeer(opener[0], message))
+            sends.append(outcomes.ToPeer(opener, message))
         return flow
 
     def _held(self, key: bytes, address: _Address) -> outcomes.Outcome:
@@ -385,7 +360,7 @@
     @property
     def probing(self) -> bool:
         """Whether ``on_tick`` is to be called every few milliseconds."""
-        return bool(self._probe_by_key) or self._flows.waiting
+        return self._handed.probing or self._flows.waiting
 
     def on_tick(self, now: float) -> list[outcomes.Outcome]:
         """Returns what to do because time has passed.
@@ -394,13 +369,11 @@
             now: Present time, seconds.
         """
         sends: list[outcomes.Outcome] = []
-        for key, (address, deadline) in list(self._probe_by_key.items()):
-            if now >= deadline:
-                del self._probe_by_key[key]
-                flow = self._flows.by_key.get(key)
-                if flow is not None:
-                    flow.confirmed = True
-                    sends.append(self._held(key, address))
+        for key, address in self._handed.kept(now):
+            flow = self._flows.by_key.get(key)
+            if flow is not None:
+                flow.confirmed = True
+                sends.append(self._held(key, address))
         self._flows.on_tick(now)
         if now >= self._next_expiry:
             self._next_expiry = now + EXPIRY_INTERVAL_S
@@ -409,9 +382,7 @@
 
     def _expire(self, now: float) -> None:
         self._flows.expire(now)
-        for key, (_, until) in list(self._opener_by_key.items()):
-            if until <= now:
-                del self._opener_by_key[key]
+        self._handed.expire(now)
 
     def _log(
         self,
--- a/clementinelead/relays/tests/test_holding.py
+++ b/clementinelead/relays/tests/test_holding.py
@@ -277,8 +277,8 @@
     packet = network.packet(network.flow_key(1), length=10)
     side.on_target_packet(packets.returned(packet), 100.0)
     assert side.on_no_target(100.0)
-    assert side.without_target
+    assert side.beginning.without_target
     side.on_target_packet(
         network.packet(network.flow_key(2), sequence=501, length=20), 100.1
     )
-    assert not side.without_target
+    assert not side.beginning.without_target
