--- a/clementinelead/relays/holding.py
+++ b/clementinelead/relays/holding.py
@@ -17,14 +17,12 @@
 from clementinelead.relays import handed_packets
 from clementinelead.relays import held_flows
 from clementinelead.relays import outcomes
+from clementinelead.relays import target_packets
 from clementinelead.relays import workload
 from clementinelead.telemetry import counters
 
 __all__ = ["Holding"]
 
-SLOW_ANSWER_S = 0.1
-"""An answer that takes longer gets a log line, seconds."""
-
 EXPIRY_INTERVAL_S = 1.0
 
 LATENCY_BOUNDS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
@@ -76,6 +74,16 @@
             self._flows, self.beginning, self.counts
         )
         self._handed = handed_packets.HandedPackets()
+        self._target_packets = target_packets.TargetPackets(
+            packet_format,
+            self._number,
+            self._flows,
+            self._handed,
+            self.beginning,
+            self.counts,
+            self.latencies,
+            self._log,
+        )
         self._next_expiry = now
 
     @property
@@ -244,116 +252,7 @@
             data: The packet.
             now: Present time, seconds.
         """
-        segment = self._format.from_target(data)
-        if segment is None:
-            self.counts.add("malformed_packet")
-            return []
-        if segment.returned:
-            return self._on_returned(segment, data, now)
-        self.beginning.on_answer()
-        return self._on_answer(segment, data, now)
-
-    def _on_returned(
-        self, segment: formats.Segment, data: bytes, now: float
-    ) -> list[outcomes.Outcome]:
-        """Passes on that the target does not hold or can't take a flow."""
-        key = segment.key
-        self._handed.end_probe(key)
-        if segment.opens:
-            opener = self._handed.end_opening(key)
-            self._flows.end_offer(key, now)
-            if opener is None:
-                return []
-            self.counts.add("refused")
-            self._log("acceptance", "refused by the target", key, now)
-            message = frames.encode(_Kind.REFUSED, self._number, key)
-            return [outcomes.ToPeer(opener, message)]
-        flow = self._flows.by_key.get(key)
-        if flow is None:
-            return []
-        self._flows.forget(key, now)
-        self.counts.add("returned")
-        self._log("flow", "returned by the target", key, now)
-        if flow.sender is None:
-            return []
-        packet = self._format.restored(data)
-        message = frames.encode(_Kind.NOT_HELD, self._number, key, packet)
-        return [outcomes.ToPeer(flow.sender, message)]
-
-    def _on_answer(
-        self, segment: formats.Segment, data: bytes, now: float
-    ) -> list[outcomes.Outcome]:
-        """Sends a packet to its caller and learns from it."""
-        key = segment.key
-        sends: list[outcomes.Outcome] = []
-        flow = self._flows.by_key.get(key)
-        if segment.accepts:
-            flow = self._on_accepted(segment, flow, now, sends)
-        elif flow is None:
-            flow = self._flows.restore(key, None, now)
-            flow.closing = segment.closes or segment.resets
-        flow.last = now
-        flow.confirmed = True
-        prober = self._handed.end_probe(key)
-        if prober is not None:
-            sends.append(self._held(key, prober))
-        if segment.length and flow.working:
-            self._note_answer(key, flow, now)
-        if segment.closes or segment.resets:
-            self._flows.end(key, flow, now)
-        sends.append(outcomes.ToCaller(self._format.caller(key), data))
-        return sends
-
-    def _on_accepted(
-        self,
-        segment: formats.Segment,
-        flow: held_flows.HeldFlow | None,
-        now: float,
-        sends: list[outcomes.Outcome],
-    ) -> held_flows.HeldFlow:
-        """Notes that the target has answered an opening packet."""
-        key = segment.key
-        opener = self._handed.opener(key)
-        self._flows.end_offer(key, now)
-        if flow is not None:
-            # Another number means that the target has started anew.
-            anew = flow.sequence not in (None, segment.sequence)
-            if flow.closing or anew:
-                self._flows.forget(key, now)
-                flow = None
-        if flow is None:
-            flow = self._flows.open(key, segment.sequence, opener, now)
-            self.counts.add("accepted")
-            self._log("acceptance", "accepted", key, now)
-        if opener is not None:
-            message = frames.encode(
-                _Kind.ACCEPTED, self._number, key, value=segment.sequence
-            )
-            sends.append(outcomes.ToPeer(opener, message))
-        return flow
-
-    def _held(self, key: bytes, address: _Address) -> outcomes.Outcome:
-        message = frames.encode(_Kind.HELD, self._number, key)
-        return outcomes.ToPeer(address, message)
-
-    def _note_answer(
-        self, key: bytes, flow: held_flows.HeldFlow, now: float
-    ) -> None:
-        """Counts an answer; logs one that took long."""
-        ahead = flow.ahead
-        duration = self._flows.note_answer(key, flow, now)
-        if duration is None:
-            return
-        self.latencies.observe(duration)
-        if duration >= SLOW_ANSWER_S:
-            self._log(
-                "answer",
-                "slow",
-                key,
-                now,
-                duration_ms=round(duration * 1000),
-                ahead=ahead,
-            )
+        return self._target_packets.on_packet(data, now)
 
     # The passing of time.
 
@@ -368,12 +267,7 @@
         Args:
             now: Present time, seconds.
         """
-        sends: list[outcomes.Outcome] = []
-        for key, address in self._handed.kept(now):
-            flow = self._flows.by_key.get(key)
-            if flow is not None:
-                flow.confirmed = True
-                sends.append(self._held(key, address))
+        sends = self._target_packets.on_tick(now)
         self._flows.on_tick(now)
         if now >= self._next_expiry:
             self._next_expiry = now + EXPIRY_INTERVAL_S
--- a/clementinelead/replays/relayed.py
+++ b/clementinelead/replays/relayed.py
@@ -4,27 +4,23 @@
 import functools
 import typing
 
-from clementinelead.relays import announcements
 from clementinelead.relays import candidates
 from clementinelead.relays import formats
-from clementinelead.relays import former_services
-from clementinelead.relays import holding
 from clementinelead.relays import intake
 from clementinelead.relays import opening_copies
 from clementinelead.relays import outcomes
 from clementinelead.relays import routes
-from clementinelead.relays import steering
 from clementinelead.replays import agendas
 from clementinelead.replays import calls
 from clementinelead.replays import distances
 from clementinelead.replays import loads
 from clementinelead.replays import packets
 from clementinelead.replays import processors
+from clementinelead.replays import relay_parts
 from clementinelead.replays import servers
 
 __all__ = ["Relayed"]
 
-SERVICE = "replayed"
 SERVICE_ADDRESS = b"S1"
 IDLE_TICK_S = 0.05
 """Timer as the processes have it, seconds."""
@@ -53,85 +49,6 @@
     target: str = ""
 
 
-class _Side:
-    """A side process with its target."""
-
-    def __init__(self, server: servers.Server, now: float):
-        self.server = server
-        self.address = (server.spec.name, 1)
-        self.sequence_by_key: dict[bytes, int] = {}
-        self._born = 0
-        self.holding = holding.Holding(
-            packets.Format(), SERVICE, _ignore, now, started_ms=0
-        )
-        self.holding.beginning.first = True
-        self.announce(now)
-
-    def announce(self, now: float) -> None:
-        """Lets the target announce a new incarnation."""
-        self._born += 1
-        self.holding.heartbeat(
-            announcements.Announcement(
-                id=self.server.spec.name,
-                born=self._born,
-                sequence=1,
-                service=SERVICE,
-                slots=self.server.spec.slots,
-                draining=False,
-                warmup_s=0.0,
-            ),
-            now,
-        )
-
-
-class _Balancer:
-    """A balancer of one availability zone.
-
-    Attributes:
-        callers: Where callers' packets wait.
-        peers: Where side processes' datagrams wait.
-        steering: The decisions.
-        processor: What it has to work with.
-    """
-
-    def __init__(
-        self,
-        zone: str,
-        agenda: agendas.Agenda,
-        share: float | None,
-        send: typing.Callable[["_Balancer", list[outcomes.Outcome]], None],
-    ):
-        self.zone = zone
-        self.address = (f"balancer-{zone}", 1)
-        self.callers = processors.Mailbox()
-        self.peers = processors.Mailbox()
-        self.processor = processors.Processor(
-            agenda,
-            share,
-            lambda now: self._intake.next(now),
-            lambda several: send(self, several),
-        )
-        self.begin(first_start=True)
-
-    def begin(self, first_start: bool) -> None:
-        """Begins anew, without flows."""
-        former = former_services.FormerServices(first_start)
-        self.steering = steering.Steering(
-            packets.Format(), self._report, self.zone, former
-        )
-        self._intake = intake.Intake(
-            self.steering, packets.Format(), self.peers, self.callers
-        )
-
-    def _report(self, _: outcomes.Decision) -> None:
-        self.processor.reported += 1
-
-    def wake(self) -> None:
-        """Lets the process look at its sockets and timers."""
-        self._intake.wake()
-        self.processor.wake()
-
-
 class Relayed:
     """Carries flows through balancers and side processes.
 
@@ -151,12 +68,15 @@
         self._flow_by_key: dict[bytes, _Flow] = {}
         self._side_by_address = {
             side.address: side
-            for side in (_Side(server, agenda.now) for server in known)
+            for side in (
+                relay_parts.Side(server, agenda.now) for server in known
+            )
         }
         zones = sorted({arrival.zone for arrival in load.arrivals})
         share = load.balancers.share
         made = [
-            _Balancer(zone, agenda, share, self._carry_out) for zone in zones
+            relay_parts.Balancer(zone, agenda, share, self._carry_out)
+            for zone in zones
         ]
         self._balancer_by_address = {one.address: one for one in made}
         self._kind = load.kinds[0]
@@ -170,14 +90,11 @@
 
     def _kill_balancers(self) -> None:
         for balancer in self._balancer_by_address.values():
-            balancer.processor.running = False
-            for mailbox in (balancer.callers, balancer.peers):
-                mailbox.open = False
-                mailbox.clear()
+            balancer.kill()
 
     def _open_mailboxes(self) -> None:
         for balancer in self._balancer_by_address.values():
-            balancer.callers.open = balancer.peers.open = True
+            balancer.listen()
 
     def _restart_balancers(self) -> None:
         """Lets balancers serve again, with routes and targets from peers."""
@@ -187,12 +104,14 @@
             balancer.processor.running = True
             balancer.wake()
 
-    def _configure(self, balancer: _Balancer, kind: loads.RequestKind) -> None:
+    def _configure(
+        self, balancer: relay_parts.Balancer, kind: loads.RequestKind
+    ) -> None:
         now = self._agenda.now
         route = routes.Route(
-            SERVICE,
+            relay_parts.SERVICE,
             SERVICE_ADDRESS,
-            (routes.Share(SERVICE, 1),),
+            (routes.Share(relay_parts.SERVICE, 1),),
             int(kind.objective_s * 1000),
             int(kind.timeout_s * 1000),
         )
@@ -209,7 +128,7 @@
             )
             for side in self._side_by_address.values()
         )
-        balancer.steering.set_targets(SERVICE, targets)
+        balancer.steering.set_targets(relay_parts.SERVICE, targets)
         balancer.steering.set_complete_from(now)
 
     def change(self, target: str, condition: loads.Condition) -> None:
@@ -295,7 +214,7 @@
     # Processes.
 
     def _carry_out(
-        self, balancer: _Balancer, several: list[outcomes.Outcome]
+        self, balancer: relay_parts.Balancer, several: list[outcomes.Outcome]
     ) -> None:
         """Carries out what a balancer has decided."""
         now = self._agenda.now
@@ -320,13 +239,15 @@
         if balancer.steering.busy:
             self._agenda.at(now + intake.BUSY_TICK_S, balancer.wake)
 
-    def _side_gets(self, side: _Side, data: bytes, source: _Address) -> None:
+    def _side_gets(
+        self, side: relay_parts.Side, data: bytes, source: _Address
+    ) -> None:
         now = self._agenda.now
         self._hold(side, side.holding.on_frame(data, source, now))
 
     def _balancer_gets(
         self,
-        balancer: _Balancer,
+        balancer: relay_parts.Balancer,
         mailbox: processors.Mailbox,
         data: bytes,
         source: _Address = packets.CALLER,
@@ -343,7 +264,9 @@
             self._hold(side, side.holding.on_tick(now))
         self._agenda.at(now + IDLE_TICK_S, self._idle_tick)
 
-    def _hold(self, side: _Side, several: list[outcomes.Outcome]) -> None:
+    def _hold(
+        self, side: relay_parts.Side, several: list[outcomes.Outcome]
+    ) -> None:
         """Carries out what a side process has decided."""
         now = self._agenda.now
         zone = side.server.spec.zone
@@ -381,7 +304,7 @@
 
     # Targets.
 
-    def _target_takes(self, side: _Side, data: bytes) -> None:
+    def _target_takes(self, side: relay_parts.Side, data: bytes) -> None:
         """Lets a target work on a packet; one that is down does nothing."""
         segment = packets.Format().from_caller(data)
         assert segment is not None, "replays write whole packets"
@@ -402,7 +325,7 @@
         elif segment.length:
             self._run(side, key)
 
-    def _run(self, side: _Side, key: bytes) -> None:
+    def _run(self, side: relay_parts.Side, key: bytes) -> None:
         flow = self._flow_by_key.get(key)
         if flow is None:
             return
@@ -414,17 +337,13 @@
         flow.target = side.server.spec.name
         self._agenda.at(answer.at_s, lambda: self._answer(side, key))
 
-    def _answer(self, side: _Side, key: bytes) -> None:
+    def _answer(self, side: relay_parts.Side, key: bytes) -> None:
         """Sends the answer of a request that has run, if its flow lives."""
         number = side.sequence_by_key.get(key)
         if number is not None:
             answer = packets.packet(key, 0, number + 1, length=REQUEST_BYTES)
             self._target_sends(side, answer)
 
-    def _target_sends(self, side: _Side, data: bytes) -> None:
+    def _target_sends(self, side: relay_parts.Side, data: bytes) -> None:
         now = self._agenda.now
         self._hold(side, side.holding.on_target_packet(data, now))
-
-
-def _ignore(decision: outcomes.Decision) -> None:
-    """Replays read what callers see, not what is logged."""
