--- a/clementinelead/replays/patterns.py
+++ b/clementinelead/replays/patterns.py
@@ -6,6 +6,7 @@
 import numpy as np
 
 from clementinelead.replays import loads
+from clementinelead.replays import processors
 
 __all__ = ["PATTERNS", "Scale", "generate"]
 
@@ -17,9 +18,6 @@
 BALANCER_SHARE = 0.1
 """Share of a processor that a balancer has where that is short."""
 
-BALANCED_PER_S = 550.0
-"""New flows that two such balancers place a second."""
-
 LISTENING_AFTER_S = 0.5
 SERVING_AFTER_S = 1.5
 """Times from a kill of a balancer until it takes and reads datagrams."""
@@ -243,10 +241,11 @@
     Args:
         scale: Its size.
         generator: Source of randomness.
-        factor: Load, as a multiple of what the balancers can just place.
+        factor: Load, as a multiple of what the balancers can just place if
+            they ask no target for it.
     """
-    targets = _targets(scale)
-    balanced = BALANCED_PER_S / _capacity(targets)
+    placed_per_s = len(ZONES) * BALANCER_SHARE / processors.FLOW_S
+    balanced = placed_per_s / _capacity(_targets(scale))
     usual = dataclasses.replace(scale, utilisation=balanced * factor)
     load = _load("overload", usual, _arrivals(usual, generator))
     slow = loads.BalancerSpec(BALANCER_SHARE)
--- a/clementinelead/replays/processors.py
+++ b/clementinelead/replays/processors.py
@@ -6,7 +6,7 @@
 from clementinelead.relays import outcomes
 from clementinelead.replays import agendas
 
-__all__ = ["Mailbox", "Processor"]
+__all__ = ["FLOW_S", "Mailbox", "Processor"]
 
 MAILBOX_DATAGRAMS = 256
 """Datagrams that a socket holds; the kernel drops what comes beyond."""
@@ -16,6 +16,13 @@
 REPORT_S = 0.00001
 """Processor time of a datagram or timer, of one sent and of a log line."""
 
+FLOW_S = 4 * HANDLE_S + 3 * SEND_S + REPORT_S
+"""Processor time of a flow that is placed unasked, seconds.
+
+Opening packet, request and last packet are handled and sent on, the target's
+answer is handled, and the placement is logged.
+"""
+
 _Datagram = tuple[bytes, tuple[str, int]]
 _Sends = list[outcomes.Outcome]
 
