Move the soak's stand-ins of the platform beside the adapter

packets, store, targets and the writing of settings files spoke the platform's names in bench/soak. No behaviour changed (tests of the soak and of its targets).

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -7,8 +7,8 @@
 import typing
 
 from bench.soak import audit as audit_module
-from bench.soak import packets
 from bench.soak import router as router_module
+from clementinelead.platform.standins import packets
 
 __all__ = ["Caller"]
 
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -11,9 +11,10 @@
 from bench.soak import programs
 from bench.soak import proxy as proxy_module
 from bench.soak import router as router_module
-from bench.soak import store as store_module
-from bench.soak import targets as targets_module
 from clementinelead import exceptions
+from clementinelead.platform.standins import node_files
+from clementinelead.platform.standins import store as store_module
+from clementinelead.platform.standins import targets as targets_module
 from clementinelead.processes import tasks
 
 __all__ = ["Sizes", "World"]
@@ -93,51 +94,37 @@
     ) -> programs.Program:
         name = f"{role}{number}"
         path = self._folder / f"{name}.toml"
-        seeds = [
-            f'"{self._address(1 + seed)}:{self.ports["control"]}"'
-            for seed in range(min(3, self.sizes.balancers))
-        ]
-        ports = {key: f'"{address}:{port}"' for key, port in self.ports.items()}
-        store = f'"{self._address(240)}:{self.ports["store"]}"'
-        service = SERVICES[number % 3 // 2]
-        lines = [
-            f'node_name = "{name}"',
-            f'ip = "{address}"',
-            f'zone = "z{number % 2}"',
-            'region = "r"',
-            f"internal_ports = [{self._inner}, {self._inner + 5}]",
-            f"seeds = [{', '.join(seeds)}]",
-        ]
-        if role == "side":
-            lines += [f"app = {ports['app']}", f'service = "{service}"']
-        lines += ["[listen]", f"datagram_addr = {ports['datagrams']}"]
-        lines += [f"ready = {ports['ready']}", f"control = {ports['control']}"]
-        if role == "side":
-            lines.append(f"outbound = {ports['outbound']}")
-        lines += ["[bounds]", "grace_s = 6", "[platform]", f"address = {store}"]
-        path.write_text("\n".join(lines) + "\n")
+        seeds = range(min(3, self.sizes.balancers))
+        node = node_files.Node(
+            name,
+            address,
+            zone=f"z{number % 2}",
+            service=SERVICES[number % 3 // 2] if role == "side" else None,
+            internal_ports=(self._inner, self._inner + 5),
+            seeds=tuple(
+                (self._address(1 + seed), self.ports["control"])
+                for seed in seeds
+            ),
+            store=(self._address(240), self.ports["store"]),
+            port_by_name=self.ports,
+        )
+        path.write_text(node_files.settings(node))
         return programs.Program(f"{_MODULE}.{role}", name, path)
 
     def change_config(self) -> None:
         """Puts a new version with one more idle route, or without them."""
         self._idle_routes = (self._idle_routes + 1) % 4
         routes = [
-            {
-                "name": f"r{number}",
-                "host": host,
-                "prefix": f"/{port}/",
-                "service": SERVICES[number],
-                "target_latency_ms": 100,
-                "timeout_ms": 1000,
-            }
-            for number, (host, port) in enumerate(ROUTES)
+            node_files.route(f"r{number}", address, service)
+            for number, (address, service) in enumerate(
+                zip(ROUTES, SERVICES, strict=True)
+            )
         ]
+        host, _ = ROUTES[0]
         routes += [
-            {
-                **routes[0],
-                "name": f"idle{number}",
-                "prefix": f"/{9000 + number}/",
-            }
+            node_files.route(
+                f"idle{number}", (host, 9000 + number), SERVICES[0]
+            )
             for number in range(self._idle_routes)
         ]
         version = self.store.version + self.random.randint(1, 4)
--- a/bench/soak/targets.py
+++ b/clementinelead/platform/standins/targets.py
@@ -1,17 +1,17 @@
 """Targets: run requests, return foreign packets, announce themselves."""
 
 import asyncio
+import collections
 import json
 import random
 import socket
 import time
 import typing
 
-from bench.soak import audit as audit_module
-from bench.soak import packets
+from clementinelead.platform.standins import packets
 from clementinelead.processes import http_client
 
-__all__ = ["Target"]
+__all__ = ["Target", "Witness"]
 
 WORK_S = (0.004, 0.03)
 HEARTBEAT_S = 0.4
@@ -21,6 +21,22 @@
 """How much longer than it has to a target serves on, as targets do."""
 
 
+class Witness(typing.Protocol):
+    """Hears what a target sees.
+
+    Attributes:
+        outcomes: How attempts ended.
+    """
+
+    outcomes: collections.Counter[str]
+
+    def ran(self, request: str, service: str, own: str, now: float) -> None:
+        """Called when a target of the service ``own`` runs a request."""
+
+    def violate(self, text: str, now: float) -> None:
+        """Called when a promise is broken."""
+
+
 class Target:
     """A server beside a side process; ``serving`` while it lives."""
 
@@ -30,7 +46,7 @@
         service: str,
         address: str,
         ports: typing.Mapping[str, int],
-        audit: audit_module.Audit,
+        audit: Witness,
         generator: random.Random,
     ):
         self.name = name
--- a/tests/test_soak_targets.py
+++ b/tests/test_soak_targets.py
@@ -8,7 +8,7 @@
 
 from bench import ports as ports_module
 from bench.soak import audit
-from bench.soak import targets
+from clementinelead.platform.standins import targets
 
 _ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
