Let a process that is stopped at once learn whether it has a target

Ruled out: the count in the keys, doubt, the other 63 processes (they had denied). Change: a stop that comes before the look for the target waits for it, 0.55 s at most. Test: fails before with an absent target.

--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -104,6 +104,7 @@
         self._ticked_at = self._unheard_since
         self._unheard_s = UNHEARD_HEARTBEATS * settings.heartbeat_s
         self._announced = records.State.COLD
+        self._looked = asyncio.Event()
         self._tick_scheduled = False
         self._loop: asyncio.AbstractEventLoop
         self._answers: datagrams.DatagramSocket
@@ -154,6 +155,8 @@
     async def _linger(self) -> None:
         """Takes no new flow, and waits for the work under way."""
         self.holding.leaving = True
+        if self.holding.lifecycle.current is None:
+            await self._wait_for_look()
         gone = self._target_gone(time.monotonic())
         loguru.logger.bind(
             flows=self.holding.flows, working=self.holding.working, gone=gone
@@ -171,13 +174,26 @@
         Else balancers could not tell callers of lost flows so before the
         target is overdue.
         """
-        if not await target_presence.is_absent(self._target):
+        absent = await target_presence.is_absent(self._target)
+        self._looked.set()
+        if not absent:
             return
         believed = self.holding.on_no_target(time.monotonic())
         loguru.logger.bind(address=self._target[0], believed=believed).info(
             "no target listens"
         )
 
+    async def _wait_for_look(self) -> None:
+        """Lets a process that is stopped at once still learn what it is beside.
+
+        If it said that it drains, searches would wait for it for seconds.
+        """
+        try:
+            async with asyncio.timeout(target_presence.BOUND_S):
+                await self._looked.wait()
+        except TimeoutError:
+            loguru.logger.info("stopped before the target was looked for")
+
     def _target_gone(self, now: float) -> bool:
         """Tells whether the target has ended, as far as one can know.
 
--- a/clementinelead/processes/target_presence.py
+++ b/clementinelead/processes/target_presence.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-__all__ = ["is_absent"]
+__all__ = ["BOUND_S", "is_absent"]
 
 ATTEMPTS = 2
 """Attempts that must all be refused."""
@@ -13,6 +13,9 @@
 TIMEOUT_S = 0.25
 """Deadline of an attempt, seconds; a target that is slow is there."""
 
+BOUND_S = ATTEMPTS * TIMEOUT_S + PAUSE_S
+"""Time after which the answer is there, seconds."""
+
 
 async def is_absent(address: tuple[str, int]) -> bool:
     """Tells whether connections to a target of this machine are refused.
--- a/clementinelead/processes/tests/test_relay_side.py
+++ b/clementinelead/processes/tests/test_relay_side.py
@@ -1,9 +1,12 @@
+import asyncio
+
 import pytest
 
 from clementinelead.memberships import records
 from clementinelead.processes import relay_node
 from clementinelead.processes import relay_side
 from clementinelead.processes import sockets
+from clementinelead.processes import target_presence
 from clementinelead.processes.tests import samples
 from clementinelead.relays import announcements
 from clementinelead.relays.tests import network
@@ -91,3 +94,25 @@
     side.holding.on_no_target(side._ticked_at)
     _wait(side, 0.1)
     assert _state(side) is records.State.COLD
+
+
+@pytest.mark.parametrize(
+    ("absent", "state"),
+    [(True, records.State.LEAVING), (False, records.State.DRAINING)],
+)
+def test_process_stopped_while_it_looks_for_its_target_says_what_it_finds(
+    side, monkeypatch, absent, state
+):
+    async def look(_):
+        await asyncio.sleep(0.1)
+        return absent
+
+    async def stopped():
+        looking = asyncio.create_task(side._look_for_target())
+        await asyncio.sleep(0)
+        await side._linger()
+        await looking
+
+    monkeypatch.setattr(target_presence, "is_absent", look)
+    asyncio.run(stopped())
+    assert _state(side) is state
