--- a/clementinelead/processes/joining.py
+++ b/clementinelead/processes/joining.py
@@ -136,11 +136,10 @@
             peers = self._gossiper.peers()
             if not peers:
                 continue
-            before = self._gossiper.table.digest
-            if not await self.sync(self._random.choice(peers).address):
+            view = await self.sync(self._random.choice(peers).address)
+            if view is None:
                 continue
-            same = self._gossiper.table.digest == before
-            agreed = agreed + 1 if same else 0
+            agreed = agreed + 1 if view.same else 0
             if agreed == AGREED:
                 return
 
@@ -170,24 +169,24 @@
             seeds=len(self._seeds),
         ).info(event)
 
-    async def sync(self, host: str) -> bool:
+    async def sync(self, host: str) -> member_exchange.View | None:
         """Exchanges members with a peer and takes its routes if newer.
 
         Args:
             host: IP address of the peer.
 
         Returns:
-            Whether the peer has answered.
+            What the peer has told, None if it has not answered.
         """
         scope = member_exchange.Scope.WHOLE
         if self.viewed:
             scope = member_exchange.Scope.DIFFERENCE
         view = await self._exchange.ask(host, PEER_TIMEOUT_S, scope)
         if view is None:
-            return False
+            return None
         self._merge(view)
         await self._routes.fetch(host)
-        return True
+        return view
 
     async def _ask_seed(self, seed: str, timeout_s: float) -> bool:
         """Learns the members through a seed, or through whom it names.
@@ -208,7 +207,8 @@
                 for record in view.records
                 if record.address != own and not members.ended(record)
             ]
-            return await self.sync(self._random.choice(others or [seed]))
+            told = await self.sync(self._random.choice(others or [seed]))
+            return told is not None
         await self._routes.fetch(seed)
         return True
 
--- a/clementinelead/processes/member_exchange.py
+++ b/clementinelead/processes/member_exchange.py
@@ -53,10 +53,12 @@
     Attributes:
         records: Records of members and of former processes.
         whole: Whether all that differs is among them.
+        same: Whether its view was the same, so that nothing was told.
     """
 
     records: tuple[records.Record, ...]
     whole: bool
+    same: bool = False
 
 
 class Exchange:
@@ -112,7 +114,7 @@
                 if buckets is None:
                     return None
                 if not buckets:
-                    return View((), True)
+                    return View((), whole=True, same=True)
                 query += f"&buckets={','.join(map(str, buckets))}"
                 if gossiper.announced:
                     told = self._some_of(buckets)
