--- a/clementinelead/processes/joining.py
+++ b/clementinelead/processes/joining.py
@@ -36,6 +36,13 @@
 AGREED = 2
 """Peers in a row with the same view after which comparisons end."""
 
+MIN_RESYNC_S = 2.0
+"""Time in which comparisons go on although views agree, seconds.
+
+Processes that start together know each other in groups before that, and two
+of a group agree on what only they know.
+"""
+
 FIRST_TIMEOUT_S = 0.2
 """Deadline of the first question to a seed, seconds; it doubles.
 
@@ -130,6 +137,7 @@
         """Compares views until some peers in a row have the same one."""
         pause = FIRST_RESYNC_S
         agreed = 0
+        earliest_end = time.monotonic() + MIN_RESYNC_S
         for _ in range(MAX_RESYNCS):
             await asyncio.sleep(pause * (0.5 + self._random.random()))
             pause *= RESYNC_GROWTH
@@ -140,7 +148,7 @@
             if view is None:
                 continue
             agreed = agreed + 1 if view.same else 0
-            if agreed == AGREED:
+            if agreed >= AGREED and time.monotonic() >= earliest_end:
                 return
 
     async def join_through(self, seed: str) -> None:
