--- a/clementinelead/platform/tests/test_launch.py
+++ b/clementinelead/platform/tests/test_launch.py
@@ -62,6 +62,17 @@
         return base
 
 
+def _settings_file(folder):
+    """Writes settings; returns the file and its ports by name."""
+    base = _free_row()
+    ports = {"base": base, "last": base + 2}
+    for name in ("app", "callers", "outbound", "control", "store"):
+        ports[name] = _free_port()
+    file = folder / "node.toml"
+    file.write_text(SETTINGS.format(**ports))
+    return file, ports
+
+
 def _modules(module):
     """Returns how many modules an import loads, in a process of its own."""
     code = f"import sys, {module}; print(len(sys.modules))"
@@ -80,13 +91,7 @@
 def test_heartbeat_that_comes_while_the_program_loads_is_acknowledged(
     tmp_path,
 ):
-    base = _free_row()
-    ports = {
-        name: _free_port()
-        for name in ("app", "callers", "outbound", "control", "store")
-    }
-    file = tmp_path / "node.toml"
-    file.write_text(SETTINGS.format(base=base, last=base + 2, **ports))
+    file, ports = _settings_file(tmp_path)
     module = tmp_path / "slow_side.py"
     module.write_text(SLOW_MODULE.format(pause=1.0))
     process = subprocess.Popen(
@@ -120,15 +125,9 @@
 
 
 def test_taken_port_is_said(monkeypatch, tmp_path, capsys):
-    base = _free_row()
-    ports = {
-        name: _free_port()
-        for name in ("app", "callers", "outbound", "control", "store")
-    }
-    file = tmp_path / "node.toml"
-    file.write_text(SETTINGS.format(base=base, last=base + 2, **ports))
+    file, ports = _settings_file(tmp_path)
     monkeypatch.setenv(settings.FILE_VARIABLE, str(file))
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
-        other.bind((HOST, base))
+        other.bind((HOST, ports["base"]))
         assert launch.launch("no_module") == launch.EXIT_PORT_TAKEN
     assert "can't start" in capsys.readouterr().err
--- a/clementinelead/relays/tests/test_completeness.py
+++ b/clementinelead/relays/tests/test_completeness.py
@@ -66,37 +66,30 @@
     assert joined.since == 103.0 + VIEW_S
 
 
-def test_few_of_many_are_given_up_when_no_more_appear(joined):
+@pytest.mark.parametrize(
+    ("serving", "before"),
+    [
+        (48, 50),
+        (9, 10),  # a target that left while the store was away still counts
+    ],
+)
+def test_few_are_given_up_when_no_more_appear(joined, serving, before):
     joined.on_appeared(100.5)
-    joined.compare(48, 0, 50, 100.6)
+    joined.compare(serving, 0, before, 100.6)
     assert joined.since > 100.6
     late = 100.5 + completeness.CALM_S
-    joined.compare(48, 0, 50, late)
+    joined.compare(serving, 0, before, late)
     assert joined.since == late
 
 
-@pytest.mark.parametrize(("serving", "before"), [(47, 50), (4, 5)])
+@pytest.mark.parametrize(
+    ("serving", "before"), [(47, 50), (4, 5), (8, 10), (8, 9), (18, 20)]
+)
 def test_more_of_them_are_waited_for(joined, serving, before):
     joined.compare(serving, 0, before, 103.0)
     assert joined.since == 100.0 + VIEW_S
 
 
-def test_one_of_ten_is_given_up_when_no_more_appear(joined):
-    # Its target had left while the store was away, so the keys still count it.
-    joined.on_appeared(100.5)
-    joined.compare(9, 0, 10, 100.6)
-    assert joined.since > 100.6
-    late = 100.5 + completeness.CALM_S
-    joined.compare(9, 0, 10, late)
-    assert joined.since == late
-
-
-@pytest.mark.parametrize(("serving", "before"), [(8, 10), (8, 9), (18, 20)])
-def test_two_of_ten_or_one_of_nine_are_waited_for(joined, serving, before):
-    joined.compare(serving, 0, before, 103.0)
-    assert joined.since == 100.0 + VIEW_S
-
-
 def test_denials_count_after_a_loss_of_all_though_some_stay_away(joined):
     # Targets that left while the store was away are still counted.
     joined.on_appeared(100.5)
--- a/clementinelead/relays/tests/test_holding.py
+++ b/clementinelead/relays/tests/test_holding.py
@@ -23,6 +23,15 @@
     return side
 
 
+def _opened_all(count):
+    """Opens some flows at one target."""
+    net = network.Network(targets=1)
+    keys = [network.flow_key(number) for number in range(1, count + 1)]
+    for key in keys:
+        _opened(net, key)
+    return net, _side(net), keys
+
+
 def _request(side, key, now, sequence=1):
     data = network.packet(
         key, sequence=sequence, acknowledgement=501, length=10
@@ -207,11 +216,7 @@
 def test_answers_out_of_turn_do_not_make_a_target_look_quick():
     # A target with two slots works on two requests for 0.1 s and turns others
     # away after 0.02 s in its queue.
-    net = network.Network(targets=1)
-    keys = [network.flow_key(number) for number in range(1, 12)]
-    side = None
-    for key in keys:
-        side = _opened(net, key)
+    net, side, keys = _opened_all(11)
     begun = net.now
     for key in keys:
         _request(side, key, begun)
@@ -224,11 +229,7 @@
 
 
 def test_queued_requests_that_are_answered_in_turn_are_learned_from():
-    net = network.Network(targets=1)
-    keys = [network.flow_key(number) for number in range(1, 7)]
-    side = None
-    for key in keys:
-        side = _opened(net, key)
+    net, side, keys = _opened_all(6)
     begun = net.now
     for key in keys:
         _request(side, key, begun)
@@ -239,11 +240,7 @@
 
 
 def test_requests_that_are_given_up_do_not_put_later_ones_out_of_turn():
-    net = network.Network(targets=1)
-    keys = [network.flow_key(number) for number in range(1, 6)]
-    side = None
-    for key in keys:
-        side = _opened(net, key)
+    net, side, keys = _opened_all(5)
     for key in keys[:4]:
         _request(side, key, net.now)
     for key in keys[:4]:
