Drop a result that was always empty; name what all started anew

Searches send nothing when they begin, so find returned an empty list to three callers; young said nothing of when.

--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -34,7 +34,7 @@
 TURN_STEPS = 64
 """Datagrams handled before other work of the process gets a turn."""
 
-YOUNG_MS = 10_000
+SAME_START_MS = 10_000
 """How much earlier a side process may have started in the same loss of all.
 
 Milliseconds by clocks that may differ by seconds.
@@ -280,15 +280,15 @@
                 sides.missing,
                 count.before,
                 now,
-                self._sides_are_young(),
+                self._sides_started_anew(),
             )
         self._tell_completeness()
 
-    def _sides_are_young(self) -> bool:
+    def _sides_started_anew(self) -> bool:
         """Tells whether all side processes have started with this one."""
         own = self.node.gossiper.own
         return all(
-            record.incarnation >= own.incarnation - YOUNG_MS
+            record.incarnation >= own.incarnation - SAME_START_MS
             for record in self.node.gossiper.table.living()
             if record.role is records.Role.SIDE
         )
--- a/clementinelead/relays/completeness.py
+++ b/clementinelead/relays/completeness.py
@@ -46,7 +46,7 @@
     Attributes:
         since: From when on all are known, seconds; infinite before the join.
         denials_count_from: From when on a flow is surely nowhere if all
-            known ones, all of them young, know that they don't have it.
+            known ones, all just started, know that they don't have it.
     """
 
     def __init__(self) -> None:
@@ -82,7 +82,7 @@
         missing: int,
         before: int,
         now: float,
-        young: bool = False,
+        all_started_anew: bool = False,
     ) -> None:
         """Compares the side processes with how many there were before.
 
@@ -94,7 +94,7 @@
             missing: Known ones that died and may come back.
             before: How many there were, 0 if that is not known.
             now: Present time, seconds.
-            young: Whether all that serve have started with this process.
+            all_started_anew: Whether all that serve have started with this process.
         """
         if self.reached(now) or self.since == float("inf"):
             return
@@ -107,5 +107,7 @@
         enough = serving >= before - spared
         if serving == before or (calm and enough):
             self.since = now
-        elif calm and young and serving >= before * (1.0 - LOST_SHARE):
+        elif (
+            calm and all_started_anew and serving >= before * (1.0 - LOST_SHARE)
+        ):
             self.denials_count_from = min(self.denials_count_from, now)
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -33,7 +33,7 @@
 _Kind = frames.Kind
 _Address = tuple[str, int]
 _Search = collections.abc.Callable[
-    [formats.Segment, frozenset[str], bytes, float], list[outcomes.Outcome]
+    [formats.Segment, frozenset[str], bytes, float], None
 ]
 
 
@@ -271,7 +271,8 @@
         if copied or placement.may_be_open or placement.sent_to:
             self._report_decision(key, placement, "searched for", now)
             services = frozenset((placement.service,))
-            return self._search(segment, services, placement.packet, now)
+            self._search(segment, services, placement.packet, now)
+            return []
         inputs: dict[str, object] = {
             "service": placement.service,
             "age_ms": round((now - placement.begun) * 1000, 1),
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -77,7 +77,7 @@
         services: frozenset[str],
         data: bytes,
         now: float,
-    ) -> list[outcomes.Outcome]:
+    ) -> None:
         """Begins or joins a search for the owner of a flow.
 
         Args:
@@ -91,16 +91,15 @@
         if search is not None:
             if len(search.packets) < MAX_PACKETS:
                 search.packets.append(data)
-            return []
+            return
         returned: frozenset[_Address] = frozenset()
         last = self._unresolved.get(key)
         if last is not None:
             if last.due > now:
                 self._counts.add("unknown_flow")
-                return []
+                return
             returned = last.search.returned
         self._begin(segment, services, data, returned, 0, now)
-        return []
 
     def _begin(
         self,
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -165,7 +165,8 @@
             return self._follow(flow, segment, data, now)
         if segment.opens:
             return self._open(segment, data, now, now < self._doubted_until)
-        return self._find(segment, data, now)
+        self._find(segment, data, now)
+        return []
 
     def _note_activity(self, now: float) -> None:
         """Notices that this process has been frozen.
@@ -194,7 +195,8 @@
             if not flow.settle(segment.acknowledgement):
                 self.counts.add("opened_elsewhere")
                 self._cache.forget(segment.key)
-                return self._find(segment, data, now)
+                self._find(segment, data, now)
+                return []
         flow.last = now
         if segment.closes or segment.resets:
             flow.closing = True
@@ -224,15 +226,13 @@
             return []
         return [self._placer.refuse(segment, "no route", {})]
 
-    def _find(
-        self, segment: formats.Segment, data: bytes, now: float
-    ) -> list[outcomes.Outcome]:
+    def _find(self, segment: formats.Segment, data: bytes, now: float) -> None:
         """Searches for the owner of a flow."""
         address = self._format.service_address(segment.key)
         route = self._by_address.get(address)
         shares = route.shares if route is not None else ()
         services = frozenset(share.service for share in shares)
-        return self._searcher.find(segment, services, data, now)
+        self._searcher.find(segment, services, data, now)
 
     # Answers of peers and the passing of time.
 
@@ -315,7 +315,8 @@
         if segment is None or segment.key != frame.key:
             self.counts.add("malformed_frame")
             return []
-        return self._find(segment, frame.payload, now)
+        self._find(segment, frame.payload, now)
+        return []
 
     # The passing of time.
 
--- a/clementinelead/relays/tests/test_completeness.py
+++ b/clementinelead/relays/tests/test_completeness.py
@@ -94,15 +94,15 @@
     # Targets that left while the store was away are still counted.
     joined.on_appeared(100.5)
     calm = 100.5 + completeness.CALM_S
-    joined.compare(63, 0, 70, calm - 0.1, young=True)
+    joined.compare(63, 0, 70, calm - 0.1, all_started_anew=True)
     assert joined.denials_count_from == float("inf")
-    joined.compare(63, 0, 70, calm, young=True)
+    joined.compare(63, 0, 70, calm, all_started_anew=True)
     assert joined.denials_count_from == calm
     assert joined.since == 100.5 + VIEW_S
 
 
 @pytest.mark.parametrize(
-    ("serving", "missing", "before", "young"),
+    ("serving", "missing", "before", "anew"),
     [
         (63, 0, 70, False),  # the others ran on, and know all their flows
         (50, 0, 70, True),  # too many are away
@@ -110,13 +110,13 @@
         (63, 0, 0, True),  # nobody knows how many there were
     ],
 )
-def test_denials_that_prove_nothing(joined, serving, missing, before, young):
-    joined.compare(serving, missing, before, 103.0, young)
+def test_denials_that_prove_nothing(joined, serving, missing, before, anew):
+    joined.compare(serving, missing, before, 103.0, anew)
     assert joined.denials_count_from == float("inf")
 
 
 def test_denials_count_no_longer_when_one_more_appears(joined):
-    joined.compare(9, 0, 11, 102.0, young=True)
+    joined.compare(9, 0, 11, 102.0, all_started_anew=True)
     assert joined.denials_count_from == 102.0
     joined.on_appeared(102.5)
     assert joined.denials_count_from == float("inf")
--- a/clementinelead/relays/tests/test_searching.py
+++ b/clementinelead/relays/tests/test_searching.py
@@ -258,7 +258,7 @@
     assert [type(send) for send in sends] == [outcomes.ToCaller]
 
 
-def test_denials_of_all_that_are_young_are_enough(balancer):
+def test_denials_of_all_that_have_started_anew_are_enough(balancer):
     balancer.set_complete_from(float("inf"))
     balancer.set_denials_count_from(BEGIN)
     key = _search(balancer, 1, BEGIN)
