Keep new flows off evacuated zones and limit them at cold targets

The rate that a cold target bears is read nowhere, and a target that cools down without a restart counts as warm.

A balancer is ready only once it knows the evacuated zones. * relays/warmup_limit.py: sliding limit beside each target. What it can't know counts as used: flows before its own start, missing heartbeats, the time until two heartbeats after an evacuation. * Each heartbeat sets the warm-up time, not only the first one.

Measured so far: unit tests only; each barrier keeps zones empty with the other one removed, and its tests fail without it.

--- a/clementinelead/messages/control.capnp
+++ b/clementinelead/messages/control.capnp
@@ -61,6 +61,13 @@
   }
   freeSlots @15 :UInt16 = 65535; # of a side process's target; 65535: unknown
   completionMs @16 :UInt32;      # time to completion of a flow accepted now
+  evacuations @17 :Evacuations;  # as known to the sender
+}
+
+struct Evacuations {
+  era @0 :UInt64;       # store era of the revision
+  revision @1 :UInt64;  # store revision at which the zones were read; 0: unknown
+  zones @2 :List(Text); # evacuated availability zones
 }
 
 struct PingRequest {
--- a/clementinelead/messages/controls.py
+++ b/clementinelead/messages/controls.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from clementinelead import exceptions
+from clementinelead.memberships import evacuations
 from clementinelead.memberships import records
 
 __all__ = [
@@ -184,6 +185,7 @@
         records: Membership records that have changed.
         body: Request or reply that the message carries.
         load: Load of the sender's target, None if it reports none.
+        evacuated: Evacuated zones as known to the sender.
     """
 
     sender: str
@@ -194,6 +196,7 @@
     records: tuple[records.Record, ...]
     body: Body
     load: TargetLoad | None = None
+    evacuated: evacuations.EvacuationState = evacuations.UNKNOWN
 
 
 def _address_number(address: str) -> int:
@@ -295,6 +298,36 @@
     return TargetLoad(reader.freeSlots, reader.completionMs)
 
 
+def _write_evacuations(
+    message: object, state: evacuations.EvacuationState
+) -> None:
+    if not state.is_known:
+        return
+    builder: capnp.lib.capnp._DynamicStructBuilder = message
+    entry = builder.init("evacuations")
+    entry.era = state.era
+    entry.revision = state.revision
+    entry.zones = sorted(state.zones)
+
+
+def _read_evacuations(message: object) -> evacuations.EvacuationState:
+    """Returns the state in a message.
+
+    Raises:
+        exceptions.MalformedMessageError: It has too many zones or a zone whose
+            name is empty or too long.
+    """
+    reader: capnp.lib.capnp._DynamicStructReader = message
+    entry = reader.evacuations
+    if not entry.revision:
+        return evacuations.UNKNOWN
+    _check_length(entry.zones, evacuations.MAX_ZONES)
+    zones = frozenset(entry.zones)
+    if not all(evacuations.is_valid_zone(zone) for zone in zones):
+        raise exceptions.MalformedMessageError("invalid name of a zone")
+    return evacuations.EvacuationState(entry.era, entry.revision, zones)
+
+
 def _check_length(items: typing.Sized, max_items: int) -> None:
     if len(items) > max_items:
         raise exceptions.MalformedMessageError(
@@ -351,6 +384,7 @@
         records=[_record_fields(record) for record in control.records],
     )
     _write_body(message, control.body)
+    _write_evacuations(message, control.evacuated)
     return bytes(message.to_bytes_packed())
 
 
@@ -380,6 +414,7 @@
             records=tuple(_read_record(entry) for entry in message.records),
             body=_read_body(message, max_items),
             load=_read_load(message),
+            evacuated=_read_evacuations(message),
         )
     except (capnp.KjException, ValueError, OverflowError) as error:
         raise exceptions.MalformedMessageError(str(error)) from error
--- a/clementinelead/platform/balancer_program.py
+++ b/clementinelead/platform/balancer_program.py
@@ -29,7 +29,7 @@
         node_settings.relay,
         node_settings.fabric_endpoint,
         packets.PlatformFormat(node_settings.caller_port),
-        store.ConfigSource(client),
+        store.ConfigSource(client, node_settings.zones),
         store.ContactStore(client),
         bound_sockets,
     )
--- a/clementinelead/platform/configs.py
+++ b/clementinelead/platform/configs.py
@@ -1,5 +1,8 @@
 """Decoder of the operator's configuration into a routing table."""
 
+import collections.abc
+
+import loguru
 import msgspec
 
 from clementinelead.platform import packets
@@ -9,6 +12,9 @@
 
 _MS_PER_S = 1000.0
 
+_MAX_WARMUP_PER_S = 1e6
+"""Highest rate that is accepted, requests a second; more is no limit."""
+
 
 class _Share(msgspec.Struct):
     service: str
@@ -31,10 +37,18 @@
     idle_timeout_ms: float = routes.DEFAULT_IDLE_TIMEOUT_S * _MS_PER_S
 
 
+class _Service(msgspec.Struct):
+    name: str
+    # Requests a second that a cold target bears; 0 for no limit.
+    warmup_per_s: float = 0.0
+
+
 class _Config(msgspec.Struct):
     version: int
     routes: list[_Route]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Decoded one by one, so that a malformed one does not affect the others.
+    services: list[msgspec.Raw] = []
 
 
 def decode(data: bytes) -> routes.RoutingTable:
@@ -55,9 +69,29 @@
         version=config.version,
         routes=tuple(_converted(route) for route in config.routes),
         idle_timeout_s=config.limits.idle_timeout_ms / _MS_PER_S,
+        warmup_rates=tuple(_warmup_rates(config.services)),
     )
 
 
+def _warmup_rates(
+    services: list[msgspec.Raw],
+) -> collections.abc.Iterator[routes.WarmupRate]:
+    """Yields the rates of services that have one; logs malformed ones."""
+    for position, content in enumerate(services):
+        try:
+            service = msgspec.json.decode(content, type=_Service)
+            rate = service.warmup_per_s
+            if not 0 <= rate <= _MAX_WARMUP_PER_S:
+                raise ValueError(f"warmup_per_s {rate} is out of range")
+        except ValueError as error:
+            loguru.logger.bind(
+                place=f"services[{position}]", reason=str(error)
+            ).warning("warm-up rate ignored")
+            continue
+        if rate > 0:
+            yield routes.WarmupRate(service.name, rate)
+
+
 def _converted(route: _Route) -> routes.Route:
     """Returns a route in the form that the relays use.
 
--- /dev/null
+++ b/clementinelead/platform/items.py
@@ -0,0 +1,21 @@
+"""Items of the platform's metadata store."""
+
+import msgspec
+
+__all__ = ["Item"]
+
+
+class Item(msgspec.Struct, frozen=True):
+    """A key of the store, or its deletion.
+
+    Attributes:
+        key: The key.
+        revision: Revision of the store at its last change.
+        value: Value in standard base64, empty if deleted.
+        deleted: Whether the change was a deletion.
+    """
+
+    key: str
+    revision: int
+    value: str = ""
+    deleted: bool = False
--- a/clementinelead/platform/settings.py
+++ b/clementinelead/platform/settings.py
@@ -9,6 +9,7 @@
 
 from clementinelead import exceptions
 from clementinelead.processes import relay_settings
+from clementinelead.relays import warmup_limit
 
 __all__ = ["NodeSettings", "load"]
 
@@ -36,6 +37,9 @@
 
 class _Bounds(msgspec.Struct):
     grace_s: float = 6.0
+    # Factor on, and requests beyond, the rate that a cold target bears.
+    warmup_overshoot: float | None = None
+    warmup_slack: float = 0.0
 
 
 class _File(msgspec.Struct):
@@ -50,6 +54,7 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     app: str = ""  # UDP and TCP; the target of this side process
     service: str = ""
+    zones: dict[str, str] = {}  # region by availability zone
     heartbeat_ms: float = 1000.0
     bootstrap: bool = False  # true for the first start of the whole system
 
@@ -74,6 +79,7 @@
         store_endpoint: IP address and TCP port of the platform's metadata
             store.
         caller_port: UDP port on which all callers receive packets.
+        zones: Availability zones of the deployment.
     """
 
     relay: relay_settings.RelaySettings
@@ -85,6 +91,7 @@
     heartbeat_endpoint: tuple[str, int] | None
     store_endpoint: tuple[str, int]
     caller_port: int
+    zones: frozenset[str] = frozenset()
 
 
 def load() -> NodeSettings:
@@ -136,6 +143,7 @@
         stop_s=file.bounds.grace_s,
         heartbeat_s=file.heartbeat_ms / _MS_PER_S,
         first_start=file.bootstrap,
+        warmup_bound=_warmup_bound(file.bounds),
     )
     return NodeSettings(
         relay=relay,
@@ -147,6 +155,19 @@
         heartbeat_endpoint=_optional_endpoint(file.listen.control),
         store_endpoint=store_endpoint,
         caller_port=fabric_endpoint[1],
+        zones=frozenset(file.zones),
+    )
+
+
+def _warmup_bound(bounds: _Bounds) -> warmup_limit.WarmupBound | None:
+    """Returns the bound on flows at cold targets, None if there is none.
+
+    Negative figures count as 0.
+    """
+    if bounds.warmup_overshoot is None:
+        return None
+    return warmup_limit.WarmupBound(
+        max(0.0, bounds.warmup_overshoot), max(0.0, bounds.warmup_slack)
     )
 
 
--- a/clementinelead/platform/tests/test_configs.py
+++ b/clementinelead/platform/tests/test_configs.py
@@ -49,6 +49,37 @@
     assert single_route.select_service(b"any") == "whois"
 
 
+def test_warm_up_rates_are_those_of_services_that_have_one():
+    services = [
+        {"name": "whois", "warmup_per_s": 12.5},
+        {"name": "export", "warmup_per_s": 0.0},
+        {"name": "other"},
+    ]
+    table = configs.decode(_config(services=services))
+    assert table.warmup_flows_per_s("whois") == 12.5
+    assert table.warmup_flows_per_s("export") == 0.0
+    assert table.warmup_rates == (routes.WarmupRate("whois", 12.5),)
+
+
+@pytest.mark.parametrize(
+    "service",
+    [
+        {"name": "bad", "warmup_per_s": -1},
+        {"name": "bad", "warmup_per_s": "12"},
+        {"name": "bad", "warmup_per_s": 1e300},
+        {"name": "bad", "warmup_per_s": None},
+        {"warmup_per_s": 3},
+        "bad",
+        None,
+    ],
+)
+def test_service_with_an_invalid_rate_is_left_out(service):
+    services = [service, {"name": "whois", "warmup_per_s": 2}]
+    table = configs.decode(_config(services=services))
+    assert table.warmup_rates == (routes.WarmupRate("whois", 2.0),)
+    assert len(table.routes) == 2
+
+
 def test_unknown_fields_are_ignored():
     assert configs.decode(_config(unknown=[1])).version == 7
 
--- a/clementinelead/platform/tests/test_heartbeats.py
+++ b/clementinelead/platform/tests/test_heartbeats.py
@@ -1,4 +1,5 @@
 import json
+import time
 
 import pytest
 
@@ -99,3 +100,14 @@
 def test_heartbeat_for_another_service_is_rejected(respond):
     assert respond("PUT", "i-1", {**HEARTBEAT, "service": "export"}) == 409
     assert not respond.side.target_relay.accepting
+
+
+def test_target_that_cools_down_without_a_restart_is_slower(respond):
+    workload = respond.side.target_relay.workload
+    warm = {**HEARTBEAT, "warmup_left_ms": 0}
+    respond("PUT", "i-1", warm)
+    warm_ms = workload.completion_ms(time.monotonic())
+    respond("PUT", "i-1", {**HEARTBEAT, "sequence": 5})
+    assert workload.completion_ms(time.monotonic()) > warm_ms
+    respond("PUT", "i-1", {**warm, "sequence": 6})
+    assert workload.completion_ms(time.monotonic()) == warm_ms
--- a/clementinelead/platform/tests/test_store.py
+++ b/clementinelead/platform/tests/test_store.py
@@ -11,6 +11,7 @@
 from clementinelead.processes import sockets
 
 HOST = "127.0.0.1"
+ZONES = frozenset(("north-a", "north-b"))
 CONTACT = contact_keys.Contact("10.0.0.1", 5)
 
 
@@ -91,7 +92,9 @@
         stand_in = StandIn()
         site = http_site.HttpSite()
         for method in ("GET", "POST"):
-            site.add_handler(method, "/", stand_in.respond)
+            site.add_handler(
+                method, "/", lambda request: stand_in.respond(request)
+            )
         await site.start(sockets.PreboundSockets().claim_tcp((HOST, 0)))
         try:
             client = store.StoreClient((HOST, site.port))
@@ -108,7 +111,7 @@
 
 def test_configuration_is_read_then_watched():
     async def exchange(stand_in, client):
-        source = store.ConfigSource(client)
+        source = store.ConfigSource(client, ZONES)
         stand_in.put("op/config", _config(3))
         first = await source.next()
         stand_in.put("op/config", _config(5))
@@ -117,12 +120,14 @@
     first, second, calls = _run(exchange)
     assert first.table.version == 3
     assert second.table.version == 5
-    assert [path for _, path in calls] == ["/kv-key", "/kv-watch"]
+    paths = [path for _, path in calls]
+    assert sorted(paths[:2]) == ["/kv-key", "/kv-range"]
+    assert paths[2:] == ["/kv-watch"]
 
 
 def test_configuration_is_read_again_after_a_watch_is_gone():
     async def exchange(stand_in, client):
-        source = store.ConfigSource(client)
+        source = store.ConfigSource(client, ZONES)
         stand_in.put("op/config", _config(3))
         await source.next()
         stand_in.response = http_site.Response(410)
@@ -147,7 +152,7 @@
 def test_unusable_answers_to_a_read_are_failures(response):
     async def exchange(stand_in, client):
         stand_in.response = response
-        return await store.ConfigSource(client).next()
+        return await store.ConfigSource(client, ZONES).next()
 
     assert isinstance(_run(exchange), route_watch.Failed)
 
@@ -155,15 +160,80 @@
 @pytest.mark.parametrize("value", [b"garbage", b'{"version": "x"}', b""])
 def test_malformed_configuration_is_reported_as_unchanged(value):
     async def exchange(stand_in, client):
+        source = store.ConfigSource(client, ZONES)
         stand_in.put("op/config", value)
-        return await store.ConfigSource(client).next()
+        return await source.next(), await source.next()
 
-    assert isinstance(_run(exchange), route_watch.Unchanged)
+    read, watched = _run(exchange)
+    assert read.table is None
+    assert read.evacuated.is_known
+    assert isinstance(watched, route_watch.Unchanged)
+
+
+def test_evacuated_zones_are_read_then_watched():
+    async def exchange(stand_in, client):
+        source = store.ConfigSource(client, ZONES)
+        stand_in.put("op/config", _config(3))
+        stand_in.put("op/evacuate/north-a", b"{}")
+        first = await source.next()
+        deleted = {"key": "op/evacuate/north-a", "revision": 13}
+        events = [{**deleted, "deleted": True}]
+        stand_in.kv_watch = lambda *_: (
+            200,
+            {"events": events, "current_rev": 15},
+        )
+        return first, await source.next()
+
+    first, second = _run(exchange)
+    assert first.evacuated.zones == {"north-a"}
+    assert first.evacuated.revision == 12
+    assert second.table is None
+    assert second.evacuated.zones == frozenset()
+    assert second.evacuated.revision == 13
+
+
+def test_watch_continues_from_the_older_of_both_reads():
+    # An evacuation between the reads must not be missed.
+    async def exchange(stand_in, client):
+        source = store.ConfigSource(client, ZONES)
+        stand_in.put("op/config", _config(3))
+        await source.next()
+        watched_after = []
+
+        def watch(request, _):
+            watched_after.append(int(request.query["after"]))
+            return 200, {"events": [], "current_rev": 20}
+
+        stand_in.kv_watch = watch
+        await source.next()
+        return watched_after
+
+    assert _run(exchange) == [9]
+
+
+def test_reads_of_different_eras_are_a_failure():
+    async def exchange(stand_in, client):
+        source = store.ConfigSource(client, ZONES)
+        stand_in.put("op/config", _config(3))
+        eras = iter((1, 2))
+        respond = stand_in.respond
+
+        def respond_in_next_era(request):
+            stand_in.era = next(eras, 2)
+            return respond(request)
+
+        stand_in.respond = respond_in_next_era
+        site_outcome = await source.next()
+        return site_outcome, await source.next()
+
+    first, second = _run(exchange)
+    assert isinstance(first, route_watch.Failed)
+    assert second.evacuated.era == 2
 
 
 def test_other_key_with_the_same_prefix_is_ignored():
     async def exchange(stand_in, client):
-        source = store.ConfigSource(client)
+        source = store.ConfigSource(client, ZONES)
         stand_in.put("op/config", _config(3))
         await source.next()
         del stand_in.items["op/config"]
@@ -262,7 +332,7 @@
     # The revisions of the restored copy exceed the last one before the next
     # watch, so the store does not answer 410 and has no event for the watch.
     async def exchange(stand_in, client):
-        source = store.ConfigSource(client)
+        source = store.ConfigSource(client, ZONES)
         stand_in.era = 1
         stand_in.put("op/config", _config(3))
         await source.next()
@@ -277,7 +347,7 @@
 
 def test_era_change_in_another_call_causes_a_new_read():
     async def exchange(stand_in, client):
-        source = store.ConfigSource(client)
+        source = store.ConfigSource(client, ZONES)
         keys = store.ContactStore(client)
         stand_in.era = 1
         stand_in.put("op/config", _config(3))
@@ -317,7 +387,7 @@
         before = keys.lost
         stand_in.era = 2
         stand_in.put("op/config", _config(3))
-        await store.ConfigSource(client).next()
+        await store.ConfigSource(client, ZONES).next()
         return before, keys.lost
 
     assert _run(exchange) == (False, True)
@@ -346,7 +416,7 @@
 
 def test_delayed_answer_of_an_older_era_is_rejected():
     async def exchange(stand_in, client):
-        source = store.ConfigSource(client)
+        source = store.ConfigSource(client, ZONES)
         stand_in.era = 2
         stand_in.put("op/config", _config(5))
         await source.next()
@@ -363,7 +433,7 @@
 @pytest.mark.parametrize("invalid_era", ["", "x", "-1", "3.0", "9" * 40])
 def test_invalid_era_is_ignored(invalid_era):
     async def exchange(stand_in, client):
-        source = store.ConfigSource(client)
+        source = store.ConfigSource(client, ZONES)
         stand_in.era = 1
         stand_in.put("op/config", _config(3))
         await source.next()
--- a/clementinelead/processes/control_channel.py
+++ b/clementinelead/processes/control_channel.py
@@ -11,6 +11,7 @@
 from clementinelead import exceptions
 from clementinelead.memberships import authentication
 from clementinelead.memberships import budgets
+from clementinelead.memberships import evacuations
 from clementinelead.memberships import gossip
 from clementinelead.memberships import outgoing
 from clementinelead.messages import controls
@@ -47,6 +48,9 @@
         receiver: Receiver,
         revision: collections.abc.Callable[[], int],
         load: collections.abc.Callable[[], controls.TargetLoad | None],
+        evacuated: collections.abc.Callable[
+            [], evacuations.EvacuationState
+        ] = lambda: evacuations.UNKNOWN,
     ):
         """Creates a channel, which ``open`` connects to a socket.
 
@@ -57,6 +61,7 @@
             revision: Returns the revision in force, sent with each message.
             load: Returns the target's load, sent with each message; None for
                 a process without a target.
+            evacuated: Returns the evacuated zones, sent with each message.
         """
         self.counters = counters.CounterSet()
         self._gossiper = gossiper
@@ -64,6 +69,7 @@
         self._receiver = receiver
         self._get_revision = revision
         self._get_load = load
+        self._get_evacuated = evacuated
         self.flow_budget = budgets.ByteBudget(
             gossiper.options.bytes_per_s,
             gossip.BUDGET_BURST_S,
@@ -112,6 +118,7 @@
             records=message.records,
             body=message.body,
             load=self._get_load(),
+            evacuated=self._get_evacuated(),
         )
         data = self._sealer.seal(controls.encode(control))
         self.counters.add("sent")
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -141,7 +141,10 @@
             or self.node.is_isolated
         ):
             return False
-        return self.node.routes.table.version > 0
+        return (
+            self.node.routes.table.version > 0
+            and self.node.evacuations.state.is_known
+        )
 
     def serve_readiness(self, _: http_site.Request) -> http_site.Response:
         """Returns the response to a readiness check of the fabric."""
@@ -342,6 +345,15 @@
         """
         self.steering.set_routes(table)
 
+    def on_evacuations(self, zones: frozenset[str], now: float) -> None:
+        """Puts evacuations in force.
+
+        Args:
+            zones: Names of the evacuated zones.
+            now: Present time, seconds.
+        """
+        self.steering.set_evacuated_zones(zones)
+
     def on_members(self, changes: list[members.Change], now: float) -> None:
         """Updates the targets of services whose side processes have changed.
 
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -20,6 +20,7 @@
 from clementinelead.memberships import zone_dissemination
 from clementinelead.messages import controls
 from clementinelead.processes import control_channel
+from clementinelead.processes import evacuation_exchange
 from clementinelead.processes import http_site
 from clementinelead.processes import joining
 from clementinelead.processes import member_exchange
@@ -70,6 +71,14 @@
             now: Present time, seconds.
         """
 
+    def on_evacuations(self, zones: frozenset[str], now: float) -> None:
+        """Called when the evacuated zones have changed.
+
+        Args:
+            zones: Names of the evacuated zones.
+            now: Present time, seconds.
+        """
+
     def on_tick(self, now: float) -> None:
         """Called every ``TICK_INTERVAL_S``.
 
@@ -84,6 +93,7 @@
     Attributes:
         gossiper: Membership protocol and member table.
         routes: Routes in force and their exchange with peers.
+        evacuations: Evacuated zones and their exchange with peers.
         joining: Join and full state syncs with peers.
         random: Generator of the delays and random selections of this process.
     """
@@ -134,6 +144,13 @@
             self._on_control,
             lambda: self.routes.table.version,
             lambda: None,
+            lambda: self.evacuations.state,
+        )
+        self.evacuations = evacuation_exchange.EvacuationExchange(
+            self.gossiper,
+            self.random,
+            self._channel.send,
+            subscriber.on_evacuations,
         )
         self._site = http_site.HttpSite()
         self.routes = route_exchange.RouteExchange(
@@ -331,6 +348,7 @@
             messages, changes = self.gossiper.on_tick(now)
             self._send(messages)
             self._on_changes(changes, now)
+            self.evacuations.on_tick(now)
             if self.gossiper.duplicate_identifier:
                 self.gossiper.duplicate_identifier = False
                 loguru.logger.error("another process has this identifier")
@@ -343,6 +361,7 @@
         messages, changes = self.gossiper.on_control(control, source, now)
         self._send(messages)
         self._on_changes(changes, now)
+        self.evacuations.adopt(control.evacuated, control.sender, now)
         if self.routes.reserve_fetch(control.revision):
             self.supervise(
                 "route fetch",
--- a/clementinelead/processes/relay_settings.py
+++ b/clementinelead/processes/relay_settings.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from clementinelead.relays import warmup_limit
+
 __all__ = ["RelaySettings"]
 
 
@@ -22,6 +24,8 @@
         stop_s: Longest duration of a graceful shutdown, seconds.
         heartbeat_s: Interval of the target's heartbeats, seconds.
         first_start: Whether the whole system starts for the first time.
+        warmup_bound: Bound on new flows at targets that warm up, None if their
+            number is not limited.
     """
 
     id: str
@@ -37,3 +41,4 @@
     stop_s: float
     heartbeat_s: float
     first_start: bool = False
+    warmup_bound: warmup_limit.WarmupBound | None = None
--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -20,6 +20,7 @@
 from clementinelead.relays import outcomes
 from clementinelead.relays import routes
 from clementinelead.relays import target_relay
+from clementinelead.relays import warmup_limit
 
 __all__ = ["RelaySide"]
 
@@ -88,6 +89,7 @@
         """
         self._bound = bound
         self._settings = settings
+        self._service = service
         self._target = target
         self._answers_address = answers_address
         self.node = relay_node.RelayNode(
@@ -103,6 +105,9 @@
             log.report,
             time.monotonic(),
             time.time_ns() // 1_000_000,
+            warmup_limit.WarmupLimit(
+                settings.warmup_bound, settings.heartbeat_s, time.monotonic()
+            ),
         )
         self._heartbeat_awaited_since = time.monotonic()
         self._last_tick_at = self._heartbeat_awaited_since
@@ -354,14 +359,26 @@
         ).info("predecessor")
 
     def on_routes(self, table: routes.RoutingTable, now: float) -> None:
-        """Does nothing: the node serves the routes to peers.
+        """Applies the warm-up rate of the target's service.
 
-        Balancers that start while the store is unavailable fetch them here.
+        The node serves the routes to peers: balancers that start while the
+        store is unavailable fetch them here.
 
         Args:
             table: Routes in force.
             now: Present time, seconds.
         """
+        rate = table.warmup_flows_per_s(self._service)
+        self.target_relay.set_warmup_rate(rate)
+
+    def on_evacuations(self, zones: frozenset[str], now: float) -> None:
+        """Refuses new flows while the own zone is evacuated.
+
+        Args:
+            zones: Names of the evacuated zones.
+            now: Present time, seconds.
+        """
+        self.target_relay.set_evacuated(self._settings.zone in zones)
 
     def on_members(self, changes: list[members.Change], now: float) -> None:
         """Does nothing: a side process places no flows.
--- a/clementinelead/processes/route_watch.py
+++ b/clementinelead/processes/route_watch.py
@@ -1,15 +1,17 @@
-"""Watch of the configured routes in the store."""
+"""Watch of the routes and evacuated zones in the store."""
 
 import asyncio
+import time
 import typing
 
 import loguru
 import msgspec
 
+from clementinelead.memberships import evacuations
 from clementinelead.processes import relay_node
 from clementinelead.relays import routes
 
-__all__ = ["Failed", "NewRoutes", "RouteSource", "RouteWatch", "Unchanged"]
+__all__ = ["Changed", "Failed", "RouteSource", "RouteWatch", "Unchanged"]
 
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 0.8
@@ -18,26 +20,29 @@
 Short compared with the seconds in which a configuration must be in force.
 """
 
-
 WATCHER_CHECK_INTERVAL_S = 1.0
 """Interval in which a process checks whether it is a watcher, seconds.
 
-The others fetch new routes from peers meanwhile.
+The others receive changes from peers meanwhile.
 """
 
+_STORE = "store"
+
 
-class NewRoutes(msgspec.Struct, frozen=True):
-    """Routes that were read from the store.
+class Changed(msgspec.Struct, frozen=True):
+    """What was read from the store.
 
     Attributes:
-        table: The routes.
+        table: The routes, None if they have not changed.
+        evacuated: The evacuated zones, None if they have not changed.
     """
 
-    table: routes.RoutingTable
+    table: routes.RoutingTable | None = None
+    evacuated: evacuations.EvacuationState | None = None
 
 
 class Unchanged(msgspec.Struct, frozen=True):
-    """No new routes before the long poll timed out."""
+    """No change before the long poll timed out."""
 
 
 class Failed(msgspec.Struct, frozen=True):
@@ -53,18 +58,18 @@
 
 
 class RouteSource(typing.Protocol):
-    """Source of new routes, such as the store."""
+    """Source of new routes and evacuated zones, such as the store."""
 
-    async def next(self) -> NewRoutes | Unchanged | Failed:
-        """Waits for routes newer than those returned last.
+    async def next(self) -> Changed | Unchanged | Failed:
+        """Waits for changes since those returned last.
 
         Returns:
-            The routes, or why there are none.
+            The changes, or why there are none.
         """
 
 
 class RouteWatch:
-    """Puts new routes of a source in force and retries after failures."""
+    """Puts what a source returns in force and retries after failures."""
 
     def __init__(self, node: relay_node.RelayNode, source: RouteSource):
         self._node = node
@@ -80,8 +85,8 @@
                 continue
             outcome = await self._source.next()
             match outcome:
-                case NewRoutes(table):
-                    self._node.routes.adopt(table, "store")
+                case Changed(table, evacuated):
+                    self._adopt(table, evacuated)
                 case Failed(reason, _):
                     self._log_lost(reason)
                     await asyncio.sleep(
@@ -94,6 +99,18 @@
             pause = MIN_RETRY_DELAY_S
             self._log_regained()
 
+    def _adopt(
+        self,
+        table: routes.RoutingTable | None,
+        evacuated: evacuations.EvacuationState | None,
+    ) -> None:
+        # Evacuated zones first: routes make a balancer place flows.
+        if evacuated is not None:
+            now = time.monotonic()
+            self._node.evacuations.adopt(evacuated, _STORE, now)
+        if table is not None:
+            self._node.routes.adopt(table, _STORE)
+
     def _log_lost(self, reason: str) -> None:
         if not self._is_lost:
             loguru.logger.bind(
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -4,6 +4,7 @@
 import pytest
 import uvloop
 
+from clementinelead.memberships import evacuations
 from clementinelead.memberships import records
 from clementinelead.memberships.tests import samples as member_samples
 from clementinelead.processes import contact_keys
@@ -97,7 +98,29 @@
     assert _resets_after_denial(balancer, 120.0) == 0
 
 
+def _learn_evacuations(balancer, revision, *zones):
+    state = evacuations.EvacuationState(1, revision, frozenset(zones))
+    balancer.node.evacuations.adopt(state, "store", 100.0)
+
+
+def test_process_that_does_not_know_the_evacuated_zones_is_not_ready(balancer):
+    _join(balancer, 100.0)
+    assert not balancer.ready
+    _learn_evacuations(balancer, 5)
+    assert balancer.ready
+
+
+def test_evacuated_zone_applies_to_the_decisions(balancer):
+    _join(balancer, 100.0)
+    targets = balancer.steering._directory
+    balancer.on_evacuations(frozenset((SIDE.zone,)), 100.0)
+    assert targets.evacuated == {SIDE.data_address}
+    balancer.on_evacuations(frozenset(), 100.0)
+    assert not targets.evacuated
+
+
 def test_process_without_routes_is_not_ready(balancer):
+    _learn_evacuations(balancer, 5)
     _join(balancer, 100.0)
     assert balancer.ready
     balancer.node.routes.table = routes.EMPTY
--- a/clementinelead/processes/tests/test_relay_node.py
+++ b/clementinelead/processes/tests/test_relay_node.py
@@ -3,6 +3,7 @@
 import socket
 import time
 
+from clementinelead.memberships import evacuations
 from clementinelead.memberships import records
 from clementinelead.messages import compression
 from clementinelead.messages import controls
@@ -26,6 +27,9 @@
 """
 
 
+EVACUATION_BOUND_S = 1.0
+"""Longest time until all processes have put an evacuation in force."""
+
 SYNC_BOUND_S = 3.0
 """Longest time in which the syncs after the join must complete all views."""
 
@@ -33,6 +37,7 @@
 class RecordingSubscriber:
     def __init__(self):
         self.versions = []
+        self.zones = []
 
     def on_members(self, changes, now):
         pass
@@ -40,6 +45,9 @@
     def on_routes(self, table, now):
         self.versions.append(table.version)
 
+    def on_evacuations(self, zones, now):
+        self.zones.append(zones)
+
     def on_tick(self, now):
         pass
 
@@ -182,6 +190,46 @@
         assert subscriber.versions == sorted(subscriber.versions)
 
 
+def test_evacuations_reach_all_nodes_and_never_revert():
+    ports = _free_ports()
+    pairs = [_node(number, ports, ("127.0.0.2",)) for number in (2, 3, 4, 5)]
+    nodes = [node for node, _ in pairs]
+    late = evacuations.EvacuationState(1, 5, frozenset(("late",)))
+    newest = evacuations.EvacuationState(1, 9, frozenset(("a", "b")))
+
+    async def check():
+        await _eventually(
+            lambda: all(not node.is_isolated for node in nodes), JOIN_BOUND_S
+        )
+        nodes[1].evacuations.adopt(newest, "store", time.monotonic())
+        nodes[2].evacuations.adopt(late, "store", time.monotonic())
+        await _eventually(
+            lambda: all(node.evacuations.state == newest for node in nodes),
+            EVACUATION_BOUND_S,
+        )
+
+    asyncio.run(_run(nodes, check))
+    for _, subscriber in pairs:
+        assert subscriber.zones[-1] == newest.zones
+        assert newest.zones not in subscriber.zones[:-1]
+
+
+def test_starting_process_receives_the_evacuations_of_a_peer():
+    ports = _free_ports()
+    first, _ = _node(2, ports, ("127.0.0.2",))
+    second, subscriber = _node(3, ports, ("127.0.0.2",))
+    state = evacuations.EvacuationState(3, 9, frozenset(("a",)))
+    first.evacuations.adopt(state, "store", time.monotonic())
+
+    async def check():
+        await _eventually(
+            lambda: second.evacuations.state == state, EVACUATION_BOUND_S
+        )
+
+    asyncio.run(_run([first, second], check))
+    assert subscriber.zones == [state.zones]
+
+
 def _predecessor_ahead(record, milliseconds):
     """Returns the record of a predecessor whose clock was ahead."""
     return dataclasses.replace(
--- a/clementinelead/relays/directory.py
+++ b/clementinelead/relays/directory.py
@@ -34,11 +34,13 @@
     def __init__(self, zone: str):
         self.zone = zone
         self.by_service: dict[str, tuple[candidates.Target, ...]] = {}
+        self._evacuated_zones: frozenset[str] = frozenset()
         self.responsiveness = responsiveness.Responsiveness()
         self.complete_from = float("inf")
         self.denials_conclusive_from = float("inf")
         self._same_zone: frozenset[tuple[str, int]] | None = None
         self._starting: frozenset[tuple[str, int]] | None = None
+        self._evacuated: frozenset[tuple[str, int]] | None = None
 
     def set_targets(
         self, service: str, targets: tuple[candidates.Target, ...]
@@ -56,6 +58,28 @@
         self.by_service[service] = targets
         self._same_zone = None
         self._starting = None
+        self._evacuated = None
+
+    def set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Replaces the zones whose targets get no new flows.
+
+        Args:
+            zones: Names of the evacuated zones.
+        """
+        self._evacuated_zones = zones
+        self._evacuated = None
+
+    @property
+    def evacuated(self) -> frozenset[tuple[str, int]]:
+        """Addresses of the targets in evacuated zones."""
+        if self._evacuated is None:
+            self._evacuated = frozenset(
+                target.address
+                for targets in self.by_service.values()
+                for target in targets
+                if target.zone in self._evacuated_zones
+            )
+        return self._evacuated
 
     @property
     def same_zone(self) -> frozenset[tuple[str, int]]:
@@ -113,6 +137,17 @@
         """Returns the targets of a service, none if it is not listed."""
         return self.by_service.get(service, ())
 
+    def placement_targets(self, service: str) -> tuple[candidates.Target, ...]:
+        """Returns the targets of a service outside of evacuated zones."""
+        targets = self.targets(service)
+        if not self._evacuated_zones:
+            return targets
+        return tuple(
+            target
+            for target in targets
+            if target.zone not in self._evacuated_zones
+        )
+
     @property
     def count(self) -> int:
         """Number of targets of all services."""
--- a/clementinelead/relays/held_flows.py
+++ b/clementinelead/relays/held_flows.py
@@ -75,6 +75,11 @@
     min_completed: int = 0
     closing: bool = False
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the present incarnation of the target holds it open."""
+        return self.confirmed_by_target and not self.closing
+
     def is_acknowledged_by(self, segment: formats.Segment) -> bool:
         """Returns whether a caller's packet acknowledges this target's answer.
 
--- a/clementinelead/relays/load_queries.py
+++ b/clementinelead/relays/load_queries.py
@@ -45,7 +45,7 @@
         queried |= set(placement.load_by_address)
         responsive: list[candidates.Target] = []
         suspects: list[candidates.Target] = []
-        targets = self._directory.targets(placement.service)
+        targets = self._directory.placement_targets(placement.service)
         for target in candidates.ranked(key, targets):
             if not target.accepting or target.address in queried:
                 continue
--- a/clementinelead/relays/pending_flows.py
+++ b/clementinelead/relays/pending_flows.py
@@ -114,7 +114,9 @@
 
 
 def best_target(
-    placement: Placement, same_zone: frozenset[tuple[str, int]]
+    placement: Placement,
+    same_zone: frozenset[tuple[str, int]],
+    evacuated: frozenset[tuple[str, int]] = frozenset(),
 ) -> tuple[str, int] | None:
     """Returns the target that would finish the flow soonest.
 
@@ -125,6 +127,7 @@
     Args:
         placement: The pending flow, with the loads that targets reported.
         same_zone: Targets in the balancer's availability zone.
+        evacuated: Targets in evacuated zones.
 
     Returns:
         Address of the target, or None if no untried target accepts the flow.
@@ -135,6 +138,7 @@
         if load != frames.NOT_ACCEPTING
         and address not in placement.busy
         and address not in placement.tried
+        and address not in evacuated
     }
     if not cost_by_address:
         return None
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -169,7 +169,7 @@
     ) -> list[outcomes.Outcome]:
         """Sends the opening packet to the best target that has replied."""
         address = pending_flows.best_target(
-            placement, self._directory.same_zone
+            placement, self._directory.same_zone, self._directory.evacuated
         )
         if address is None:
             return self._query_or_hold(key, placement, now)
@@ -225,9 +225,11 @@
         packet unanswered. It also holds for a service without any target in
         the directory, as all of them may be starting.
         """
-        targets = self._directory.targets(placement.service)
+        if not self._directory.targets(placement.service):
+            return True
+        targets = self._directory.placement_targets(placement.service)
         starting = any(target.starting for target in targets)
-        return not targets or starting or bool(placement.tried)
+        return starting or bool(placement.tried)
 
     def on_accepted(self, key: bytes) -> None:
         """Ends the placement of a flow whose opening packet was answered."""
--- a/clementinelead/relays/query_replies.py
+++ b/clementinelead/relays/query_replies.py
@@ -82,6 +82,7 @@
         frame: frames.Frame,
         source: _Address,
         accepting: bool,
+        within_limit: bool,
         now: float,
     ) -> outcomes.Outcome:
         """Replies with the load that a new flow would meet.
@@ -93,6 +94,8 @@
             frame: The query, with the latency objective of the route.
             source: Address of the balancer.
             accepting: Whether the target accepts new flows.
+            within_limit: Whether the limit of a target that warms up allows a
+                new flow now.
             now: Present time, seconds.
         """
         kind = _Kind.LOAD
@@ -102,7 +105,7 @@
         elif accepting:
             workload = self._flows.workload
             load_ms = workload.load_ms(now)
-            if workload.busy(frame.value, now):
+            if not within_limit or workload.busy(frame.value, now):
                 kind = _Kind.BUSY
         return reply(kind, frame, source, value=load_ms)
 
--- a/clementinelead/relays/route_patches.py
+++ b/clementinelead/relays/route_patches.py
@@ -31,6 +31,8 @@
         idle_timeout_s: Time after which an idle flow may be dropped, seconds.
         former: Services that the newer version no longer names, None if the
             sender's list may be incomplete.
+        warmup_rates: All rates in the newer version, None if they are the same
+            as in the older one.
     """
 
     since: int
@@ -39,6 +41,7 @@
     removed: tuple[bytes, ...]
     idle_timeout_s: float
     former: tuple[former_services.FormerService, ...] | None = None
+    warmup_rates: tuple[routes.WarmupRate, ...] | None = None
 
 
 def encode(patch: Patch) -> bytes:
@@ -83,8 +86,14 @@
         by_address.pop(address, None)
     for route in patch.changed:
         by_address[route.address] = route
+    warmup_rates = patch.warmup_rates
+    if warmup_rates is None:
+        warmup_rates = table.warmup_rates if patch.since else ()
     return routes.RoutingTable(
-        patch.version, tuple(by_address.values()), patch.idle_timeout_s
+        patch.version,
+        tuple(by_address.values()),
+        patch.idle_timeout_s,
+        warmup_rates,
     )
 
 
@@ -93,6 +102,7 @@
 
     def __init__(self) -> None:
         self._touched_by_version: dict[int, frozenset[bytes]] = {}
+        self._rates_changed_at = routes.EMPTY.version
 
     def record_change(
         self, before: routes.RoutingTable, after: routes.RoutingTable
@@ -110,6 +120,8 @@
             if old.get(address) != new.get(address)
         )
         self._touched_by_version[before.version] = touched
+        if before.warmup_rates != after.warmup_rates:
+            self._rates_changed_at = after.version
         if len(self._touched_by_version) > MAX_KEPT_VERSIONS:
             del self._touched_by_version[min(self._touched_by_version)]
 
@@ -141,6 +153,7 @@
                 removed=(),
                 idle_timeout_s=table.idle_timeout_s,
                 former=former,
+                warmup_rates=table.warmup_rates,
             )
         touched: set[bytes] = set()
         for older, addresses in self._touched_by_version.items():
@@ -158,4 +171,7 @@
             removed=tuple(sorted(touched - by_address.keys())),
             idle_timeout_s=table.idle_timeout_s,
             former=former,
+            warmup_rates=(
+                table.warmup_rates if version < self._rates_changed_at else None
+            ),
         )
--- a/clementinelead/relays/routes.py
+++ b/clementinelead/relays/routes.py
@@ -5,7 +5,7 @@
 
 from clementinelead.relays import frames
 
-__all__ = ["EMPTY", "Route", "RoutingTable", "Share"]
+__all__ = ["EMPTY", "Route", "RoutingTable", "Share", "WarmupRate"]
 
 DEFAULT_OBJECTIVE_MS = 200
 """Latency objective of a route that names none, milliseconds."""
@@ -70,6 +70,18 @@
         raise AssertionError("remainder is not below the sum of the weights")
 
 
+class WarmupRate(msgspec.Struct, frozen=True):
+    """Rate of new flows that a target of a service bears while it is cold.
+
+    Attributes:
+        service: Name of the service.
+        flows_per_s: The rate, positive.
+    """
+
+    service: str
+    flows_per_s: float
+
+
 class RoutingTable(msgspec.Struct, frozen=True):
     """All routes of one version of the configuration.
 
@@ -77,17 +89,30 @@
         version: Version of the configuration; 0 before the first one.
         routes: The routes, one per address.
         idle_timeout_s: Time after which an idle flow may be dropped, seconds.
+        warmup_rates: Rates of the services that have one.
     """
 
     version: int
     routes: tuple[Route, ...]
     idle_timeout_s: float
+    warmup_rates: tuple[WarmupRate, ...] = ()
 
     @property
     def by_address(self) -> dict[bytes, Route]:
         """The routes, keyed by their encoded address."""
         return {route.address: route for route in self.routes}
 
+    def warmup_flows_per_s(self, service: str) -> float:
+        """Returns the rate of a service while a target is cold, 0 for none.
+
+        Args:
+            service: Name of the service.
+        """
+        for rate in self.warmup_rates:
+            if rate.service == service:
+                return rate.flows_per_s
+        return 0.0
+
     @property
     def service_by_number(self) -> dict[int, str]:
         """The names of all services, keyed by their numbers in datagrams."""
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -108,6 +108,14 @@
         """
         self._directory.set_targets(service, targets)
 
+    def set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Replaces the zones whose targets get no new flows.
+
+        Args:
+            zones: Names of the evacuated zones.
+        """
+        self._directory.set_evacuated_zones(zones)
+
     def set_complete_from(self, moment: float) -> None:
         """Sets the time from which the directory has all side processes.
 
@@ -201,13 +209,14 @@
         """Forwards a packet to the side process in the flow's cache entry.
 
         The entry is dropped if it may be outdated: an opening packet is placed
-        again if the flow is closing or its side process is suspected. A packet
-        whose acknowledgement matches no cached owner starts a search.
+        again if the flow is closing or its side process is suspected, or its
+        zone has been evacuated. A packet whose acknowledgement matches no
+        cached owner starts a search.
         """
         if segment.opens:
-            if flow.closing or self._directory.responsiveness.is_suspect(
-                flow.owner(), now
-            ):
+            owner = flow.owner()
+            suspect = self._directory.responsiveness.is_suspect(owner, now)
+            if flow.closing or suspect or owner in self._directory.evacuated:
                 self._cache.discard(segment.key)
                 return self._open(segment, data, now, not flow.closing)
         elif not flow.owner_confirmed and not segment.resets:
--- a/clementinelead/relays/target_relay.py
+++ b/clementinelead/relays/target_relay.py
@@ -19,6 +19,7 @@
 from clementinelead.relays import query_replies
 from clementinelead.relays import startup_recovery
 from clementinelead.relays import target_packets
+from clementinelead.relays import warmup_limit
 from clementinelead.relays import workload
 from clementinelead.telemetry import counters
 
@@ -30,6 +31,11 @@
 LATENCY_BOUNDS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
 """Upper bounds of the buckets of the latency histogram, seconds."""
 
+_APPLIED = (
+    announcements.UpdateResult.NEW_INCARNATION,
+    announcements.UpdateResult.CHANGED,
+    announcements.UpdateResult.UNCHANGED,
+)
 _Kind = frames.Kind
 _Address = tuple[str, int]
 
@@ -43,6 +49,7 @@
         counts: Decisions by cause.
         latencies: Time from each request to its answer, seconds.
         stopping: Whether this process is about to stop.
+        evacuated: Whether the zone of the target is evacuated.
         startup: Whether all flows of the target are recorded after the start.
     """
 
@@ -53,6 +60,7 @@
         report: collections.abc.Callable[[outcomes.Decision], None],
         now: float,
         started_ms: int,
+        limit: warmup_limit.WarmupLimit | None = None,
     ):
         """Starts without a target.
 
@@ -62,12 +70,16 @@
             report: Called with each decision that is to be logged.
             now: Present time, seconds.
             started_ms: Start of this process, milliseconds since 1970.
+            limit: Limit of new flows while the target warms up, None for no
+                limit.
         """
         self.lifecycle = announcements.TargetLifecycle(service)
         self.workload = workload.Workload(now)
+        self._limit = limit or warmup_limit.WarmupLimit(None, 0.0, now)
         self.counts = counters.CounterSet()
         self.latencies = counters.Histogram(LATENCY_BOUNDS_S)
         self.stopping = False
+        self.evacuated = False
         self.startup = startup_recovery.StartupRecovery(now, started_ms)
         self._format = packet_format
         self._service_number = frames.service_number(service)
@@ -102,7 +114,29 @@
     @property
     def accepting(self) -> bool:
         """Whether the target accepts new flows through this process."""
-        return self.lifecycle.accepting and not self.stopping
+        return (
+            self.lifecycle.accepting
+            and not self.stopping
+            and not self.evacuated
+        )
+
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Sets whether the zone of the target is evacuated.
+
+        Args:
+            evacuated: Whether the target gets no new flows.
+        """
+        if self.evacuated and not evacuated:
+            self._limit.on_evacuation_end()
+        self.evacuated = evacuated
+
+    def set_warmup_rate(self, flows_per_s: float) -> None:
+        """Sets the rate of new flows that the target bears while it is cold.
+
+        Args:
+            flows_per_s: The rate, 0 for no limit.
+        """
+        self._limit.flows_per_s = flows_per_s
 
     # Reports of the target.
 
@@ -129,6 +163,9 @@
             if replaced:
                 self._flows.on_new_incarnation(now)
             self.startup.on_incarnation(heartbeat, replaced, now)
+        if result in _APPLIED:
+            self.workload.set_warmup(heartbeat.warmup_s, now)
+            self._limit.on_heartbeat(heartbeat.warmup_s, now)
         return result
 
     def on_target_absent(self, now: float) -> bool:
@@ -172,42 +209,67 @@
             case _Kind.PLACE:
                 return self._on_opening_packet(frame, source, now)
             case _Kind.QUERY_LOAD:
-                accepting = self.accepting
                 return [
-                    self._responder.reply_load(frame, source, accepting, now)
+                    self._responder.reply_load(
+                        frame,
+                        source,
+                        self.accepting,
+                        self._limit_allows_flow(now),
+                        now,
+                    )
                 ]
             case _Kind.QUERY_HELD:
                 return self._responder.reply_held(frame, source, now)
         self.counts.add("foreign_frame")
         return []
 
+    def _limit_allows_flow(self, now: float) -> bool:
+        """Returns whether the warm-up limit allows another opening packet."""
+        first_flows_known = self.startup.all_flows_recorded(now)
+        return self._limit.allows_flow(first_flows_known, now)
+
     def _on_opening_packet(
         self, frame: frames.Frame, source: _Address, now: float
     ) -> list[outcomes.Outcome]:
         """Sends an opening packet to the target, or refuses or defers it."""
         key = frame.key
         flow = self._flows.by_key.get(key)
-        if flow is None and not self.accepting:
-            self.counts.add("refused")
+        if not self.accepting and not (flow is not None and flow.is_open):
+            cause = "refused_evacuated" if self.evacuated else "refused"
+            self.counts.add(cause)
             self._log("acceptance", "refused", key, now)
             return [query_replies.reply(_Kind.REFUSED, frame, source)]
+        if not self._limit_allows_flow(now):
+            return self._defer(frame, source, "deferred_warmup", now)
         if flow is not None:
             flow.balancer = source
         elif self._outstanding.opening_sender(key) is None:
             objective_ms = frame.value
             if objective_ms and self.workload.busy(objective_ms, now):
-                self.counts.add("deferred")
-                self._log("acceptance", "deferred", key, now)
-                load_ms = self.workload.load_ms(now)
-                return [
-                    query_replies.reply(
-                        _Kind.DEFERRED, frame, source, value=load_ms
-                    )
-                ]
+                return self._defer(frame, source, "deferred", now)
             self._flows.begin_accept(key, now)
         self._outstanding.add_opening(key, source, now)
+        self._limit.add_flow(now)
         return [outcomes.ToTarget(frame.payload)]
 
+    def _defer(
+        self, frame: frames.Frame, source: _Address, cause: str, now: float
+    ) -> list[outcomes.Outcome]:
+        """Tells a balancer that an opening packet was not sent to the target.
+
+        Args:
+            frame: The opening packet.
+            source: Address of the balancer.
+            cause: Reason, for counts and the log.
+            now: Present time, seconds.
+        """
+        self.counts.add(cause)
+        self._log("acceptance", cause.replace("_", " for "), frame.key, now)
+        load_ms = self.workload.load_ms(now)
+        return [
+            query_replies.reply(_Kind.DEFERRED, frame, source, value=load_ms)
+        ]
+
     def _on_packet(
         self, frame: frames.Frame, source: _Address, now: float
     ) -> list[outcomes.Outcome]:
@@ -320,6 +382,7 @@
         inputs: dict[str, object] = {
             "state": self.lifecycle.state,
             "leaving": self.stopping,
+            "evacuated": self.evacuated,
             "target": heartbeat.id if heartbeat else None,
             "working": self.work_under_way,
             "flows": self.flow_count,
--- a/clementinelead/relays/tests/network.py
+++ b/clementinelead/relays/tests/network.py
@@ -86,17 +86,20 @@
     Attributes:
         balancers: Number of balancers.
         targets: Number of targets, each with a side process.
+        zones: Availability zones of the targets, in turn.
         now: Present time, seconds.
         to_caller: Packets sent to callers, in order.
         decisions: Decisions that the processes have reported.
         unreachable: Addresses from and to which all datagrams are lost.
         target_by_address: Targets by the address of their side process.
+        zone_by_address: Zones of the targets, by the same address.
         side_by_address: Decisions of the side processes.
         balancer_by_address: Decisions of the balancers.
     """
 
     balancers: int = 1
     targets: int = 3
+    zones: tuple[str, ...] = ("z",)
 
     def __post_init__(self) -> None:
         self.now = 100.0
@@ -109,6 +112,10 @@
             (f"side{number}", 1): Target(number + 1)
             for number in range(self.targets)
         }
+        self.zone_by_address = {
+            address: self.zones[number % len(self.zones)]
+            for number, address in enumerate(self.target_by_address)
+        }
         self.side_by_address = {
             address: self.new_side(machine_booted=True)
             for address in self.target_by_address
@@ -185,17 +192,36 @@
         Returns:
             How the side process has applied the heartbeat.
         """
-        heartbeat = announcements.Heartbeat(
+        heartbeat = self.heartbeat(number, sequence, draining, started_ms)
+        side = self.side_by_address[(f"side{number}", 1)]
+        return side.on_heartbeat(heartbeat, self.now)
+
+    def heartbeat(
+        self,
+        number: int,
+        sequence: int,
+        draining: bool = False,
+        started_ms: int = 1,
+        warmup_s: float = 0.0,
+    ) -> announcements.Heartbeat:
+        """Returns a heartbeat of a target.
+
+        Args:
+            number: Number of the target.
+            sequence: Sequence number of the heartbeat.
+            draining: Whether the target is about to stop.
+            started_ms: Start of its incarnation, milliseconds.
+            warmup_s: Remaining time for which it warms up, seconds.
+        """
+        return announcements.Heartbeat(
             id=f"t{number}",
             started_ms=started_ms,
             sequence=sequence,
             service=SERVICE,
             slots=2,
             draining=draining,
-            warmup_s=0.0,
+            warmup_s=warmup_s,
         )
-        side = self.side_by_address[(f"side{number}", 1)]
-        return side.on_heartbeat(heartbeat, self.now)
 
     def new_balancer(self) -> steering.Steering:
         """Returns a balancer that has just joined."""
@@ -231,12 +257,34 @@
             SERVICE,
             tuple(
                 candidates.Target(
-                    address[0], address, "z", side.accepting, False
+                    address[0],
+                    address,
+                    self.zone_by_address[address],
+                    side.accepting,
+                    False,
                 )
                 for address, side in self.side_by_address.items()
             ),
         )
 
+    def evacuate_at_balancers(self, *zones: str) -> None:
+        """Tells all balancers which zones are evacuated.
+
+        Args:
+            *zones: Names of the evacuated zones.
+        """
+        for balancer in self.balancer_by_address.values():
+            balancer.set_evacuated_zones(frozenset(zones))
+
+    def evacuate_at_sides(self, *zones: str) -> None:
+        """Tells all side processes which zones are evacuated.
+
+        Args:
+            *zones: Names of the evacuated zones.
+        """
+        for address, side in self.side_by_address.items():
+            side.set_evacuated(self.zone_by_address[address] in zones)
+
     def restart_balancer(self, number: int) -> None:
         """Replaces a balancer by one without flows.
 
--- a/clementinelead/relays/tests/test_route_patches.py
+++ b/clementinelead/relays/tests/test_route_patches.py
@@ -19,7 +19,12 @@
         routes.Route(f"r-{address!r}", address, (routes.Share("s", weight),))
         for address, weight in weight_by_address.items()
     )
-    return routes.RoutingTable(version, table_routes, 60.0 + version)
+    rates = tuple(
+        routes.WarmupRate(f"s-{address!r}", 1.0 + weight)
+        for address, weight in weight_by_address.items()
+        if weight
+    )
+    return routes.RoutingTable(version, table_routes, 60.0 + version, rates)
 
 
 def _history(tables):
--- a/clementinelead/relays/workload.py
+++ b/clementinelead/relays/workload.py
@@ -82,6 +82,17 @@
         limits = loads.Limits(slots=max(1, slots), cold_start_s=0.0)
         self.estimate.limits = limits
         self.estimate.reset_service_time(INITIAL_LOAD_SERVICE_S)
+        self.set_warmup(warmup_s, now)
+
+    def set_warmup(self, warmup_s: float, now: float) -> None:
+        """Applies the remaining warm-up time that the target reports.
+
+        It can rise without a restart: a target without work may cool down.
+
+        Args:
+            warmup_s: Time for which it stays slow, seconds.
+            now: Present time, seconds.
+        """
         self._warm_at = now + warmup_s
 
     def load_ms(self, now: float) -> int:
