--- a/clementinelead/flows/tests/test_interleavings.py
+++ b/clementinelead/flows/tests/test_interleavings.py
@@ -152,7 +152,7 @@
     owners = net.owners(key)
     assert owners != [origin.name]
     delayed, net.queue = net.queue, []
-    net.now += attempts.MIN_RETRY_INTERVAL_S
+    net.now += 1.25 * attempts.MIN_RETRY_INTERVAL_S
     origin.decider.load.active_flows = 0
     net.send(content)
     net.run()
