Replay several kinds of requests, evacuated zones and targets that warm up

Cause: replays had one kind of request and knew no evacuation or warm-up, so the new limits and the mix of the shifted work could not be replayed.

Change: a route for each kind; patterns mixed-burst, evacuation and warm-up; worth as a measure; bench.experiments gains 'decisions', which compares the ways of each decision on the same loads.

--- a/bench/experiments/command.py
+++ b/bench/experiments/command.py
@@ -16,9 +16,10 @@
 import typer
 
 from bench.experiments import comparisons
+from bench.experiments import decisions
 from bench.experiments import mechanisms
 from bench.experiments import plays
-from clementinelead.replays import patterns
+from clementinelead.replays import scales
 
 __all__ = ["main"]
 
@@ -210,7 +211,7 @@
     seconds: typing.Annotated[float, typer.Option(min=1.0)] = 8.0,
 ) -> None:
     """Replays load patterns with and without each mechanism; no bench."""
-    scale = patterns.Scale(seconds=seconds)
+    scale = scales.Scale(seconds=seconds)
     cells: list[str] = []
     print("mechanism".ljust(28), *(name[-12:] for name in mechanisms.PATTERNS))
     for effect in mechanisms.effects(mechanisms.PATTERNS, scale, seeds):
@@ -224,6 +225,25 @@
             cells = []
 
 
+@_application.command("decisions")
+def compare_decisions(
+    seeds: typing.Annotated[int, typer.Option(min=2)] = 10,
+    seconds: typing.Annotated[float, typer.Option(min=1.0)] = 8.0,
+    processes: typing.Annotated[int, typer.Option(min=1)] = 1,
+) -> None:
+    """Replays load patterns with each way of each decision; no bench."""
+    names = decisions.PATTERNS
+    scale = scales.Scale(seconds=seconds)
+    print("change of worth".ljust(32), *(name[:10].rjust(13) for name in names))
+    cells: list[str] = []
+    for row in decisions.compare(names, scale, seeds, processes):
+        cells.append(f"{row.change:+.3f} ±{row.margin:.3f}".rjust(13))
+        if len(cells) == len(names):
+            title = f"{row.way.decision}: {row.way.name}"
+            print(title.ljust(32), *cells, flush=True)
+            cells = []
+
+
 def main() -> None:
     """Runs the command."""
     _application()
--- a/bench/experiments/mechanisms.py
+++ b/bench/experiments/mechanisms.py
@@ -23,6 +23,7 @@
 from clementinelead.relays import responsiveness
 from clementinelead.relays import workload
 from clementinelead.replays import patterns
+from clementinelead.replays import scales
 from clementinelead.replays import simulations
 from clementinelead.replays import summaries
 
@@ -123,15 +124,13 @@
     disabled: float
 
 
-def _share_in_objective(
-    pattern: str, scale: patterns.Scale, seed: int
-) -> float:
+def _share_in_objective(pattern: str, scale: scales.Scale, seed: int) -> float:
     load = patterns.generate(pattern, scale, seed)
     run = simulations.replay(load, "relayed", seed)
     return summaries.summarize(run)[0].within_objective
 
 
-def _mean_share(pattern: str, scale: patterns.Scale, seeds: int) -> float:
+def _mean_share(pattern: str, scale: scales.Scale, seeds: int) -> float:
     shares = [
         _share_in_objective(pattern, scale, seed + 1) for seed in range(seeds)
     ]
@@ -140,7 +139,7 @@
 
 def effects(
     names: collections.abc.Sequence[str],
-    scale: patterns.Scale,
+    scale: scales.Scale,
     seeds: int,
 ) -> collections.abc.Iterator[Effect]:
     """Yields the effect of each mechanism under each load pattern.
--- a/clementinelead/replays/command.py
+++ b/clementinelead/replays/command.py
@@ -11,6 +11,7 @@
 from clementinelead import exceptions
 from clementinelead.replays import loads
 from clementinelead.replays import patterns
+from clementinelead.replays import scales
 from clementinelead.replays import simulations
 from clementinelead.replays import summaries
 
@@ -48,7 +49,7 @@
     unknown = set(policies) - set(simulations.POLICIES)
     if unknown:
         raise typer.BadParameter(f"no policy {', '.join(sorted(unknown))}")
-    workload = _load(load, patterns.Scale(targets, seconds, utilisation), seed)
+    workload = _load(load, scales.Scale(targets, seconds, utilisation), seed)
     if save is not None:
         loads.write(save, workload)
     table = rich.table.Table(title=workload.name)
@@ -85,7 +86,7 @@
     rich.console.Console(width=132).print(table)
 
 
-def _load(pattern_or_path: str, scale: patterns.Scale, seed: int) -> loads.Load:
+def _load(pattern_or_path: str, scale: scales.Scale, seed: int) -> loads.Load:
     if pattern_or_path in _PATTERN_NAMES:
         return patterns.generate(pattern_or_path, scale, seed)
     try:
--- a/clementinelead/replays/loads.py
+++ b/clementinelead/replays/loads.py
@@ -12,10 +12,12 @@
     "BalancerSpec",
     "Change",
     "Condition",
+    "Evacuation",
     "Load",
     "RequestKind",
     "Restart",
     "TargetSpec",
+    "WarmupSpec",
     "read",
     "write",
 ]
@@ -29,11 +31,14 @@
         name: Its name.
         objective_s: Latency objective, seconds.
         timeout_s: Time from arrival until its callers give up, seconds.
+        worth: Worth of an answer within the objective; a late one is worth
+            half of it.
     """
 
     name: str
     objective_s: float
     timeout_s: float
+    worth: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,12 +86,14 @@
         failing: Probability that a request fails at once.
         mute: Probability that a request is accepted and never answered.
         up: Whether it runs; its flows end when it goes down.
+        warmup_s: Time for which it reports to warm up from then on, seconds.
     """
 
     slowness: float = 1.0
     failing: float = 0.0
     mute: float = 0.0
     up: bool = True
+    warmup_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -119,6 +126,36 @@
     serving_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Evacuation:
+    """Time in which the targets of a zone get no new flows.
+
+    Attributes:
+        zone: Name of the zone.
+        at_s: When it begins, seconds.
+        end_s: When it ends, seconds.
+    """
+
+    zone: str
+    at_s: float
+    end_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class WarmupSpec:
+    """Limit of new flows at targets that warm up.
+
+    Attributes:
+        flows_per_s: Rate that such a target bears.
+        overshoot: Factor on the rate.
+        slack: Flows in a second beyond that.
+    """
+
+    flows_per_s: float
+    overshoot: float = 1.5
+    slack: float = 5.0
+
+
 @dataclasses.dataclass(frozen=True)
 class BalancerSpec:
     """Properties of every balancer.
@@ -143,6 +180,8 @@
         arrivals: Requests in the order of time.
         changes: Changes of targets' conditions.
         balancers: Properties of every balancer.
+        evacuations: Evacuations of zones.
+        warmup: Limit of flows at targets that warm up, None for no limit.
     """
 
     name: str
@@ -151,6 +190,8 @@
     arrivals: tuple[Arrival, ...]
     changes: tuple[Change, ...] = ()
     balancers: BalancerSpec = BalancerSpec()
+    evacuations: tuple[Evacuation, ...] = ()
+    warmup: WarmupSpec | None = None
 
     @property
     def kind_by_name(self) -> dict[str, RequestKind]:
--- a/clementinelead/replays/patterns.py
+++ b/clementinelead/replays/patterns.py
@@ -6,9 +6,11 @@
 import numpy as np
 
 from clementinelead.replays import loads
+from clementinelead.replays import mixed_patterns
 from clementinelead.replays import processors
+from clementinelead.replays import scales
 
-__all__ = ["PATTERNS", "Scale", "generate"]
+__all__ = ["PATTERNS", "generate"]
 
 ZONES = ("a", "b")
 REQUEST_KIND = loads.RequestKind("lookup", objective_s=0.2, timeout_s=1.4)
@@ -37,22 +39,7 @@
 """
 
 
-@dataclasses.dataclass(frozen=True)
-class Scale:
-    """Size of a load.
-
-    Attributes:
-        targets: Number of targets.
-        seconds: Duration of the arrivals, seconds.
-        utilisation: Utilisation of the targets' slots at the usual rate.
-    """
-
-    targets: int = 12
-    seconds: float = 8.0
-    utilisation: float = 0.5
-
-
-def _targets(scale: Scale) -> tuple[loads.TargetSpec, ...]:
+def _targets(scale: scales.Scale) -> tuple[loads.TargetSpec, ...]:
     return tuple(
         loads.TargetSpec(
             f"t{number}",
@@ -72,7 +59,7 @@
 
 
 def _arrivals(
-    scale: Scale,
+    scale: scales.Scale,
     generator: np.random.Generator,
     factor: collections.abc.Callable[[float], float] = lambda _: 1.0,
     zone_share: collections.abc.Callable[[float], float] = lambda _: 0.5,
@@ -105,7 +92,7 @@
 
 def _load(
     name: str,
-    scale: Scale,
+    scale: scales.Scale,
     arrivals: tuple[loads.Arrival, ...],
     changes: collections.abc.Iterable[loads.Change] = (),
 ) -> loads.Load:
@@ -116,7 +103,7 @@
 
 
 def _temporary_condition(
-    scale: Scale, condition: loads.Condition, share: float = 1 / 6
+    scale: scales.Scale, condition: loads.Condition, share: float = 1 / 6
 ) -> list[loads.Change]:
     """Returns changes that put targets into a condition for the middle half.
 
@@ -136,12 +123,12 @@
     return changes
 
 
-def calm(scale: Scale, generator: np.random.Generator) -> loads.Load:
+def calm(scale: scales.Scale, generator: np.random.Generator) -> loads.Load:
     """Returns a load at the usual rate; by default half the capacity."""
     return _load("calm", scale, _arrivals(scale, generator))
 
 
-def burst(scale: Scale, generator: np.random.Generator) -> loads.Load:
+def burst(scale: scales.Scale, generator: np.random.Generator) -> loads.Load:
     """Returns a load at three times the usual rate during its second quarter.
 
     With the default utilisation this exceeds the capacity of the targets.
@@ -153,25 +140,27 @@
     return _load("burst", scale, _arrivals(scale, generator, factor))
 
 
-def slowdown(scale: Scale, generator: np.random.Generator) -> loads.Load:
+def slowdown(scale: scales.Scale, generator: np.random.Generator) -> loads.Load:
     """Returns a load where a sixth of the targets is six times slower."""
     changes = _temporary_condition(scale, loads.Condition(slowness=6.0))
     return _load("slowdown", scale, _arrivals(scale, generator), changes)
 
 
-def mute(scale: Scale, generator: np.random.Generator) -> loads.Load:
+def mute(scale: scales.Scale, generator: np.random.Generator) -> loads.Load:
     """Returns a load where a sixth of the targets answers no request."""
     changes = _temporary_condition(scale, loads.Condition(mute=1.0))
     return _load("mute", scale, _arrivals(scale, generator), changes)
 
 
-def half_mute(scale: Scale, generator: np.random.Generator) -> loads.Load:
+def half_mute(
+    scale: scales.Scale, generator: np.random.Generator
+) -> loads.Load:
     """Returns a load where a sixth of the targets answers half the requests."""
     changes = _temporary_condition(scale, loads.Condition(mute=0.5))
     return _load("half-mute", scale, _arrivals(scale, generator), changes)
 
 
-def flapping(scale: Scale, generator: np.random.Generator) -> loads.Load:
+def flapping(scale: scales.Scale, generator: np.random.Generator) -> loads.Load:
     """Returns a load where a sixth of the targets goes down or up each second."""
     changes = []
     for target in _targets(scale)[: max(1, scale.targets // 6)]:
@@ -181,7 +170,7 @@
     return _load("flapping", scale, _arrivals(scale, generator), changes)
 
 
-def backlog(scale: Scale, generator: np.random.Generator) -> loads.Load:
+def backlog(scale: scales.Scale, generator: np.random.Generator) -> loads.Load:
     """Returns a load where all targets are down for ``OUTAGE_S``.
 
     Callers that arrive meanwhile wait for them until their timeout.
@@ -196,7 +185,7 @@
     return _load("backlog", scale, _arrivals(scale, generator), changes)
 
 
-def moving(scale: Scale, generator: np.random.Generator) -> loads.Load:
+def moving(scale: scales.Scale, generator: np.random.Generator) -> loads.Load:
     """Returns a load whose callers move from one zone to the other.
 
     The share in the first availability zone falls from 95 % to 5 %.
@@ -209,7 +198,7 @@
     return _load("moving", scale, arrivals)
 
 
-def cold(scale: Scale, generator: np.random.Generator) -> loads.Load:
+def cold(scale: scales.Scale, generator: np.random.Generator) -> loads.Load:
     """Returns a load where a sixth of the targets starts with cold caches.
 
     These are three times slower in the first half of the load.
@@ -225,7 +214,7 @@
 
 
 def _restart(
-    name: str, scale: Scale, generator: np.random.Generator, burst: float
+    name: str, scale: scales.Scale, generator: np.random.Generator, burst: float
 ) -> loads.Load:
     """Returns a burst during which slow balancers are killed and restart.
 
@@ -254,27 +243,27 @@
     return dataclasses.replace(load, balancers=slow)
 
 
-def restart(scale: Scale, generator: np.random.Generator) -> loads.Load:
+def restart(scale: scales.Scale, generator: np.random.Generator) -> loads.Load:
     """Returns a load where slow balancers restart at the usual rate."""
     return _restart("restart", scale, generator, 1.0)
 
 
 def restart_in_burst(
-    scale: Scale, generator: np.random.Generator
+    scale: scales.Scale, generator: np.random.Generator
 ) -> loads.Load:
     """Returns a load where slow balancers restart at twice the usual rate."""
     return _restart("restart-in-burst", scale, generator, 2.0)
 
 
 def restart_in_surge(
-    scale: Scale, generator: np.random.Generator
+    scale: scales.Scale, generator: np.random.Generator
 ) -> loads.Load:
     """Returns a load where slow balancers restart at three times the rate."""
     return _restart("restart-in-surge", scale, generator, 3.0)
 
 
 def overload(
-    scale: Scale, generator: np.random.Generator, factor: float = 1.0
+    scale: scales.Scale, generator: np.random.Generator, factor: float = 1.0
 ) -> loads.Load:
     """Returns a load that exceeds the capacity of slow balancers throughout.
 
@@ -309,10 +298,13 @@
     restart,
     restart_in_burst,
     restart_in_surge,
+    mixed_patterns.mixed_burst,
+    mixed_patterns.evacuation,
+    mixed_patterns.warm_up,
 )
 
 
-def generate(name: str, scale: Scale, seed: int) -> loads.Load:
+def generate(name: str, scale: scales.Scale, seed: int) -> loads.Load:
     """Returns the load of a named pattern.
 
     Args:
@@ -324,7 +316,7 @@
         KeyError: There is no such pattern.
 
     Example:
-        >>> load = generate("calm", Scale(targets=4, seconds=1.0), seed=1)
+        >>> load = generate("calm", scales.Scale(targets=4, seconds=1.0), seed=1)
         >>> load.name, len(load.targets)
         ('calm', 4)
     """
--- a/clementinelead/replays/relay_processes.py
+++ b/clementinelead/replays/relay_processes.py
@@ -8,12 +8,17 @@
 from clementinelead.relays import outcomes
 from clementinelead.relays import steering
 from clementinelead.relays import target_relay
+from clementinelead.relays import warmup_limit
 from clementinelead.replays import event_queues
+from clementinelead.replays import loads
 from clementinelead.replays import packets
 from clementinelead.replays import processors
 from clementinelead.replays import servers
 
-__all__ = ["SERVICE_NAME", "Balancer", "SideProcess"]
+__all__ = ["HEARTBEAT_INTERVAL_S", "SERVICE_NAME", "Balancer", "SideProcess"]
+
+HEARTBEAT_INTERVAL_S = 0.8
+"""Interval of the targets' heartbeats, seconds."""
 
 SERVICE_NAME = "replayed"
 """Name of the only service of a simulation."""
@@ -30,14 +35,28 @@
         target_relay: The decisions of the side process.
     """
 
-    def __init__(self, server: servers.Server, now: float):
+    def __init__(
+        self,
+        server: servers.Server,
+        warmup: loads.WarmupSpec | None,
+        now: float,
+    ):
         self.server = server
         self.address = (server.spec.name, 1)
         self.sequence_by_key: dict[bytes, int] = {}
         self._incarnation = 0
+        self._sequence = 0
+        self._warm_at = now
         self.target_relay = target_relay.TargetRelay(
-            packets.Format(), SERVICE_NAME, _discard, now, started_ms=0
+            packets.Format(),
+            SERVICE_NAME,
+            _discard,
+            now,
+            started_ms=0,
+            limit=_limit(warmup, now),
         )
+        if warmup is not None:
+            self.target_relay.set_warmup_rate(warmup.flows_per_s)
         self.target_relay.startup.no_predecessor = True
         self.announce_incarnation(now)
 
@@ -48,15 +67,34 @@
             now: Present time, seconds.
         """
         self._incarnation += 1
+        self._sequence = 0
+        self.set_warmup(now)
+
+    def set_warmup(self, now: float) -> None:
+        """Starts the warm-up of the target's present condition.
+
+        Args:
+            now: Present time, seconds.
+        """
+        self._warm_at = now + self.server.condition.warmup_s
+        self.send_heartbeat(now)
+
+    def send_heartbeat(self, now: float) -> None:
+        """Sends a heartbeat of the target.
+
+        Args:
+            now: Present time, seconds.
+        """
+        self._sequence += 1
         self.target_relay.on_heartbeat(
             announcements.Heartbeat(
                 id=self.server.spec.name,
                 started_ms=self._incarnation,
-                sequence=1,
+                sequence=self._sequence,
                 service=SERVICE_NAME,
                 slots=self.server.spec.slots,
                 draining=False,
-                warmup_s=0.0,
+                warmup_s=max(0.0, self._warm_at - now),
             ),
             now,
         )
@@ -130,5 +168,14 @@
         self.processor.wake()
 
 
+def _limit(
+    warmup: loads.WarmupSpec | None, now: float
+) -> warmup_limit.WarmupLimit | None:
+    if warmup is None:
+        return None
+    bound = warmup_limit.WarmupBound(warmup.overshoot, warmup.slack)
+    return warmup_limit.WarmupLimit(bound, HEARTBEAT_INTERVAL_S, now)
+
+
 def _discard(decision: outcomes.Decision) -> None:
     """Discards a log record; simulations measure at the callers."""
--- a/clementinelead/replays/relayed.py
+++ b/clementinelead/replays/relayed.py
@@ -21,7 +21,6 @@
 
 __all__ = ["RelayedTransport"]
 
-SERVICE_ADDRESS = b"S1"
 IDLE_TICK_S = 0.05
 """Interval of the processes' idle timer, seconds."""
 
@@ -69,7 +68,9 @@
         self._side_by_address = {
             side.address: side
             for side in (
-                relay_processes.SideProcess(server, event_queue.now)
+                relay_processes.SideProcess(
+                    server, load.warmup, event_queue.now
+                )
                 for server in all_servers
             )
         }
@@ -84,14 +85,47 @@
         self._balancer_by_address = {
             balancer.address: balancer for balancer in balancers
         }
-        self._kind = load.kinds[0]
+        self._kinds = load.kinds
+        self._address_by_kind = {
+            kind.name: f"S{number}".encode()
+            for number, kind in enumerate(load.kinds, start=1)
+        }
+        self._evacuated_zones: frozenset[str] = frozenset()
         for balancer in balancers:
-            self._configure(balancer, self._kind)
+            self._configure(balancer)
+        for evacuation in load.evacuations:
+            event_queue.schedule(
+                evacuation.at_s,
+                functools.partial(self._evacuate, {evacuation.zone}, set()),
+            )
+            event_queue.schedule(
+                evacuation.end_s,
+                functools.partial(self._evacuate, set(), {evacuation.zone}),
+            )
         for restart in load.balancers.restarts:
             event_queue.schedule(restart.at_s, self._kill_balancers)
             event_queue.schedule(restart.listening_s, self._open_sockets)
             event_queue.schedule(restart.serving_s, self._restart_balancers)
         event_queue.schedule(event_queue.now + IDLE_TICK_S, self._idle_tick)
+        event_queue.schedule(event_queue.now, self._send_heartbeats)
+
+    def _evacuate(self, begun: set[str], ended: set[str]) -> None:
+        """Tells all processes at once which zones are evacuated from now on."""
+        self._evacuated_zones = self._evacuated_zones.union(begun) - ended
+        for balancer in self._balancer_by_address.values():
+            balancer.steering.set_evacuated_zones(self._evacuated_zones)
+        for side in self._side_by_address.values():
+            zone = side.server.spec.zone
+            side.target_relay.set_evacuated(zone in self._evacuated_zones)
+
+    def _send_heartbeats(self) -> None:
+        now = self._event_queue.now
+        for side in self._side_by_address.values():
+            if side.server.condition.up:
+                side.send_heartbeat(now)
+        self._event_queue.schedule(
+            now + relay_processes.HEARTBEAT_INTERVAL_S, self._send_heartbeats
+        )
 
     def _kill_balancers(self) -> None:
         for balancer in self._balancer_by_address.values():
@@ -105,22 +139,25 @@
         """Restarts balancers, with routes and targets from peers."""
         for balancer in self._balancer_by_address.values():
             balancer.start(first_start=False)
-            self._configure(balancer, self._kind)
+            self._configure(balancer)
             balancer.processor.running = True
             balancer.wake()
 
-    def _configure(
-        self, balancer: relay_processes.Balancer, kind: loads.RequestKind
-    ) -> None:
+    def _configure(self, balancer: relay_processes.Balancer) -> None:
         now = self._event_queue.now
-        route = routes.Route(
-            relay_processes.SERVICE_NAME,
-            SERVICE_ADDRESS,
-            (routes.Share(relay_processes.SERVICE_NAME, 1),),
-            int(kind.objective_s * 1000),
-            int(kind.timeout_s * 1000),
+        share = routes.Share(relay_processes.SERVICE_NAME, 1)
+        kind_routes = tuple(
+            routes.Route(
+                kind.name,
+                self._address_by_kind[kind.name],
+                (share,),
+                int(kind.objective_s * 1000),
+                int(kind.timeout_s * 1000),
+            )
+            for kind in self._kinds
         )
-        table = routes.RoutingTable(1, (route,), 60.0)
+        table = routes.RoutingTable(1, kind_routes, 60.0)
+        balancer.steering.set_evacuated_zones(self._evacuated_zones)
         balancer.steering.former.record_change(routes.EMPTY, table, now)
         balancer.steering.set_routes(table)
         targets = tuple(
@@ -153,6 +190,8 @@
             side.sequence_by_key.clear()
         elif not was_up:
             side.announce_incarnation(self._event_queue.now)
+        else:
+            side.set_warmup(self._event_queue.now)
 
     # Callers.
 
@@ -166,7 +205,8 @@
             call: The call.
         """
         number = call.number * _ATTEMPTS + call.attempts - 1
-        key = packets.flow_key(number, SERVICE_ADDRESS)
+        address = self._address_by_kind[call.kind.name]
+        key = packets.flow_key(number, address)
         flow = _Flow(call, call.attempts)
         self._flow_by_key[key] = flow
         self._send_opening(key, flow, 0)
--- a/clementinelead/replays/summaries.py
+++ b/clementinelead/replays/summaries.py
@@ -7,11 +7,14 @@
 from clementinelead.replays import calls
 from clementinelead.replays import simulations
 
-__all__ = ["Summary", "plot", "share_within_objective", "summarize"]
+__all__ = ["Summary", "plot", "share_within_objective", "summarize", "worth"]
 
 PLOT_STEP_S = 0.5
 """Time that outcome character of a plot stands for, seconds."""
 
+LATE_WORTH_SHARE = 0.5
+"""Worth of a late answer, as a share of one in time."""
+
 _BAR_CHARACTERS = " ▁▂▃▄▅▆▇█"
 
 
@@ -97,6 +100,23 @@
     return tuple(rows)
 
 
+def worth(run: simulations.Replay) -> float:
+    """Returns the worth of the answers as a share of the largest possible.
+
+    Args:
+        run: The results.
+    """
+    kind_by_name = run.load.kind_by_name
+    earned = owed = 0.0
+    for outcome in run.outcomes:
+        kind = kind_by_name[outcome.arrival.kind]
+        owed += kind.worth
+        if outcome.result is calls.Result.SERVED:
+            late = outcome.duration_s > kind.objective_s
+            earned += kind.worth * (LATE_WORTH_SHARE if late else 1.0)
+    return earned / owed if owed else float("nan")
+
+
 def share_within_objective(
     run: simulations.Replay, from_s: float, to_s: float
 ) -> float:
--- a/clementinelead/replays/tests/test_replays.py
+++ b/clementinelead/replays/tests/test_replays.py
@@ -9,10 +9,11 @@
 from clementinelead.replays import calls
 from clementinelead.replays import loads
 from clementinelead.replays import patterns
+from clementinelead.replays import scales
 from clementinelead.replays import simulations
 from clementinelead.replays import summaries
 
-SCALE = patterns.Scale(targets=12, seconds=4.0, utilisation=0.5)
+SCALE = scales.Scale(targets=12, seconds=4.0, utilisation=0.5)
 SEED = 3
 
 MIN_OBJECTIVE_SHARE = 0.95
@@ -39,7 +40,7 @@
     return summaries.summarize(simulations.replay(load, policy, SEED))[0]
 
 
-ABOVE_CAPACITY_PATTERNS = ("burst", "backlog")
+ABOVE_CAPACITY_PATTERNS = ("burst", "backlog", "mixed-burst")
 
 
 @pytest.mark.parametrize(
@@ -94,7 +95,7 @@
 
 @functools.cache
 def _restart_run(name, seed):
-    load = patterns.generate(name, patterns.Scale(seconds=16.0), seed)
+    load = patterns.generate(name, scales.Scale(seconds=16.0), seed)
     return simulations.replay(load, "relayed", seed)
 
 
@@ -124,7 +125,7 @@
     Args:
         factor: Load, as a multiple of the balancers' capacity.
     """
-    scale = patterns.Scale(targets=60, seconds=2.0)
+    scale = scales.Scale(targets=60, seconds=2.0)
     generator = np.random.default_rng(SEED)
     load = patterns.overload(scale, generator, factor)
     run = simulations.replay(load, "relayed", SEED)
@@ -144,7 +145,7 @@
 
 
 def test_simulation_is_deterministic():
-    load = patterns.generate("half-mute", patterns.Scale(4, 1.0), SEED)
+    load = patterns.generate("half-mute", scales.Scale(4, 1.0), SEED)
     first, second = (
         simulations.replay(load, "relayed", SEED).outcomes for _ in range(2)
     )
@@ -153,7 +154,7 @@
 
 
 def test_every_request_has_one_outcome_under_every_policy():
-    load = patterns.generate("flapping", patterns.Scale(6, 2.0, 1.5), SEED)
+    load = patterns.generate("flapping", scales.Scale(6, 2.0, 1.5), SEED)
     for policy in simulations.POLICIES:
         run = simulations.replay(load, policy, SEED)
         assert [outcome.arrival for outcome in run.outcomes] == list(
@@ -172,20 +173,20 @@
 
 
 def test_unknown_policy_is_an_error():
-    load = patterns.generate("calm", patterns.Scale(2, 0.1), SEED)
+    load = patterns.generate("calm", scales.Scale(2, 0.1), SEED)
     with pytest.raises(ValueError, match="plain-hash"):
         simulations.replay(load, "guess", SEED)
 
 
 def test_plot_has_a_full_bar_for_each_half_second():
-    load = patterns.generate("calm", patterns.Scale(4, 2.0), SEED)
+    load = patterns.generate("calm", scales.Scale(4, 2.0), SEED)
     chart = summaries.plot(simulations.replay(load, "relayed", SEED))
     assert chart == "█" * len(chart)
     assert len(chart) in (4, 5)
 
 
 def test_load_is_unchanged_by_writing_and_reading(tmp_path):
-    load = patterns.generate("flapping", patterns.Scale(4, 2.0), SEED)
+    load = patterns.generate("flapping", scales.Scale(4, 2.0), SEED)
     path = tmp_path / "load.json"
     loads.write(path, load)
     assert loads.read(path) == load
