Evacuate zones by command and API in the project's own configuration

Cause: only the platform's operator could evacuate a zone; operators of the project's own store had to drain its targets one by one.

Change: the configuration has evacuations by zone with their author; commands 'evacuate ZONE' and '--undo', PUT and DELETE /v1/evacuations/ZONE for grants of all teams; handover lists them; side processes refuse new flows meanwhile. They spread and never revert as the other parts of a revision do. An index without evacuations has the form that older versions read.

One barrier only: in this design side processes alone decide, and balancers keep draining and evacuated targets as candidates for their open flows.

--- a/bench/clusters.py
+++ b/bench/clusters.py
@@ -251,6 +251,10 @@
         """Returns the settings file of a process."""
         return self._settings_by_id[identifier]
 
+    def zone(self, identifier: str) -> str:
+        """Returns the availability zone of a process."""
+        return self._zone_by_id[identifier]
+
     def data_port(self, identifier: str) -> int:
         """Returns the UDP port of a process's packet path."""
         return self._data_port_by_id[identifier]
--- a/bench/run.py
+++ b/bench/run.py
@@ -30,6 +30,7 @@
     "config": configs.config,
     "crash": changes.crash,
     "drain": changes.drain,
+    "evacuation": changes.evacuation,
     "hints": hints.hints,
     "liars": changes.liars,
     "load70": loads.load70,
--- a/bench/scenarios/changes.py
+++ b/bench/scenarios/changes.py
@@ -14,6 +14,7 @@
     "NEW_WORK_BOUND_S",
     "crash",
     "drain",
+    "evacuation",
     "liars",
     "pause",
     "rolling",
@@ -97,6 +98,44 @@
         cluster.close()
 
 
+def evacuation(seed: int) -> results.Result:
+    """A zone is evacuated under feeds of 10 s, and restored."""
+    cluster = _started(seed)
+    try:
+        cluster.start_callers(plans(group(), 20), 16.0, "callers")
+        time.sleep(4.0)
+        began = time.time()
+        zone = cluster.zone("feeds-2")
+        targets = [
+            target.id
+            for target in cluster.targets
+            if cluster.zone(target.id) == zone
+        ]
+        cluster.operate("evacuate", zone, "--reason=bench")
+        cluster.wait("callers", 120.0)
+        late = max(_late_work(cluster, target, began) for target in targets)
+        audit = _audit(cluster)
+        restored = time.time()
+        cluster.operate("evacuate", zone, "--undo", "--reason=bench")
+        time.sleep(NEW_WORK_BOUND_S)
+        cluster.start_callers(plans(group(), 2), 4.0, "callers-again")
+        cluster.wait("callers-again", 120.0)
+        returned = sum(
+            _late_work(cluster, target, restored) > 0.0 for target in targets
+        )
+        missed = [] if late <= NEW_WORK_BOUND_S else ["last_new_flow_s"]
+        if returned < len(targets):
+            missed.append("returned")
+        extra = {
+            "last_new_flow_s": round(late, 2),
+            "evacuated": len(targets),
+            "returned": returned,
+        }
+        return results.of_audit(audit, extra, missed)
+    finally:
+        cluster.close()
+
+
 def _return(cluster: clusters.Cluster, target: str) -> bool:
     """Takes a target back that has left; tells whether it gets flows again.
 
--- a/bench/scenarios/slopes.py
+++ b/bench/scenarios/slopes.py
@@ -214,7 +214,7 @@
         memory[str(count)] = allocated.megabytes
         empty = models.Configuration()
         whole = drafts.build_write(
-            empty, drafts.Draft(entries, {}, {}, entries), author
+            empty, drafts.Draft(entries, {}, {}, {}, sheet=entries), author
         )
         stored = models.Configuration(
             head=whole.head,
--- a/clementinelead/administration/api.py
+++ b/clementinelead/administration/api.py
@@ -62,6 +62,9 @@
         router.add_delete("/v1/services/{name}", self._remove_service)
         router.add_put("/v1/drains/{target}", self._drain_target)
         router.add_delete("/v1/drains/{target}", self._undrain_target)
+        router.add_get("/v1/evacuations", self._list_evacuations)
+        router.add_put("/v1/evacuations/{zone}", self._evacuate_zone)
+        router.add_delete("/v1/evacuations/{zone}", self._restore_zone)
         router.add_get("/v1/changes/{change}", self._settle_change)
 
     async def _get_openapi(self, _: web.Request) -> web.Response:
@@ -141,6 +144,28 @@
             request, grant, lambda _: edits.undrain_edit(target)
         )
 
+    async def _list_evacuations(self, request: web.Request) -> web.Response:
+        self._authorize(request, tokens.Right.READ)
+        evacuations = {
+            zone: evacuation.author.model_dump(mode="json")
+            for zone, evacuation in sorted(self._active.evacuations.items())
+        }
+        return self._respond({"evacuations": evacuations})
+
+    async def _evacuate_zone(self, request: web.Request) -> web.Response:
+        grant = self._authorize_all_teams(request)
+        zone = request.match_info["zone"]
+        return await self._apply_change(
+            request, grant, lambda author: edits.evacuate_edit(zone, author)
+        )
+
+    async def _restore_zone(self, request: web.Request) -> web.Response:
+        grant = self._authorize_all_teams(request)
+        zone = request.match_info["zone"]
+        return await self._apply_change(
+            request, grant, lambda _: edits.restore_edit(zone)
+        )
+
     async def _apply_change(
         self,
         request: web.Request,
@@ -204,6 +229,20 @@
             web.HTTPForbidden, "the token does not permit changes"
         )
 
+    def _authorize_all_teams(self, request: web.Request) -> tokens.Grant:
+        """Returns a grant to change what concerns all teams, such as a zone.
+
+        Raises:
+            web.HTTPException: As ``_authorize`` does, or the grant is limited
+                to one team.
+        """
+        grant = self._authorize(request, tokens.Right.CHANGE)
+        if grant.team != tokens.ALL_TEAMS:
+            raise _http_error(
+                web.HTTPForbidden, "a zone concerns all teams; the token one"
+            )
+        return grant
+
     def _check_target(self, target: str, grant: tokens.Grant) -> None:
         """Checks that a target serves only services that the grant covers.
 
--- a/clementinelead/administration/openapi.py
+++ b/clementinelead/administration/openapi.py
@@ -55,6 +55,7 @@
     """Returns the OpenAPI description of the API as a JSON object."""
     name = _parameter("name", "path", "Name of the service.")
     target = _parameter("target", "path", "Identifier of the target.")
+    zone = _parameter("zone", "path", "Name of the availability zone.")
     change = _parameter("change", "path", "Identifier of the change.")
     service = {"$ref": "#/components/schemas/Service"}
     body = {"content": {"application/json": {"schema": service}}}
@@ -95,6 +96,18 @@
                     "responses": _CHANGE_RESPONSES,
                 },
             },
+            "/v1/evacuations": {"get": {"responses": _responses()}},
+            "/v1/evacuations/{zone}": {
+                "parameters": [zone],
+                "put": {
+                    "parameters": _CHANGE_PARAMETERS,
+                    "responses": _CHANGE_RESPONSES,
+                },
+                "delete": {
+                    "parameters": _CHANGE_PARAMETERS,
+                    "responses": _CHANGE_RESPONSES,
+                },
+            },
             "/v1/changes/{change}": {
                 "parameters": [change],
                 "get": {"responses": _responses()},
--- a/clementinelead/administration/tests/test_api.py
+++ b/clementinelead/administration/tests/test_api.py
@@ -86,6 +86,7 @@
             configuration.revision,
             configuration.entry_by_name,
             configuration.index.drains,
+            configuration.index.evacuations,
         )
 
 
@@ -254,6 +255,41 @@
     run(scenario)
 
 
+def test_only_a_grant_for_all_teams_evacuates_a_zone():
+    async def scenario(api_server):
+        path = "/v1/evacuations/north-a"
+        status, _ = await api_server.request("PUT", path, "c-change")
+        assert status == 403
+        assert not api_server.active.evacuations
+        status, _ = await api_server.request(
+            "PUT", path, "all", X_Operator="ana", X_Reason="power work"
+        )
+        assert status == 200
+        status, content = await api_server.request(
+            "GET", "/v1/evacuations", "c-read"
+        )
+        author = content["evacuations"]["north-a"]
+        assert author["operator"] == "ana"
+        assert author["reason"] == "power work"
+        status, _ = await api_server.request("DELETE", path, "all")
+        assert status == 200
+        assert not api_server.active.evacuations
+
+    run(scenario)
+
+
+def test_evacuation_with_an_invalid_zone_or_without_need_is_rejected():
+    async def scenario(api_server):
+        for method, zone in (("PUT", "North A"), ("DELETE", "north-a")):
+            status, content = await api_server.request(
+                method, f"/v1/evacuations/{zone}", "all"
+            )
+            assert status == 422
+            assert content["findings"]
+
+    run(scenario)
+
+
 def test_openapi_description_lists_every_route():
     async def scenario(api_server):
         status, content = await api_server.request(
--- a/clementinelead/configurations/adoption.py
+++ b/clementinelead/configurations/adoption.py
@@ -64,6 +64,7 @@
         revision: Revision in force, 0 before the first.
         entry_by_name: Services in force.
         drains: Drain by identifier of the target.
+        evacuations: Evacuation by name of the zone.
     """
 
     def __init__(self, names: frozenset[str] | None = None):
@@ -77,6 +78,7 @@
         self.revision = 0
         self.entry_by_name: dict[str, models.Entry] = {}
         self.drains: dict[str, models.Drain] = {}
+        self.evacuations: dict[str, models.Evacuation] = {}
         self._names = names
         self._patches: collections.deque[models.Patch] = collections.deque(
             maxlen=MAX_CACHED_PATCHES
@@ -87,6 +89,7 @@
         revision: int,
         entry_by_name: collections.abc.Mapping[str, models.Entry],
         drains: collections.abc.Mapping[str, models.Drain],
+        evacuations: collections.abc.Mapping[str, models.Evacuation],
     ) -> AdoptionOutcome:
         """Adopts a full configuration if its revision is higher.
 
@@ -97,6 +100,7 @@
             revision: Revision of the configuration.
             entry_by_name: Services of the configuration.
             drains: Drain by identifier of the target.
+            evacuations: Evacuation by name of the zone.
 
         Returns:
             Whether the configuration was adopted, is not newer, or is older.
@@ -113,6 +117,7 @@
         self._patches.clear()
         self.entry_by_name = entries
         self.drains = dict(drains)
+        self.evacuations = dict(evacuations)
         self.revision = revision
         return Adopted(revision, None)
 
@@ -132,6 +137,7 @@
         """
         entries = dict(self.entry_by_name)
         drains = self.drains
+        evacuations = self.evacuations
         revision = self.revision
         changed_names: set[str] = set()
         applied = []
@@ -145,6 +151,7 @@
                     continue
                 changed_names.add(name)
             drains = patch.drains
+            evacuations = patch.evacuations
             revision = patch.revision
             applied.append(patch)
         if not applied:
@@ -152,6 +159,7 @@
         self._patches.extend(applied)
         self.entry_by_name = entries
         self.drains = dict(drains)
+        self.evacuations = dict(evacuations)
         self.revision = revision
         return Adopted(revision, frozenset(changed_names))
 
--- a/clementinelead/configurations/drafts.py
+++ b/clementinelead/configurations/drafts.py
@@ -25,6 +25,7 @@
         drains: Drain by identifier of the target.
         removed: Author by name of the services removed by hand since the
             last sheet.
+        evacuations: Evacuation by name of the zone.
         sheet: Services by name of the sheet that the edit applies, None if it
             applies none.
     """
@@ -32,6 +33,7 @@
     entry_by_name: dict[str, models.Entry]
     drains: dict[str, models.Drain]
     removed: dict[str, models.Author]
+    evacuations: dict[str, models.Evacuation]
     sheet: dict[str, models.Entry] | None = None
 
 
@@ -58,6 +60,7 @@
     return Draft(
         entry_by_name=dict(configuration.entry_by_name),
         drains=dict(configuration.index.drains),
+        evacuations=dict(configuration.index.evacuations),
         removed=dict(configuration.index.removed),
     )
 
@@ -203,6 +206,7 @@
         entries=_changed_entries(stored, configuration.stored_by_name),
         drains=draft.drains,
         author=author,
+        evacuations=draft.evacuations,
     )
     retained = {*chunk_digests.values(), *sheet_digests.values()}
     garbage = _collect_garbage(configuration, retained, revision)
@@ -218,6 +222,7 @@
         removed=draft.removed,
         recent=_recent_changes(old, author, revision),
         garbage=tuple(item for item in garbage if item not in expired),
+        evacuations=draft.evacuations,
     )
     head = models.Head(
         revision=revision,
--- a/clementinelead/configurations/edits.py
+++ b/clementinelead/configurations/edits.py
@@ -1,4 +1,4 @@
-"""Edits made by hand: fields of services, services and drains."""
+"""Edits made by hand: services and their fields, drains, evacuations."""
 
 import collections.abc
 import dataclasses
@@ -13,7 +13,14 @@
 from clementinelead.configurations import shares
 from clementinelead.configurations import sheets
 
-__all__ = ["drain_edit", "remove_edit", "set_edit", "undrain_edit"]
+__all__ = [
+    "drain_edit",
+    "evacuate_edit",
+    "remove_edit",
+    "restore_edit",
+    "set_edit",
+    "undrain_edit",
+]
 
 Edit = collections.abc.Callable[[models.Configuration], drafts.Draft]
 """Returns the edited draft of a configuration; see ``repositories.Edit``."""
@@ -144,6 +151,49 @@
     return edit
 
 
+def evacuate_edit(zone: str, author: models.Author) -> Edit:
+    """Returns the edit that evacuates an availability zone.
+
+    The edit raises ``exceptions.FindingsError`` if the name is invalid.
+
+    Args:
+        zone: Name of the zone.
+        author: Author of the change.
+    """
+
+    def edit(configuration: models.Configuration) -> drafts.Draft:
+        try:
+            evacuation = models.Evacuation(zone=zone, author=author)
+        except pydantic.ValidationError as error:
+            findings = validation.findings(error, lambda path: ".".join(path))
+            raise exceptions.FindingsError(findings) from error
+        draft = drafts.copy_configuration(configuration)
+        evacuations = {**draft.evacuations, zone: evacuation}
+        return dataclasses.replace(draft, evacuations=evacuations)
+
+    return edit
+
+
+def restore_edit(zone: str) -> Edit:
+    """Returns the edit that ends the evacuation of an availability zone.
+
+    The edit raises ``exceptions.FindingsError`` if the zone is not evacuated.
+
+    Args:
+        zone: Name of the zone.
+    """
+
+    def edit(configuration: models.Configuration) -> drafts.Draft:
+        draft = drafts.copy_configuration(configuration)
+        evacuations = dict(draft.evacuations)
+        if evacuations.pop(zone, None) is None:
+            finding = exceptions.Finding(zone, "is not evacuated")
+            raise exceptions.FindingsError((finding,))
+        return dataclasses.replace(draft, evacuations=evacuations)
+
+    return edit
+
+
 def _check_addresses(name: str, entry_by_name: dict[str, models.Entry]) -> None:
     """Checks that no address of a service belongs to another service.
 
--- a/clementinelead/configurations/merges.py
+++ b/clementinelead/configurations/merges.py
@@ -368,6 +368,7 @@
         return drafts.Draft(
             entry_by_name=merged.entry_by_name,
             drains=dict(configuration.index.drains),
+            evacuations=dict(configuration.index.evacuations),
             removed=merged.removed,
             sheet=merged.sheet_by_name,
         )
--- a/clementinelead/configurations/models.py
+++ b/clementinelead/configurations/models.py
@@ -4,6 +4,7 @@
 import functools
 import ipaddress
 import math
+import operator
 import typing
 
 import pydantic
@@ -16,6 +17,7 @@
     "Configuration",
     "Drain",
     "Entry",
+    "Evacuation",
     "Head",
     "Service",
     "Share",
@@ -247,6 +249,24 @@
         return max(bounds, default=math.inf)
 
 
+class Evacuation(_Frozen):
+    """Evacuation of an availability zone: its targets get no new flows.
+
+    Attributes:
+        zone: Name of the zone.
+        author: Author of the evacuation.
+    """
+
+    zone: Name
+    author: Author
+
+
+Evacuations = typing.Annotated[
+    dict[str, Evacuation], pydantic.Field(exclude_if=operator.not_)
+]
+"""Evacuation by zone; omitted if empty, which older versions can read."""
+
+
 class Head(_Frozen):
     """The only record that changes, by compare-and-swap.
 
@@ -292,6 +312,7 @@
             sheet.
         recent: Revision by identifier of the latest changes, oldest first.
         garbage: Replaced values that are not yet deleted, oldest first.
+        evacuations: Evacuation by name of the zone.
     """
 
     chunks: dict[int, str] = {}
@@ -300,6 +321,7 @@
     removed: dict[str, Author] = {}
     recent: dict[str, int] = {}
     garbage: tuple[Garbage, ...] = ()
+    evacuations: Evacuations = {}
 
 
 class Patch(_Frozen):
@@ -311,6 +333,7 @@
         entries: New entry by name, None for a service that was removed.
         drains: All drains after the change, by identifier of the target.
         author: Author of the change.
+        evacuations: All evacuations after the change, by name of the zone.
     """
 
     revision: int
@@ -318,6 +341,7 @@
     entries: dict[str, Entry | None]
     drains: dict[str, Drain]
     author: Author
+    evacuations: Evacuations = {}
 
 
 class Chunk(_Frozen):
--- a/clementinelead/configurations/tests/test_repositories.py
+++ b/clementinelead/configurations/tests/test_repositories.py
@@ -227,7 +227,7 @@
 
 def test_lower_revision_is_not_adopted():
     active = adoption.ActiveConfiguration()
-    active.offer_snapshot(7, {}, {})
-    outcome = active.offer_snapshot(3, {}, {})
+    active.offer_snapshot(7, {}, {}, {})
+    outcome = active.offer_snapshot(3, {}, {}, {})
     assert outcome == adoption.OlderRevision(3, 7)
     assert active.revision == 7
--- a/clementinelead/configurations/tests/test_shares.py
+++ b/clementinelead/configurations/tests/test_shares.py
@@ -110,7 +110,7 @@
     outcome = active.offer_patches([_patch(2, a=fakes.service("a", 1))])
     assert outcome.names == {"a"}
     assert active.needed_names == {"b"}
-    active.offer_snapshot(3, {"a": models.Entry(service=split)}, {})
+    active.offer_snapshot(3, {"a": models.Entry(service=split)}, {}, {})
     assert active.entry_by_name.keys() == {"a"}
     active.offer_patches([_patch(4, a=None)])
     assert not active.entry_by_name
--- a/clementinelead/flows/acceptance.py
+++ b/clementinelead/flows/acceptance.py
@@ -46,6 +46,8 @@
             may still be missing from the flow table.
         removed_services: Services that have been removed from the
             configuration; their new flows are refused.
+        evacuated: Whether the zone of the target is evacuated; it accepts no
+            new flows.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         self.state = "cold"
         self.recovering = True
         self.removed_services: frozenset[str] = frozenset()
+        self.evacuated = False
         self._own_candidate = own_candidate
         self._load = load
         self._flows = flows
@@ -189,6 +192,8 @@
             return loads.Admission(False, "recovering")
         if self.state not in _ACCEPTING_STATES:
             return loads.Admission(False, self.state)
+        if self.evacuated:
+            return loads.Admission(False, "zone evacuated")
         if request.route.service in self.removed_services:
             return loads.Admission(False, "service removed")
         return self._load.check_admission(now, last_resort)
--- a/clementinelead/flows/tests/test_decisions.py
+++ b/clementinelead/flows/tests/test_decisions.py
@@ -150,6 +150,29 @@
     assert delivering_targets(net, 2000) == [owner]
 
 
+def test_target_in_an_evacuated_zone_keeps_open_flows_and_gets_no_new_one(net):
+    owner = open_flow(net, 2000)
+    acceptor = net.side_by_name[owner].decider.acceptor
+    acceptor.evacuated = True
+    for port in range(3000, 3030):
+        net.send(network.packet(port))
+        net.run()
+        assert net.owners(key_of(port)) != [owner]
+    assert delivering_targets(net, 2000) == [owner]
+    acceptor.evacuated = False
+    owners = {open_flow(net, port) for port in range(4000, 4030)}
+    assert owner in owners
+
+
+def test_flow_is_refused_if_all_zones_are_evacuated(net):
+    for side in net.side_by_name.values():
+        side.decider.acceptor.evacuated = True
+    net.send(network.packet(2000))
+    net.run()
+    assert net.refused == [network.packet(2000)]
+    assert not net.deliveries
+
+
 def test_syn_that_reuses_ports_of_a_closing_flow_opens_a_new_flow(net):
     owner = open_flow(net, 2000)
     delivering_targets(net, 2000, FIN | ACK, b"")
--- a/clementinelead/processes/config_watch.py
+++ b/clementinelead/processes/config_watch.py
@@ -97,6 +97,9 @@
                 return
         stored, _ = await self._repository.read_configuration()
         snapshot_outcome = in_force.offer_snapshot(
-            stored.revision, stored.stored_by_name, stored.index.drains
+            stored.revision,
+            stored.stored_by_name,
+            stored.index.drains,
+            stored.index.evacuations,
         )
         self._node.handle_adoption_outcome(snapshot_outcome, "store")
--- a/clementinelead/processes/operator.py
+++ b/clementinelead/processes/operator.py
@@ -217,6 +217,30 @@
     )
 
 
+@application.command("evacuate")
+def evacuate_zone(
+    zone: typing.Annotated[str, typer.Argument(help="Availability zone.")],
+    settings: operator_context.SettingsOption,
+    undo: typing.Annotated[
+        bool, typer.Option("--undo", help="Take it back into service.")
+    ] = False,
+    reason: operator_context.ReasonOption = "",
+    change_id: operator_context.ChangeIdOption = "",
+    timeout: operator_context.TimeoutOption = operator_context.CHANGE_TIMEOUT_S,
+    as_json: operator_context.JsonOption = False,
+) -> None:
+    """Stops new work at all targets of a zone; their flows go on."""
+
+    def edit(author: models.Author) -> repositories.Edit:
+        if undo:
+            return edits.restore_edit(zone)
+        return edits.evacuate_edit(zone, author)
+
+    operator_context.make_change(
+        settings, edit, change_id, reason, timeout, as_json
+    )
+
+
 @application.command("settle")
 def settle(
     change: typing.Annotated[str, typer.Argument(help="Identifier.")],
@@ -306,6 +330,10 @@
                 name: drain.model_dump(mode="json")
                 for name, drain in configuration.index.drains.items()
             },
+            "evacuated": {
+                zone: evacuation.author.model_dump(mode="json")
+                for zone, evacuation in configuration.index.evacuations.items()
+            },
         }
         print(json.dumps(content))
         return
--- a/clementinelead/processes/operator_output.py
+++ b/clementinelead/processes/operator_output.py
@@ -58,7 +58,7 @@
 
 
 def print_handover(configuration: models.Configuration) -> None:
-    """Prints the changes by hand, the ending services and the drains."""
+    """Prints changes by hand, ending services, drains and evacuations."""
     print(f"Revision {configuration.revision} is in force.")
     print("Changed by hand since the last sheet:")
     lines = [
@@ -85,3 +85,9 @@
         for name, drain in sorted(configuration.index.drains.items())
     ]
     print("\n".join(drains) or "  nothing")
+    print("Evacuated zones:")
+    evacuations = [
+        f"  {zone}  ({_author_text(evacuation.author)})"
+        for zone, evacuation in sorted(configuration.index.evacuations.items())
+    ]
+    print("\n".join(evacuations) or "  none")
--- a/clementinelead/processes/peers.py
+++ b/clementinelead/processes/peers.py
@@ -110,6 +110,10 @@
             "revision": self._adopted.revision,
             "entries": entries,
             "drains": drains,
+            "evacuations": {
+                zone: evacuation.model_dump(mode="json")
+                for zone, evacuation in self._adopted.evacuations.items()
+            },
         }
         return self.tagged_response(json.dumps(content).encode())
 
@@ -233,8 +237,15 @@
                 target: models.Drain.model_validate(drain)
                 for target, drain in content["drains"].items()
             }
+            # Peers of older versions send none.
+            evacuations = {
+                zone: models.Evacuation.model_validate(evacuation)
+                for zone, evacuation in content.get("evacuations", {}).items()
+            }
         except (ValueError, KeyError) as error:
             raise exceptions.PeerUnavailableError(
                 f"{peer.id}: {error}"
             ) from error
-        return adopted.offer_snapshot(content["revision"], entries, drains)
+        return adopted.offer_snapshot(
+            content["revision"], entries, drains, evacuations
+        )
--- a/clementinelead/processes/side.py
+++ b/clementinelead/processes/side.py
@@ -222,6 +222,7 @@
                 next_flush = now + FLUSH_INTERVAL_S
                 self._messages.flush()
             self._check_drain(now)
+            self._check_evacuation()
 
     def check_pause(self, now: float) -> None:
         """Reports a pause to the decider if this process did not run.
@@ -256,6 +257,20 @@
                 "draining bound_s={} flows={}", bound_s, len(self.decider.flows)
             )
 
+    def _check_evacuation(self) -> None:
+        """Applies an evacuation of the own zone to new flows."""
+        evacuations = self.node.configuration.evacuations
+        evacuation = evacuations.get(self._settings.node.zone)
+        evacuated = evacuation is not None
+        if evacuated is self.decider.acceptor.evacuated:
+            return
+        self.decider.acceptor.evacuated = evacuated
+        loguru.logger.bind(
+            zone=self._settings.node.zone,
+            revision=self.node.configuration.revision,
+            change=evacuation.author.change if evacuation else None,
+        ).info("zone evacuated" if evacuated else "evacuation of zone ended")
+
     def _drain_bound_s(self, drain: config_models.Drain) -> float:
         entries = self.node.configuration.entry_by_name.values()
         return drain.effective_bound_s(entry.service for entry in entries)
