Specify evacuations: no process goes back to an older state

Bounded model of a store that may come back from an older copy, two processes and a late, lost or repeated message. Variants without 'adopts only newer' and without the order by era have a counterexample; the model has none in 8 steps.

--- a/tests/test_specifications.py
+++ b/tests/test_specifications.py
@@ -3,11 +3,13 @@
 import pytest
 
 from specs import bounded
+from specs import evacuations
 from specs import head
 from specs import ownership
 from specs import relays
 
 HEAD_DEPTH_STEPS = 10
+EVACUATIONS_DEPTH_STEPS = 8
 OWNERSHIP_DEPTH_STEPS = 14
 RELAYS_DEPTH_STEPS = 12
 
@@ -26,6 +28,19 @@
     assert bounded.counterexample(variant, HEAD_DEPTH_STEPS) is not None
 
 
+def test_evacuations_have_no_counterexample():
+    specification = evacuations.specification()
+    assert (
+        bounded.counterexample(specification, EVACUATIONS_DEPTH_STEPS) is None
+    )
+
+
+@pytest.mark.parametrize("rule", ["adopts_only_newer", "orders_by_era"])
+def test_evacuations_without_one_rule_have_a_counterexample(rule):
+    variant = evacuations.specification(**{rule: False})
+    assert bounded.counterexample(variant, EVACUATIONS_DEPTH_STEPS) is not None
+
+
 def test_ownership_has_no_counterexample():
     assert (
         bounded.counterexample(ownership.specification(), OWNERSHIP_DEPTH_STEPS)
