--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -20,6 +20,7 @@
 __all__ = ["Environment", "Sizes"]
 
 SERVICES = ("lookups", "exports")
+ZONES = ("z0", "z1")
 SERVICE_ENDPOINTS = (("198.18.0.1", 443), ("198.18.0.2", 80))
 _PACKAGE = "clementinelead.platform"
 _PORT_NAMES = ("datagrams", "ready", "control", "outbound", "app", "store")
@@ -36,12 +37,14 @@
         connections: Whether faults are injected into connections to the store
             too; seeds that failed before these faults existed replay without
             them.
+        evacuations: Whether zones are evacuated; likewise.
     """
 
     balancers: int = 3
     targets: int = 6
     callers: int = 24
     connections: bool = True
+    evacuations: bool = True
 
 
 class Environment:
@@ -114,7 +117,7 @@
         node = node_files.Node(
             name,
             address,
-            zone=f"z{number % 2}",
+            zone=ZONES[number % len(ZONES)],
             service=SERVICES[number % 3 // 2] if role == "side" else None,
             internal_ports=(self._internal_port, self._internal_port + 5),
             seeds=tuple(
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -32,6 +32,8 @@
     names = sorted(_FAULTS)
     if not environment.sizes.connections:
         names.remove("connections")
+    if not environment.sizes.evacuations:
+        names.remove("evacuate zone")
     while time.monotonic() - start_s < seconds:
         name = generator.choice(names)
         injected.append(f"{time.monotonic():.3f} s: {name}")
@@ -105,6 +107,13 @@
         await asyncio.sleep(0.1)
 
 
+async def _evacuate_zone(environment: environment_module.Environment) -> None:
+    zone = environment.random.choice(environment_module.ZONES)
+    environment.store.evacuate(zone)
+    await asyncio.sleep(environment.random.uniform(0.5, 6.0))
+    environment.store.restore(zone)
+
+
 async def _crash_target(environment: environment_module.Environment) -> None:
     target = environment.random.choice(environment.targets)
     if target.serving:
@@ -127,6 +136,7 @@
     "connections": _disturb_connections,
     "crash target": _crash_target,
     "drain target": _drain_target,
+    "evacuate zone": _evacuate_zone,
     "kill all": _kill_all,
     "kill balancers": _kill_balancers,
     "kill one": _kill_program,
--- a/clementinelead/platform/standins/store.py
+++ b/clementinelead/platform/standins/store.py
@@ -10,12 +10,14 @@
 __all__ = ["Store"]
 
 CONFIG_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+_EMPTY_OBJECT = base64.b64encode(b"{}").decode()
 SILENT_S = 30.0
 SLOW_S = 0.8
 
 
 class Store:
-    """Serves the configuration and leased keys; leases never expire.
+    """Serves the operator's keys and leased keys; leases never expire.
 
     Attributes:
         fault: Injected fault: ``busy`` answers 503, ``silent`` answers after
@@ -29,7 +31,9 @@
         self.version = 0
         self._config_value = b""
         self._revision = 10
+        self._event_by_evacuation_key: dict[str, dict[str, object]] = {}
         self._changed = asyncio.Event()
+        self._config_revision = self._revision
         self._lease_count = 0
         self._leased_item_by_key: dict[str, dict[str, object]] = {}
 
@@ -42,6 +46,39 @@
         """
         self.version = version
         self._config_value = json.dumps({"version": version, **config}).encode()
+        self._advance()
+        self._config_revision = self._revision
+
+    def evacuate(self, zone: str) -> None:
+        """Writes the key of an evacuated zone.
+
+        Args:
+            zone: Name of the zone.
+        """
+        self._advance()
+        key = f"{EVACUATION_PREFIX}{zone}"
+        self._event_by_evacuation_key[key] = {
+            "key": key,
+            "revision": self._revision,
+            "value": _EMPTY_OBJECT,
+        }
+
+    def restore(self, zone: str) -> None:
+        """Deletes the key of an evacuated zone.
+
+        Args:
+            zone: Name of the zone.
+        """
+        self._advance()
+        key = f"{EVACUATION_PREFIX}{zone}"
+        self._event_by_evacuation_key[key] = {
+            "key": key,
+            "revision": self._revision,
+            "deleted": True,
+        }
+
+    def _advance(self) -> None:
+        """Raises the revision and wakes pending watches."""
         self._revision += 3
         self._changed.set()
         self._changed = asyncio.Event()
@@ -81,7 +118,7 @@
         return {
             "key": CONFIG_KEY,
             "value": base64.b64encode(self._config_value).decode(),
-            "revision": self._revision,
+            "revision": self._config_revision,
             "created": 10,
             "lease": 0,
         }
@@ -104,7 +141,15 @@
                     await self._changed.wait()
             except TimeoutError:
                 pass
-        events = [self._config_item()] if self._revision > after else []
+        operator_items = [
+            self._config_item(),
+            *self._event_by_evacuation_key.values(),
+        ]
+        events = [
+            item
+            for item in operator_items
+            if int(str(item["revision"])) > after
+        ]
         return web.json_response(
             {"events": events, "current_rev": self._revision}
         )
@@ -114,8 +159,11 @@
         prefix = request.query["prefix"]
         items = [
             item
-            for key, item in self._leased_item_by_key.items()
-            if key.startswith(prefix)
+            for key, item in {
+                **self._leased_item_by_key,
+                **self._event_by_evacuation_key,
+            }.items()
+            if key.startswith(prefix) and not item.get("deleted")
         ]
         return web.json_response(
             {"items": items, "current_rev": self._revision}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Short seeded runs of the soak test; seeds that once failed."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -8,20 +9,22 @@
 from bench.soak import run
 
 SMALL = environment.Sizes(balancers=2, targets=3, callers=8)
-WITHOUT_CONNECTION_FAULTS = environment.Sizes(connections=False)
+WITHOUT_EVACUATIONS = dataclasses.replace(SMALL, evacuations=False)
+WITHOUT_LATER_FAULTS = environment.Sizes(connections=False, evacuations=False)
 
 
 @pytest.mark.parametrize(
     ("seed", "seconds", "sizes"),
     [
-        (7, 6.0, SMALL),
+        (7, 6.0, WITHOUT_EVACUATIONS),
+        (8, 6.0, SMALL),
         # A restarted target accepted flows before its first heartbeat; its
         # side process then treated them as flows of the former incarnation
         # and denied them.
-        (101, 10.0, WITHOUT_CONNECTION_FAULTS),
+        (101, 10.0, WITHOUT_LATER_FAULTS),
         # The refusal of a late retransmission of an opening packet reset its
         # flow.
-        (139, 10.0, WITHOUT_CONNECTION_FAULTS),
+        (139, 10.0, WITHOUT_LATER_FAULTS),
     ],
 )
 def test_short_soak_has_no_violations(tmp_path, seed, seconds, sizes):
