Share the message that tells peers what is in force; name the cause of a deferral

Cause: three processes built the same messages to random peers; the log line of a flow deferred for warm-up built its outcome from the counter's name.

Change: memberships.outgoing.notifications; 'deferred' with a field 'cause'. No other behaviour.

--- a/clementinelead/memberships/outgoing.py
+++ b/clementinelead/memberships/outgoing.py
@@ -1,11 +1,14 @@
 """Control messages that the membership decisions return for sending."""
 
+import collections.abc
+import random
+
 import msgspec
 
 from clementinelead.memberships import records
 from clementinelead.messages import controls
 
-__all__ = ["UNTRACKED_PROBE", "Message"]
+__all__ = ["UNTRACKED_PROBE", "Message", "notifications"]
 
 UNTRACKED_PROBE = 0
 """Probe number of a ping whose acknowledgement is not tracked.
@@ -27,3 +30,25 @@
     address: tuple[str, int]
     records: tuple[records.Record, ...]
     body: controls.Body
+
+
+def notifications(
+    peers: collections.abc.Sequence[records.Record],
+    fanout: int,
+    generator: random.Random,
+) -> list[Message]:
+    """Returns messages that tell random peers what is in force here.
+
+    They have no body: each control message names the revision of the
+    configuration and the evacuated zones.
+
+    Args:
+        peers: Records of the living peers.
+        fanout: Most peers to notify.
+        generator: Source of the random choice.
+    """
+    count = min(fanout, len(peers))
+    return [
+        Message(peer.control_address, (), controls.NoBody())
+        for peer in generator.sample(peers, count)
+    ]
--- a/clementinelead/processes/evacuation_exchange.py
+++ b/clementinelead/processes/evacuation_exchange.py
@@ -8,7 +8,6 @@
 from clementinelead.memberships import evacuations
 from clementinelead.memberships import gossip
 from clementinelead.memberships import outgoing
-from clementinelead.messages import controls
 
 __all__ = ["EvacuationExchange"]
 
@@ -100,9 +99,9 @@
 
     def _push(self) -> None:
         """Sends the state to some random peers."""
-        peers = self._gossiper.peers()
-        count = min(self._gossiper.options.push_fanout, len(peers))
-        for peer in self._random.sample(peers, count):
-            self._send(
-                outgoing.Message(peer.control_address, (), controls.NoBody())
-            )
+        for message in outgoing.notifications(
+            self._gossiper.peers(),
+            self._gossiper.options.push_fanout,
+            self._random,
+        ):
+            self._send(message)
--- a/clementinelead/processes/node.py
+++ b/clementinelead/processes/node.py
@@ -383,11 +383,12 @@
         return self.random.choice(others) if others else None
 
     def _push_revision(self) -> None:
-        others = self.gossiper.peers()
-        count = min(self.gossiper.options.push_fanout, len(others))
         self.send_all(
-            outgoing.Message(peer.control_address, (), controls.NoBody())
-            for peer in self.random.sample(others, count)
+            outgoing.notifications(
+                self.gossiper.peers(),
+                self.gossiper.options.push_fanout,
+                self.random,
+            )
         )
 
     async def _on_metrics(self, request: web.Request) -> web.Response:
--- a/clementinelead/processes/route_exchange.py
+++ b/clementinelead/processes/route_exchange.py
@@ -9,7 +9,6 @@
 
 from clementinelead.memberships import gossip
 from clementinelead.memberships import outgoing
-from clementinelead.messages import controls
 from clementinelead.processes import http_site
 from clementinelead.processes import route_queries
 from clementinelead.relays import former_services
@@ -96,12 +95,12 @@
 
     def _push_version(self) -> None:
         """Sends the version in force to some random peers."""
-        peers = self._gossiper.peers()
-        count = min(self._gossiper.options.push_fanout, len(peers))
-        for peer in self._random.sample(peers, count):
-            self._send(
-                outgoing.Message(peer.control_address, (), controls.NoBody())
-            )
+        for message in outgoing.notifications(
+            self._gossiper.peers(),
+            self._gossiper.options.push_fanout,
+            self._random,
+        ):
+            self._send(message)
 
     async def fetch(self, host: str) -> None:
         """Fetches a peer's routes and former services and adopts newer ones.
--- a/clementinelead/relays/target_relay.py
+++ b/clementinelead/relays/target_relay.py
@@ -264,7 +264,7 @@
             now: Present time, seconds.
         """
         self.counts.add(cause)
-        self._log("acceptance", cause.replace("_", " for "), frame.key, now)
+        self._log("acceptance", "deferred", frame.key, now, cause=cause)
         load_ms = self.workload.load_ms(now)
         return [
             query_replies.reply(_Kind.DEFERRED, frame, source, value=load_ms)
