--- a/clementinelead/platform/balancer_program.py
+++ b/clementinelead/platform/balancer_program.py
@@ -1,5 +1,6 @@
 """Relaying balancer on this platform, loaded by ``launch``."""
 
+from clementinelead.platform import config_source
 from clementinelead.platform import packets
 from clementinelead.platform import programs
 from clementinelead.platform import settings
@@ -29,7 +30,7 @@
         node_settings.relay,
         node_settings.fabric_endpoint,
         packets.PlatformFormat(node_settings.caller_port),
-        store.ConfigSource(client, node_settings.zones),
+        config_source.ConfigSource(client, node_settings.zones),
         store.ContactStore(client),
         bound_sockets,
     )
--- a/clementinelead/platform/items.py
+++ b/clementinelead/platform/items.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-__all__ = ["Item"]
+__all__ = ["Item", "Page"]
 
 
 class Item(msgspec.Struct, frozen=True):
@@ -19,3 +19,15 @@
     revision: int
     value: str = ""
     deleted: bool = False
+
+
+class Page(msgspec.Struct, frozen=True):
+    """Items of a range of keys.
+
+    Attributes:
+        items: The items.
+        current_rev: Revision of the whole store.
+    """
+
+    items: list[Item]
+    current_rev: int
--- a/clementinelead/platform/store.py
+++ b/clementinelead/platform/store.py
@@ -1,75 +1,33 @@
-"""Client of the platform's metadata store: configuration and contact keys."""
+"""Client of the platform's metadata store, and contact keys in it."""
 
-import asyncio
 import base64
-import binascii
-import collections.abc
 import ipaddress
-import typing
 import urllib.parse
 
 import loguru
 import msgspec
 
-from clementinelead.platform import configs
-from clementinelead.platform import evacuation_keys
 from clementinelead.platform import items
 from clementinelead.platform import store_eras
 from clementinelead.processes import contact_keys
 from clementinelead.processes import http_client
 from clementinelead.processes import http_site
-from clementinelead.processes import route_watch
-from clementinelead.relays import routes
 
-__all__ = ["ConfigSource", "ContactStore", "StoreClient"]
+__all__ = ["CALL_TIMEOUT_S", "ContactStore", "StoreClient"]
 
 CALL_TIMEOUT_S = 1.5
 """Timeout of a call; the store answers in milliseconds unless it is faulty."""
 
-WATCH_TIMEOUT_S = 4.0
-"""Longest time that the store holds a watch (a long poll) open, seconds.
-
-A connection that no longer delivers data is detected after this time and
-``CALL_TIMEOUT_S``, which leaves time to put a configuration in force.
-"""
-
 CONTACT_PREFIX = "clementinelead/contacts/"
 
-_OPERATOR_PREFIX = "op/"
-_CONFIG_KEY = "op/config"
 _MAX_PORT = 65_535
 _MS_PER_S = 1000
-_GONE = 410  # status of a watch whose start is no longer in the history
-
-
-class _KeyAnswer(msgspec.Struct):
-    value: str
-    current_rev: int  # revision of the whole store
-
-
-class _WatchAnswer(msgspec.Struct):
-    events: list[items.Item]
-    current_rev: int
 
 
 class _Lease(msgspec.Struct):
     lease: int
 
 
-class _RangeAnswer(msgspec.Struct):
-    items: list[items.Item]
-    current_rev: int
-
-
-_Content = typing.TypeVar("_Content")
-
-
-class _Read(msgspec.Struct, typing.Generic[_Content]):
-    content: _Content
-    era: int
-    revision: int  # of the whole store
-
-
 class StoreClient:
     """HTTP client of the store.
 
@@ -127,140 +85,6 @@
         return answer
 
 
-class ConfigSource:
-    """Reads the operator's configuration and evacuated zones, then watches."""
-
-    def __init__(
-        self, store: StoreClient, known_zones: collections.abc.Set[str]
-    ):
-        """Starts without a read.
-
-        Args:
-            store: The store.
-            known_zones: Zones in the settings.
-        """
-        self._store = store
-        self._evacuation_keys = evacuation_keys.EvacuationKeys(known_zones)
-        self._last_revision: int | None = None
-        self._era = 0
-
-    async def next(
-        self,
-    ) -> route_watch.Changed | route_watch.Unchanged | route_watch.Failed:
-        """Waits for a change of the configuration or the evacuated zones.
-
-        The first call, and calls after a malformed answer, a lost history or a
-        change of the store era, read the present state instead.
-
-        Returns:
-            What has changed; ``Unchanged`` if the wait ended without a change;
-            ``Failed`` if the store did not answer or its answer can't be used.
-        """
-        if self._era != self._store.era_tracker.era:
-            self._last_revision = None
-        try:
-            if self._last_revision is None:
-                return await self._read()
-            return await self._watch(self._last_revision)
-        except ValueError as error:
-            self._last_revision = None
-            return route_watch.Failed(f"malformed answer: {error}", True)
-
-    async def _read(self) -> route_watch.Changed | route_watch.Failed:
-        """Reads the configuration and the evacuated zones.
-
-        Raises:
-            ValueError: An answer is malformed.
-        """
-        config, zones = await asyncio.gather(
-            self._read_config(), self._read_zones()
-        )
-        for outcome in (config, zones):
-            if isinstance(outcome, route_watch.Failed):
-                return outcome
-        assert not isinstance(config, route_watch.Failed)
-        assert not isinstance(zones, route_watch.Failed)
-        if config.era != zones.era:
-            return route_watch.Failed("store era changed", True)
-        self._last_revision = min(config.revision, zones.revision)
-        self._era = config.era
-        evacuated = self._evacuation_keys.on_read(
-            zones.content, zones.era, zones.revision
-        )
-        return route_watch.Changed(_decoded_routes(config.content), evacuated)
-
-    async def _read_config(self) -> _Read[str] | route_watch.Failed:
-        """Returns the value of the configuration, not decoded."""
-        answer = await self._store.get(
-            "/kv-key", CALL_TIMEOUT_S, key=_CONFIG_KEY
-        )
-        era = self._store.era_tracker.era
-        if isinstance(answer, http_client.RequestFailure):
-            return route_watch.Failed(answer.reason, False)
-        if answer.status != http_site.OK:
-            return route_watch.Failed(f"status {answer.status}", True)
-        key_answer = msgspec.json.decode(answer.body, type=_KeyAnswer)
-        return _Read(key_answer.value, era, key_answer.current_rev)
-
-    async def _read_zones(
-        self,
-    ) -> _Read[tuple[items.Item, ...]] | route_watch.Failed:
-        """Returns the keys of evacuated zones.
-
-        Only the first page is read, which has more keys than a state can
-        contain.
-        """
-        answer = await self._store.get(
-            "/kv-range", CALL_TIMEOUT_S, prefix=evacuation_keys.PREFIX
-        )
-        era = self._store.era_tracker.era
-        if isinstance(answer, http_client.RequestFailure):
-            return route_watch.Failed(answer.reason, False)
-        if answer.status != http_site.OK:
-            return route_watch.Failed(f"status {answer.status}", True)
-        page = msgspec.json.decode(answer.body, type=_RangeAnswer)
-        return _Read(tuple(page.items), era, page.current_rev)
-
-    async def _watch(
-        self, last_revision: int
-    ) -> route_watch.Changed | route_watch.Unchanged | route_watch.Failed:
-        answer = await self._store.get(
-            "/kv-watch",
-            WATCH_TIMEOUT_S + CALL_TIMEOUT_S,
-            prefix=_OPERATOR_PREFIX,
-            after=last_revision,
-            wait_ms=int(WATCH_TIMEOUT_S * _MS_PER_S),
-        )
-        if isinstance(answer, http_client.RequestFailure):
-            return route_watch.Failed(answer.reason, False)
-        # Revisions of another era can't be compared with the last one.
-        if answer.status == _GONE or self._era != self._store.era_tracker.era:
-            self._last_revision = None
-            return route_watch.Unchanged()
-        if answer.status != http_site.OK:
-            return route_watch.Failed(f"status {answer.status}", True)
-        watched = msgspec.json.decode(answer.body, type=_WatchAnswer)
-        self._last_revision = max(last_revision, watched.current_rev)
-        return self._changes(watched.events)
-
-    def _changes(
-        self, events: list[items.Item]
-    ) -> route_watch.Changed | route_watch.Unchanged:
-        """Returns what the events of a watch change."""
-        configs_written = [
-            event.value
-            for event in events
-            if event.key == _CONFIG_KEY and not event.deleted
-        ]
-        table = (
-            _decoded_routes(configs_written[-1]) if configs_written else None
-        )
-        evacuated = self._evacuation_keys.on_events(events, self._era)
-        if table is None and evacuated is None:
-            return route_watch.Unchanged()
-        return route_watch.Changed(table, evacuated)
-
-
 class ContactStore:
     """Contact keys in the store, of which this process may hold one."""
 
@@ -372,7 +196,7 @@
         ):
             return contact_keys.Failed(str(answer))
         try:
-            page = msgspec.json.decode(answer.body, type=_RangeAnswer)
+            page = msgspec.json.decode(answer.body, type=items.Page)
         except msgspec.DecodeError as error:
             return contact_keys.Failed(f"malformed answer: {error}")
         contacts = []
@@ -425,18 +249,3 @@
         isinstance(answer, http_client.Response)
         and answer.status == http_site.OK
     )
-
-
-def _decoded_routes(value: str) -> routes.RoutingTable | None:
-    """Returns the routes of a configuration, None if it is malformed.
-
-    Args:
-        value: Base64 of the configuration.
-    """
-    try:
-        return configs.decode(base64.b64decode(value, validate=True))
-    except (binascii.Error, ValueError) as error:
-        loguru.logger.bind(reason=str(error)).warning(
-            "configuration can't be read"
-        )
-        return None
