Show the age of the store's last answer and who watches the store

'dependency lost' came without the age of the last answer, nothing named the watchers, and an adoption did not show for how long a newer version had been known. Change: answered_s_ago in 'dependency lost' and 'dependency regained'; events 'watch started' and 'watch ended'; added, removed and behind_s in 'routes adopted'; metrics store_answer_age_seconds and store_watch_calls. No change of decisions.

--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -131,6 +131,15 @@
             lambda: self.node.routes.table.version,
             "Routes in force",
         )
+        contact = self._route_watch.contact
+        self.metrics.count(
+            "store_watch_calls", contact.counts, "Calls of the watch by outcome"
+        )
+        self.metrics.gauge(
+            "store_answer_age_seconds",
+            lambda: contact.answer_age_s(time.monotonic()),
+            "Time since the store last answered the watch of this process",
+        )
 
     @property
     def ready(self) -> bool:
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -362,7 +362,7 @@
         self._send(messages)
         self._on_changes(changes, now)
         self.evacuations.adopt(control.evacuated, control.sender, now)
-        if self.routes.reserve_fetch(control.revision):
+        if self.routes.reserve_fetch(control.revision, now):
             self.supervise(
                 "route fetch",
                 functools.partial(
--- a/clementinelead/processes/route_exchange.py
+++ b/clementinelead/processes/route_exchange.py
@@ -64,6 +64,7 @@
         self._send = send
         self._on_routes = on_routes
         self._fetch_reserved = False
+        self._newer_heard_at: float | None = None
         self._cached_patch_id: tuple[object, ...] = ()
         self._cached_body = b""
         site.add_handler("GET", route_queries.PATCH_PATH, self._serve_patch)
@@ -83,15 +84,29 @@
         if previous.version:
             self._history.record_change(previous, table)
         self.table = table
+        self._log_adoption(previous, source, now)
+        self._on_routes(table, now)
+        if previous.version:
+            self._push_version()
+
+    def _log_adoption(
+        self, previous: routes.RoutingTable, source: str, now: float
+    ) -> None:
+        """Logs what has changed, and for how long a newer version was known."""
+        old, new = previous.by_address.keys(), self.table.by_address.keys()
+        behind_s = 0.0
+        if self._newer_heard_at is not None:
+            behind_s = now - self._newer_heard_at
+        self._newer_heard_at = None
         loguru.logger.bind(
-            version=table.version,
+            version=self.table.version,
             before=previous.version,
-            routes=len(table.routes),
+            routes=len(self.table.routes),
+            added=len(new - old),
+            removed=len(old - new),
+            behind_s=round(behind_s, 3),
             source=source,
         ).info("routes adopted")
-        self._on_routes(table, now)
-        if previous.version:
-            self._push_version()
 
     def _push_version(self) -> None:
         """Sends the version in force to some random peers."""
@@ -123,17 +138,22 @@
         if patch.former is not None and patch.version == self.table.version:
             self.former_services.merge(patch.former, time.monotonic())
 
-    def reserve_fetch(self, version: int) -> bool:
+    def reserve_fetch(self, version: int, now: float) -> bool:
         """Reserves ``fetch_until``, of which only one may run at a time.
 
         Args:
             version: Version that a peer has in force.
+            now: Present time, seconds.
 
         Returns:
             Whether to call ``fetch_until``: the version is higher than the own
             one, and no fetch is running.
         """
-        if self._fetch_reserved or version <= self.table.version:
+        if version <= self.table.version:
+            return False
+        if self._newer_heard_at is None:
+            self._newer_heard_at = now
+        if self._fetch_reserved:
             return False
         self._fetch_reserved = True
         return True
--- a/clementinelead/processes/route_watch.py
+++ b/clementinelead/processes/route_watch.py
@@ -9,6 +9,7 @@
 
 from clementinelead.memberships import evacuations
 from clementinelead.processes import relay_node
+from clementinelead.processes import store_contact
 from clementinelead.relays import routes
 
 __all__ = ["Changed", "Failed", "RouteSource", "RouteWatch", "Unchanged"]
@@ -69,26 +70,40 @@
 
 
 class RouteWatch:
-    """Puts what a source returns in force and retries after failures."""
+    """Puts what a source returns in force and retries after failures.
+
+    Attributes:
+        contact: Contact of this process with the store.
+    """
 
     def __init__(self, node: relay_node.RelayNode, source: RouteSource):
+        """Creates the watch without calling the source.
+
+        Args:
+            node: Receives the changes, and tells whether to watch.
+            source: Source of the changes.
+        """
+        self.contact = store_contact.StoreContact(time.monotonic())
         self._node = node
         self._source = source
-        self._is_lost = False
+        self._is_watching = False
 
     async def run(self) -> None:
         """Watches the source until cancelled."""
         pause = MIN_RETRY_DELAY_S
         while True:
-            if not self._node.is_watcher:
+            self._log_role(self._node.is_watcher)
+            if not self._is_watching:
                 await asyncio.sleep(WATCHER_CHECK_INTERVAL_S)
                 continue
             outcome = await self._source.next()
+            version = self._node.routes.table.version
+            now = time.monotonic()
             match outcome:
                 case Changed(table, evacuated):
-                    self._adopt(table, evacuated)
+                    self._adopt(table, evacuated, now)
                 case Failed(reason, _):
-                    self._log_lost(reason)
+                    self.contact.on_failure(reason, version, now)
                     await asyncio.sleep(
                         pause * (0.5 + 0.5 * self._node.random.random())
                     )
@@ -97,32 +112,25 @@
                 case Unchanged():
                     pass
             pause = MIN_RETRY_DELAY_S
-            self._log_regained()
+            self.contact.on_answer(version, now)
 
     def _adopt(
         self,
         table: routes.RoutingTable | None,
         evacuated: evacuations.EvacuationState | None,
+        now: float,
     ) -> None:
         # Evacuated zones first: routes make a balancer place flows.
         if evacuated is not None:
-            now = time.monotonic()
             self._node.evacuations.adopt(evacuated, _STORE, now)
         if table is not None:
             self._node.routes.adopt(table, _STORE)
 
-    def _log_lost(self, reason: str) -> None:
-        if not self._is_lost:
-            loguru.logger.bind(
-                dependency="store",
-                reason=reason,
-                version=self._node.routes.table.version,
-            ).warning("dependency lost")
-        self._is_lost = True
-
-    def _log_regained(self) -> None:
-        if self._is_lost:
-            loguru.logger.bind(
-                dependency="store", version=self._node.routes.table.version
-            ).info("dependency regained")
-        self._is_lost = False
+    def _log_role(self, is_watcher: bool) -> None:
+        """Records whether this process watches the source; logs a change."""
+        if is_watcher is self._is_watching:
+            return
+        self._is_watching = is_watcher
+        loguru.logger.bind(
+            dependency=_STORE, version=self._node.routes.table.version
+        ).info("watch started" if is_watcher else "watch ended")
