--- a/clementinelead/processes/tests/samples.py
+++ b/clementinelead/processes/tests/samples.py
@@ -3,7 +3,23 @@
 from clementinelead.processes import contact_keys
 from clementinelead.processes import relay_settings
 
-__all__ = ["UnavailableContactKeys", "settings"]
+__all__ = ["Subscriber", "UnavailableContactKeys", "settings"]
+
+
+class Subscriber:
+    """Ignores the events of a node."""
+
+    def on_members(self, changes, now):
+        pass
+
+    def on_routes(self, table, now):
+        pass
+
+    def on_evacuations(self, zones, now):
+        pass
+
+    def on_tick(self, now):
+        pass
 
 
 class UnavailableContactKeys:
--- a/clementinelead/processes/tests/test_relay_node.py
+++ b/clementinelead/processes/tests/test_relay_node.py
@@ -30,6 +30,9 @@
 EVACUATION_BOUND_S = 1.0
 """Longest time until all processes have put an evacuation in force."""
 
+APPLY_BOUND_S = 3.0
+"""Longest time until a change is in force, seconds."""
+
 SYNC_BOUND_S = 3.0
 """Longest time in which the syncs after the join must complete all views."""
 
@@ -477,6 +480,57 @@
     asyncio.run(check())
 
 
+class RefusingSource:
+    """A store that turns this process away."""
+
+    async def next(self):
+        return route_watch.Failed("status 503", True)
+
+
+class ChangeableSource:
+    """A store that serves this process."""
+
+    def __init__(self):
+        self.version = 1
+        self._read_version = 0
+
+    async def next(self):
+        while self.version == self._read_version:
+            await asyncio.sleep(0.01)
+        self._read_version = self.version
+        table = routes.RoutingTable(self.version, (), 60.0)
+        return route_watch.Changed(table)
+
+
+def test_change_is_adopted_if_the_store_turns_away_all_watchers():
+    # The balancer that the store serves is not one of its zone's watchers.
+    ports = _free_ports()
+    nodes = [_node(number, ports, ("127.0.0.2",))[0] for number in (2, 3, 4, 5)]
+    serving = ChangeableSource()
+
+    async def check():
+        await _eventually(
+            lambda: all(len(node.gossiper.peers()) == 3 for node in nodes),
+            JOIN_BOUND_S + SYNC_BOUND_S,
+        )
+        watchers = [node for node in nodes if node.is_watcher]
+        others = [node for node in nodes if not node.is_watcher]
+        assert len(watchers) == len(others) == 2
+        refusing = RefusingSource()
+        for node in (*watchers, others[0]):
+            watch = route_watch.RouteWatch(node, refusing)
+            node.supervise("watch", watch.run)
+        watch = route_watch.RouteWatch(others[1], serving)
+        others[1].supervise("watch", watch.run)
+        serving.version = 7
+        await _eventually(
+            lambda: all(node.routes.table.version == 7 for node in nodes),
+            APPLY_BOUND_S,
+        )
+
+    asyncio.run(_run(nodes, check))
+
+
 def test_joining_process_gets_the_complete_view(monkeypatch):
     monkeypatch.setattr(member_exchange, "SAMPLE_MEMBERS", 2)
     ports = _free_ports()
