Derive the timeout of a watch from the bound on changes

Callers saw: flows to an address whose route had been dropped more than 3 s before were served (CONFIG), after the store's connections had gone silent or the store had been silent. Cause: a watcher noticed a dead long poll after 5.5 s, longer than a change may take (3 s) and than a process counts as out of touch (4 s); after a failure it started another poll of the same length, which a store that was still silent swallowed as well; and polls that one event had answered ended together, so six watchers were late by the same time. Class: failure detection slower than the bound that it guards, in common mode. Change: hold and timeout follow from the operator's bound (0.4 and 0.65 of it), holds are random, and after a failure a poll is not held. At 3 s a dead poll ends within 1.95 s and a silent store is tried again within 2.3 s. Result: test_late_configurations failed before (30 of 48 cases, up to 5.5 s) and passes.

--- a/clementinelead/platform/balancer_program.py
+++ b/clementinelead/platform/balancer_program.py
@@ -1,5 +1,7 @@
 """Relaying balancer on this platform, loaded by ``launch``."""
 
+import random
+
 from clementinelead.platform import config_source
 from clementinelead.platform import packets
 from clementinelead.platform import programs
@@ -7,6 +9,7 @@
 from clementinelead.platform import store
 from clementinelead.processes import http_site
 from clementinelead.processes import lifetime
+from clementinelead.processes import long_polls
 from clementinelead.processes import relay_balancer
 from clementinelead.processes import sockets
 
@@ -30,7 +33,14 @@
         node_settings.relay,
         node_settings.fabric_endpoint,
         packets.PlatformFormat(node_settings.caller_port),
-        config_source.ConfigSource(client, node_settings.zones),
+        config_source.ConfigSource(
+            client,
+            node_settings.zones,
+            long_polls.LongPollSchedule(
+                node_settings.change_bound_s,
+                random.Random(node_settings.relay.id),
+            ),
+        ),
         store.ContactStore(client),
         bound_sockets,
     )
--- a/clementinelead/platform/config_source.py
+++ b/clementinelead/platform/config_source.py
@@ -15,18 +15,12 @@
 from clementinelead.platform import store
 from clementinelead.processes import http_client
 from clementinelead.processes import http_site
+from clementinelead.processes import long_polls
 from clementinelead.processes import route_watch
 from clementinelead.relays import routes
 
 __all__ = ["ConfigSource"]
 
-WATCH_TIMEOUT_S = 4.0
-"""Longest time that the store holds a watch (a long poll) open, seconds.
-
-A connection that no longer delivers data is detected after this time and
-``store.CALL_TIMEOUT_S``, which leaves time to put a configuration in force.
-"""
-
 _OPERATOR_PREFIX = "op/"
 _CONFIG_KEY = "op/config"
 _MS_PER_S = 1000
@@ -64,14 +58,17 @@
         self,
         store_client: store.StoreClient,
         known_zones: collections.abc.Set[str],
+        schedule: long_polls.LongPollSchedule,
     ):
         """Starts without a read.
 
         Args:
             store_client: Client of the store.
             known_zones: Zones in the settings.
+            schedule: Chooses the durations of the watches.
         """
         self._store = store_client
+        self._schedule = schedule
         self._evacuation_keys = evacuation_keys.EvacuationKeys(known_zones)
         self._last_revision: int | None = None
         self._era = 0
@@ -156,21 +153,25 @@
     async def _watch(
         self, last_revision: int
     ) -> route_watch.Changed | route_watch.Unchanged | route_watch.Failed:
+        poll = self._schedule.next_poll()
         answer = await self._store.get(
             "/kv-watch",
-            WATCH_TIMEOUT_S + store.CALL_TIMEOUT_S,
+            poll.timeout_s,
             prefix=_OPERATOR_PREFIX,
             after=last_revision,
-            wait_ms=int(WATCH_TIMEOUT_S * _MS_PER_S),
+            wait_ms=int(poll.hold_s * _MS_PER_S),
         )
         if isinstance(answer, http_client.RequestFailure):
+            self._schedule.on_failure()
             return route_watch.Failed(answer.reason, False)
         # Revisions of another era can't be compared with the last one.
         if answer.status == _GONE or self._era != self._store.era_tracker.era:
             self._last_revision = None
             return route_watch.Unchanged()
         if answer.status != http_site.OK:
+            self._schedule.on_failure()
             return route_watch.Failed(f"status {answer.status}", True)
+        self._schedule.on_answer()
         watched = msgspec.json.decode(answer.body, type=_WatchAnswer)
         self._last_revision = max(last_revision, watched.current_rev)
         return self._changes(watched.events)
--- a/clementinelead/platform/settings.py
+++ b/clementinelead/platform/settings.py
@@ -22,6 +22,12 @@
 _HTTP_PORT_OFFSET = 2
 _MS_PER_S = 1000.0
 
+DEFAULT_CHANGE_BOUND_S = 3.0
+"""Time after which a change must be in force if no bound is set, seconds."""
+
+MIN_CHANGE_BOUND_S = 1.0
+"""Lowest bound that is accepted; the store is called a few times in it."""
+
 
 class _Listen(msgspec.Struct):
     datagram_addr: str  # UDP; callers' packets arrive here at a balancer
@@ -40,6 +46,10 @@
     # Factor on, and requests beyond, the rate that a cold target bears.
     warmup_overshoot: float | None = None
     warmup_slack: float = 0.0
+    # Time in which a change of the configuration must be in force.
+    config_apply_ms: float = DEFAULT_CHANGE_BOUND_S * _MS_PER_S
+    # The same for an evacuation; missing if there are none.
+    evacuate_ms: float | None = None
 
 
 class _File(msgspec.Struct):
@@ -80,6 +90,8 @@
             store.
         caller_port: UDP port on which all callers receive packets.
         zones: Availability zones of the deployment.
+        change_bound_s: Time after which a change that the operator writes to
+            the store must be in force, seconds.
     """
 
     relay: relay_settings.RelaySettings
@@ -92,6 +104,7 @@
     store_endpoint: tuple[str, int]
     caller_port: int
     zones: frozenset[str] = frozenset()
+    change_bound_s: float = DEFAULT_CHANGE_BOUND_S
 
 
 def load() -> NodeSettings:
@@ -156,9 +169,18 @@
         store_endpoint=store_endpoint,
         caller_port=fabric_endpoint[1],
         zones=frozenset(file.zones),
+        change_bound_s=_change_bound_s(file.bounds),
     )
 
 
+def _change_bound_s(bounds: _Bounds) -> float:
+    """Returns the strictest bound on changes that are read from the store."""
+    strictest_ms = bounds.config_apply_ms
+    if bounds.evacuate_ms is not None:
+        strictest_ms = min(strictest_ms, bounds.evacuate_ms)
+    return max(MIN_CHANGE_BOUND_S, strictest_ms / _MS_PER_S)
+
+
 def _warmup_bound(bounds: _Bounds) -> warmup_limit.WarmupBound | None:
     """Returns the bound on flows at cold targets, None if there is none.
 
--- a/clementinelead/platform/tests/test_late_configurations.py
+++ b/clementinelead/platform/tests/test_late_configurations.py
@@ -8,6 +8,7 @@
 from clementinelead.platform import config_source
 from clementinelead.platform import store_eras
 from clementinelead.processes import http_client
+from clementinelead.processes import long_polls
 from clementinelead.processes import relay_node
 from clementinelead.processes import route_watch
 from clementinelead.processes import sockets
@@ -27,12 +28,14 @@
 
     Attributes:
         is_silent: Whether new calls get no answer.
+        answer_delay_s: Time that an answer takes, seconds.
         calls: Number of calls.
     """
 
     def __init__(self):
         self.era_tracker = store_eras.EraTracker()
         self.is_silent = False
+        self.answer_delay_s = ANSWER_DELAY_S
         self.calls = 0
         self._version = 1
         self._changed = asyncio.Event()
@@ -63,7 +66,7 @@
         return http_client.Response(200, json.dumps(answer).encode())
 
     async def _answer(self, path, query):
-        await asyncio.sleep(ANSWER_DELAY_S)
+        await asyncio.sleep(self.answer_delay_s)
         if path == "/kv-watch" and self._version <= int(query["after"]):
             try:
                 async with asyncio.timeout(int(query["wait_ms"]) / 1000):
@@ -99,7 +102,8 @@
     )
     node.random.seed(1)
     store = Store()
-    source = config_source.ConfigSource(store, frozenset())
+    schedule = long_polls.LongPollSchedule(APPLY_BOUND_S, node.random)
+    source = config_source.ConfigSource(store, frozenset(), schedule)
     watch = asyncio.create_task(route_watch.RouteWatch(node, source).run())
     while not node.routes.table.version:
         await asyncio.sleep(ANSWER_DELAY_S)
@@ -140,3 +144,15 @@
 
     lateness_s = virtual_time.run(_lateness_s(disturb), monkeypatch)
     assert lateness_s < APPLY_BOUND_S
+
+
+@pytest.mark.parametrize("phase_s", PHASES_S)
+def test_slow_store_is_still_read(phase_s, monkeypatch):
+    # Answers after a hold come too late, those without a hold in time.
+    async def disturb(store):
+        store.answer_delay_s = 1.0
+        await asyncio.sleep(phase_s)
+        return store.change()
+
+    lateness_s = virtual_time.run(_lateness_s(disturb), monkeypatch)
+    assert lateness_s < APPLY_BOUND_S + 1.0
--- a/clementinelead/platform/tests/test_settings.py
+++ b/clementinelead/platform/tests/test_settings.py
@@ -19,6 +19,19 @@
     assert node_settings.caller_port == 8172
 
 
+@pytest.mark.parametrize(
+    ("bounds", "expected_s"),
+    [
+        ({}, 3.0),
+        ({"config_apply_ms": 6000}, 6.0),
+        ({"config_apply_ms": 6000, "evacuate_ms": 5000}, 5.0),
+        ({"config_apply_ms": 0}, 1.0),
+    ],
+)
+def test_bound_on_changes_is_the_strictest_one(bounds, expected_s):
+    assert settings_files.side(bounds=bounds).change_bound_s == expected_s
+
+
 @pytest.mark.parametrize(
     "fields",
     [
--- a/clementinelead/platform/tests/test_store.py
+++ b/clementinelead/platform/tests/test_store.py
@@ -1,6 +1,7 @@
 import asyncio
 import base64
 import json
+import random
 
 import pytest
 
@@ -8,6 +9,7 @@
 from clementinelead.platform import store
 from clementinelead.processes import contact_keys
 from clementinelead.processes import http_site
+from clementinelead.processes import long_polls
 from clementinelead.processes import route_watch
 from clementinelead.processes import sockets
 
@@ -106,13 +108,18 @@
     return asyncio.run(run_with_server())
 
 
+def _source(client):
+    schedule = long_polls.LongPollSchedule(3.0, random.Random(1))
+    return config_source.ConfigSource(client, ZONES, schedule)
+
+
 def _config(version):
     return json.dumps({"version": version, "routes": []}).encode()
 
 
 def test_configuration_is_read_then_watched():
     async def exchange(stand_in, client):
-        source = config_source.ConfigSource(client, ZONES)
+        source = _source(client)
         stand_in.put("op/config", _config(3))
         first = await source.next()
         stand_in.put("op/config", _config(5))
@@ -128,7 +135,7 @@
 
 def test_configuration_is_read_again_after_a_watch_is_gone():
     async def exchange(stand_in, client):
-        source = config_source.ConfigSource(client, ZONES)
+        source = _source(client)
         stand_in.put("op/config", _config(3))
         await source.next()
         stand_in.response = http_site.Response(410)
@@ -153,7 +160,7 @@
 def test_unusable_answers_to_a_read_are_failures(response):
     async def exchange(stand_in, client):
         stand_in.response = response
-        return await config_source.ConfigSource(client, ZONES).next()
+        return await _source(client).next()
 
     assert isinstance(_run(exchange), route_watch.Failed)
 
@@ -161,7 +168,7 @@
 @pytest.mark.parametrize("value", [b"garbage", b'{"version": "x"}', b""])
 def test_malformed_configuration_is_reported_as_unchanged(value):
     async def exchange(stand_in, client):
-        source = config_source.ConfigSource(client, ZONES)
+        source = _source(client)
         stand_in.put("op/config", value)
         return await source.next(), await source.next()
 
@@ -173,7 +180,7 @@
 
 def test_evacuated_zones_are_read_then_watched():
     async def exchange(stand_in, client):
-        source = config_source.ConfigSource(client, ZONES)
+        source = _source(client)
         stand_in.put("op/config", _config(3))
         stand_in.put("op/evacuate/north-a", b"{}")
         first = await source.next()
@@ -196,7 +203,7 @@
 def test_watch_continues_from_the_older_of_both_reads():
     # An evacuation between the reads must not be missed.
     async def exchange(stand_in, client):
-        source = config_source.ConfigSource(client, ZONES)
+        source = _source(client)
         stand_in.put("op/config", _config(3))
         await source.next()
         watched_after = []
@@ -214,7 +221,7 @@
 
 def test_reads_of_different_eras_are_a_failure():
     async def exchange(stand_in, client):
-        source = config_source.ConfigSource(client, ZONES)
+        source = _source(client)
         stand_in.put("op/config", _config(3))
         eras = iter((1, 2))
         respond = stand_in.respond
@@ -233,7 +240,7 @@
 
 def test_other_key_with_the_same_prefix_is_ignored():
     async def exchange(stand_in, client):
-        source = config_source.ConfigSource(client, ZONES)
+        source = _source(client)
         stand_in.put("op/config", _config(3))
         await source.next()
         del stand_in.items["op/config"]
@@ -332,7 +339,7 @@
     # The revisions of the restored copy exceed the last one before the next
     # watch, so the store does not answer 410 and has no event for the watch.
     async def exchange(stand_in, client):
-        source = config_source.ConfigSource(client, ZONES)
+        source = _source(client)
         stand_in.era = 1
         stand_in.put("op/config", _config(3))
         await source.next()
@@ -347,7 +354,7 @@
 
 def test_era_change_in_another_call_causes_a_new_read():
     async def exchange(stand_in, client):
-        source = config_source.ConfigSource(client, ZONES)
+        source = _source(client)
         keys = store.ContactStore(client)
         stand_in.era = 1
         stand_in.put("op/config", _config(3))
@@ -387,7 +394,7 @@
         before = keys.lost
         stand_in.era = 2
         stand_in.put("op/config", _config(3))
-        await config_source.ConfigSource(client, ZONES).next()
+        await _source(client).next()
         return before, keys.lost
 
     assert _run(exchange) == (False, True)
@@ -416,7 +423,7 @@
 
 def test_delayed_answer_of_an_older_era_is_rejected():
     async def exchange(stand_in, client):
-        source = config_source.ConfigSource(client, ZONES)
+        source = _source(client)
         stand_in.era = 2
         stand_in.put("op/config", _config(5))
         await source.next()
@@ -433,7 +440,7 @@
 @pytest.mark.parametrize("invalid_era", ["", "x", "-1", "3.0", "9" * 40])
 def test_invalid_era_is_ignored(invalid_era):
     async def exchange(stand_in, client):
-        source = config_source.ConfigSource(client, ZONES)
+        source = _source(client)
         stand_in.era = 1
         stand_in.put("op/config", _config(3))
         await source.next()
--- a/clementinelead/processes/route_watch.py
+++ b/clementinelead/processes/route_watch.py
@@ -97,13 +97,12 @@
                 await asyncio.sleep(WATCHER_CHECK_INTERVAL_S)
                 continue
             outcome = await self._source.next()
-            version = self._node.routes.table.version
             now = time.monotonic()
             match outcome:
                 case Changed(table, evacuated):
                     self._adopt(table, evacuated, now)
                 case Failed(reason, _):
-                    self.contact.on_failure(reason, version, now)
+                    self.contact.on_failure(reason, self._version, now)
                     await asyncio.sleep(
                         pause * (0.5 + 0.5 * self._node.random.random())
                     )
@@ -112,7 +111,12 @@
                 case Unchanged():
                     pass
             pause = MIN_RETRY_DELAY_S
-            self.contact.on_answer(version, now)
+            self.contact.on_answer(self._version, now)
+
+    @property
+    def _version(self) -> int:
+        """Version of the routes in force."""
+        return self._node.routes.table.version
 
     def _adopt(
         self,
@@ -131,6 +135,6 @@
         if is_watcher is self._is_watching:
             return
         self._is_watching = is_watcher
-        loguru.logger.bind(
-            dependency=_STORE, version=self._node.routes.table.version
-        ).info("watch started" if is_watcher else "watch ended")
+        loguru.logger.bind(dependency=_STORE, version=self._version).info(
+            "watch started" if is_watcher else "watch ended"
+        )
