Replace watchers that the store does not answer

Callers saw: flows to an address whose route had been dropped more than 3 s before were served (CONFIG) by a balancer that the store served all the time, while it turned the watchers away. Cause: the two watchers of a zone were chosen by identifier and liveness. A living watcher that can't read the store kept its place, and the balancers that could read it waited for news from peers. Class: a role is bound to liveness, not to the ability that it needs. Change: a membership record says whether the store answers its process. The watchers are the first two balancers of a zone that it answers, and those before them, which go on to try; at most the first eight of a zone are candidates. The record reaches the balancers of the zone in milliseconds, which wakes the next one. Old processes ignore the new field.

--- a/clementinelead/memberships/records.py
+++ b/clementinelead/memberships/records.py
@@ -42,6 +42,7 @@
         role: Kind of the process.
         state: State that the process publishes.
         health: Health that peers assign to it.
+        store_lost: Whether the store does not answer the process.
         region: Region of the process.
         zone: Availability zone of the process.
         address: IP address of the process.
@@ -66,6 +67,7 @@
     services: tuple[str, ...] = ()
     weight: float = 1.0
     health: Health = Health.ALIVE
+    store_lost: bool = False
 
     @property
     def version(self) -> tuple[int, int, int]:
--- a/clementinelead/memberships/watchers.py
+++ b/clementinelead/memberships/watchers.py
@@ -8,13 +8,21 @@
 
 WATCHERS_PER_ZONE = 2
 
+MAX_CANDIDATES = 8
+"""Balancers of a zone that may become watchers.
+
+It limits the calls to a store that answers none of them.
+"""
+
 
 def is_watcher(own: records.Record, balancers: list[records.Record]) -> bool:
-    """Returns whether this balancer is one of the two watchers of its zone.
+    """Returns whether this balancer is one of the watchers of its zone.
 
-    The selection is by the hash of the identifiers and needs no consensus: a
-    surplus watcher costs one more call to the store, and if none is selected
-    because tables differ, the next change of the table corrects it.
+    They are the first two balancers, by the hash of the identifiers, that the
+    store answers, and those before them, which go on to try. The selection
+    needs no consensus: a surplus watcher costs some calls to the store, and if
+    none is selected because tables differ, the next change of the table
+    corrects it.
 
     Args:
         own: Record of this process.
@@ -27,4 +35,7 @@
         if other.zone == own.zone
         and xxhash.xxh3_64_intdigest(other.id.encode()) < score
     ]
-    return len(preferred) < WATCHERS_PER_ZONE
+    if len(preferred) >= MAX_CANDIDATES:
+        return False
+    answered = [other for other in preferred if not other.store_lost]
+    return len(answered) < WATCHERS_PER_ZONE
--- a/clementinelead/messages/control.capnp
+++ b/clementinelead/messages/control.capnp
@@ -33,6 +33,7 @@
   services @11 :List(Text);
   weight @12 :UInt16;      # relative share of new flows, hundredths
   health @13 :Health;      # as assigned by the sender
+  storeLost @14 :Bool;     # whether the store does not answer the process
 }
 
 struct Registration {
--- a/clementinelead/messages/controls.py
+++ b/clementinelead/messages/controls.py
@@ -225,6 +225,7 @@
         "httpPort": record.http_port,
         "services": list(record.services),
         "weight": round(record.weight * _WEIGHT_UNITS),
+        "storeLost": record.store_lost,
     }
 
 
@@ -245,6 +246,7 @@
         http_port=reader.httpPort,
         services=tuple(reader.services),
         weight=reader.weight / _WEIGHT_UNITS,
+        store_lost=reader.storeLost,
     )
 
 
--- a/clementinelead/messages/tests/test_controls.py
+++ b/clementinelead/messages/tests/test_controls.py
@@ -1,7 +1,10 @@
+import dataclasses
+
 import pytest
 
 from clementinelead import exceptions
 from clementinelead.memberships import evacuations
+from clementinelead.memberships.tests import samples
 from clementinelead.messages import controls
 
 
@@ -24,6 +27,12 @@
     assert controls.decode(controls.encode(control)) == control
 
 
+def test_record_of_a_process_without_the_store_is_decoded_as_encoded():
+    record = dataclasses.replace(samples.SIDE, store_lost=True)
+    encoded = controls.encode_records([record, samples.SIDE])
+    assert controls.decode_records(encoded) == (record, samples.SIDE)
+
+
 @pytest.mark.parametrize(
     "zones",
     [
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -134,6 +134,7 @@
             own, self.gossiper.table, self.gossiper.peers
         )
         self._flush_scheduled = False
+        self._zone_changed = asyncio.Event()
         self._seeds = seeds
         self._settings = settings
         self._bound = bound
@@ -260,6 +261,8 @@
         if not self.is_isolated:
             self.joining.on_peer()
         self._subscriber.on_members(changes, now)
+        if any(self._may_change_watchers(change) for change in changes):
+            self._zone_changed.set()
         own = self.gossiper.own if self.gossiper.announced else None
         self._send(self._dissemination.on_changes(changes, own, now))
         if self._dissemination.has_pending and not self._flush_scheduled:
@@ -326,6 +329,38 @@
             ],
         )
 
+    def _may_change_watchers(self, change: members.Change) -> bool:
+        """Returns whether a change concerns a balancer of the own zone."""
+        record = change.new
+        is_balancer = record.role is records.Role.BALANCER
+        return is_balancer and record.zone == self._settings.zone
+
+    async def wait_for_watchers(self, timeout_s: float) -> None:
+        """Waits until the watchers of the own zone may have changed.
+
+        Args:
+            timeout_s: Longest wait, seconds.
+        """
+        self._zone_changed.clear()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._zone_changed.wait()
+        except TimeoutError:
+            return
+
+    def set_store_lost(self, is_lost: bool) -> None:
+        """Tells the other processes whether the store answers this one.
+
+        Before the first announcement it does nothing; the caller repeats it.
+
+        Args:
+            is_lost: Whether the store does not answer.
+        """
+        if not self.gossiper.announced:
+            return
+        if self.gossiper.own.store_lost is not is_lost:
+            self.announce(store_lost=is_lost)
+
     def count_side_processes(self, now: float) -> members.SideProcessCounts:
         """Counts the side processes in the member table.
 
--- a/clementinelead/processes/route_watch.py
+++ b/clementinelead/processes/route_watch.py
@@ -22,11 +22,14 @@
 """
 
 WATCHER_CHECK_INTERVAL_S = 1.0
-"""Interval in which a process checks whether it is a watcher, seconds.
+"""Longest interval in which a process checks if it is a watcher, seconds.
 
 The others receive changes from peers meanwhile.
 """
 
+STORE_LOST_AFTER_S = 0.75
+"""Time without an answer after which a failing watcher is replaced, seconds."""
+
 _STORE = "store"
 
 
@@ -92,9 +95,9 @@
         """Watches the source until cancelled."""
         pause = MIN_RETRY_DELAY_S
         while True:
-            self._log_role(self._node.is_watcher)
+            self._set_role(self._node.is_watcher)
             if not self._is_watching:
-                await asyncio.sleep(WATCHER_CHECK_INTERVAL_S)
+                await self._node.wait_for_watchers(WATCHER_CHECK_INTERVAL_S)
                 continue
             outcome = await self._source.next()
             now = time.monotonic()
@@ -103,6 +106,8 @@
                     self._adopt(table, evacuated, now)
                 case Failed(reason, _):
                     self.contact.on_failure(reason, self._version, now)
+                    if self.contact.answer_age_s(now) >= STORE_LOST_AFTER_S:
+                        self._node.set_store_lost(True)
                     await asyncio.sleep(
                         pause * (0.5 + 0.5 * self._node.random.random())
                     )
@@ -112,6 +117,7 @@
                     pass
             pause = MIN_RETRY_DELAY_S
             self.contact.on_answer(self._version, now)
+            self._node.set_store_lost(False)
 
     @property
     def _version(self) -> int:
@@ -130,11 +136,13 @@
         if table is not None:
             self._node.routes.adopt(table, _STORE)
 
-    def _log_role(self, is_watcher: bool) -> None:
-        """Records whether this process watches the source; logs a change."""
+    def _set_role(self, is_watcher: bool) -> None:
+        """Starts or ends watching the source, and logs a change."""
         if is_watcher is self._is_watching:
             return
         self._is_watching = is_watcher
         loguru.logger.bind(dependency=_STORE, version=self._version).info(
             "watch started" if is_watcher else "watch ended"
         )
+        if not is_watcher:
+            self._node.set_store_lost(False)
