--- a/clementinelead/processes/long_polls.py
+++ b/clementinelead/processes/long_polls.py
@@ -6,10 +6,11 @@
 
 __all__ = ["LongPoll", "LongPollSchedule"]
 
-HOLD_SHARE = 0.4
+MIN_HOLD_SHARE = 0.35
+MAX_HOLD_SHARE = 0.5
 """Longest hold of a poll, as a share of the bound on changes."""
 
-ANSWER_SHARE = 0.25
+ANSWER_SHARE = 0.2
 """Time for an answer beyond the hold, as a share of the bound on changes.
 
 What the hold and this time leave is for the next poll, the peers and their
@@ -53,9 +54,7 @@
             bound_s: Time after which a change must be in force, seconds.
             generator: Source of the random holds.
         """
-        self._max_hold_s = HOLD_SHARE * bound_s
-        self._answer_s = ANSWER_SHARE * bound_s
-        self._unheld_timeout_s = UNHELD_SHARE * bound_s
+        self._bound_s = bound_s
         self._random = generator
         self._has_failed = False
 
@@ -66,9 +65,12 @@
         at once, and a store that is still silent is noticed sooner.
         """
         if self._has_failed:
-            return LongPoll(0.0, self._unheld_timeout_s)
-        hold_s = self._max_hold_s * self._random.uniform(0.5, 1.0)
-        return LongPoll(hold_s, hold_s + self._answer_s)
+            return LongPoll(0.0, UNHELD_SHARE * self._bound_s)
+        hold_share = self._random.uniform(MIN_HOLD_SHARE, MAX_HOLD_SHARE)
+        return LongPoll(
+            hold_share * self._bound_s,
+            (hold_share + ANSWER_SHARE) * self._bound_s,
+        )
 
     def on_answer(self) -> None:
         """Records that the store has answered the last poll."""
