Bound the watch of the product's own store like the platform's

Cause: blocking queries of 60 s, repeated at the same length after a failure, noticed a silent connection after 68 s; a change must be in force in 10 s. A watcher that the store does not answer kept its place. Change: the schedule of the platform's watch with a bound of 10 s, a plain read after a failure, and the membership record says that the store is lost.

--- a/clementinelead/processes/config_watch.py
+++ b/clementinelead/processes/config_watch.py
@@ -9,12 +9,17 @@
 from clementinelead.configurations import models
 from clementinelead.configurations import repositories
 from clementinelead.memberships import watchers
+from clementinelead.processes import long_polls
 from clementinelead.processes import node as node_module
+from clementinelead.processes import store_contact
 
 __all__ = ["ConfigurationWatch"]
 
-LONG_POLL_WAIT_S = 60.0
-"""Time that the store may hold a long poll without a change, seconds."""
+CHANGE_BOUND_S = 10.0
+"""Time after which a change must be in force everywhere, seconds."""
+
+FAILURES_BEFORE_LOSS = 2
+"""Consecutive failures after which another balancer watches the store."""
 
 CHECK_INTERVAL_S = 1.0
 """Interval of checks while not a watcher or without an index, seconds."""
@@ -39,6 +44,9 @@
     ):
         self._node = node
         self._repository = repository
+        self._schedule = long_polls.LongPollSchedule(
+            CHANGE_BOUND_S, node.random
+        )
 
     async def run(self) -> None:
         """Watches until cancelled.
@@ -51,13 +59,14 @@
             if not watchers.is_watcher(
                 self._node.gossiper.own, self._node.live_balancers()
             ):
+                store_contact.publish_loss(self._node, False)
                 await asyncio.sleep(CHECK_INTERVAL_S)
                 continue
             try:
-                head, index = await self._repository.watch_head(
-                    index, LONG_POLL_WAIT_S
-                )
+                head, index = await self._query(index)
                 await self._adopt(head)
+                self._schedule.on_answer()
+                store_contact.publish_loss(self._node, False)
                 if failures:
                     loguru.logger.info("the store answers again")
                 failures = 0
@@ -65,13 +74,37 @@
                     await asyncio.sleep(CHECK_INTERVAL_S)
             except exceptions.StoreUnavailableError as error:
                 failures += 1
-                if failures == 1:
-                    loguru.logger.warning("the store is away: {}", error)
+                self._on_failure(error, failures)
                 longest_s = min(MAX_BACKOFF_S, BACKOFF_BASE_S * 2.0**failures)
                 await asyncio.sleep(
                     self._node.random.uniform(MIN_BACKOFF_S, longest_s)
                 )
 
+    def _on_failure(self, error: Exception, failures: int) -> None:
+        """Records a failed call, and publishes a loss of the store."""
+        self._schedule.on_failure()
+        if failures >= FAILURES_BEFORE_LOSS:
+            store_contact.publish_loss(self._node, True)
+        if failures == 1:
+            loguru.logger.warning("the store is away: {}", error)
+
+    async def _query(self, index: int) -> tuple[models.Head, int]:
+        """Waits for a change of the head, or reads it after a failure.
+
+        Args:
+            index: Modification index that this process has already seen.
+
+        Returns:
+            The head and its modification index.
+
+        Raises:
+            exceptions.StoreUnavailableError: The store did not answer.
+        """
+        poll = self._schedule.next_poll()
+        if not poll.hold_s:
+            return await self._repository.read_head()
+        return await self._repository.watch_head(index, poll.hold_s)
+
     async def _adopt(self, head: models.Head) -> None:
         """Offers the store's configuration to the node, by patches if possible.
 
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -348,19 +348,6 @@
         except TimeoutError:
             return
 
-    def set_store_lost(self, is_lost: bool) -> None:
-        """Tells the other processes whether the store answers this one.
-
-        Before the first announcement it does nothing; the caller repeats it.
-
-        Args:
-            is_lost: Whether the store does not answer.
-        """
-        if not self.gossiper.announced:
-            return
-        if self.gossiper.own.store_lost is not is_lost:
-            self.announce(store_lost=is_lost)
-
     def count_side_processes(self, now: float) -> members.SideProcessCounts:
         """Counts the side processes in the member table.
 
--- a/clementinelead/processes/route_watch.py
+++ b/clementinelead/processes/route_watch.py
@@ -107,7 +107,7 @@
                 case Failed(reason, _):
                     self.contact.on_failure(reason, self._version, now)
                     if self.contact.answer_age_s(now) >= STORE_LOST_AFTER_S:
-                        self._node.set_store_lost(True)
+                        store_contact.publish_loss(self._node, True)
                     await asyncio.sleep(
                         pause * (0.5 + 0.5 * self._node.random.random())
                     )
@@ -117,7 +117,7 @@
                     pass
             pause = MIN_RETRY_DELAY_S
             self.contact.on_answer(self._version, now)
-            self._node.set_store_lost(False)
+            store_contact.publish_loss(self._node, False)
 
     @property
     def _version(self) -> int:
@@ -145,4 +145,4 @@
             "watch started" if is_watcher else "watch ended"
         )
         if not is_watcher:
-            self._node.set_store_lost(False)
+            store_contact.publish_loss(self._node, False)
--- a/clementinelead/processes/store_contact.py
+++ b/clementinelead/processes/store_contact.py
@@ -1,10 +1,13 @@
 """Contact of a process with the store: age of the last answer, outcomes."""
 
+import typing
+
 import loguru
 
+from clementinelead.memberships import gossip
 from clementinelead.telemetry import counters
 
-__all__ = ["StoreContact"]
+__all__ = ["StoreContact", "publish_loss"]
 
 _DEPENDENCY = "store"
 
@@ -68,3 +71,27 @@
                 answered_s_ago=round(self.answer_age_s(now), 3),
             ).warning("dependency lost")
         self._is_lost = True
+
+
+class _Node(typing.Protocol):
+    """Process with a membership record."""
+
+    gossiper: gossip.Gossiper
+
+    def announce(self, **fields: object) -> None:
+        """Publishes changed fields of the record."""
+
+
+def publish_loss(node: _Node, is_lost: bool) -> None:
+    """Publishes whether the store answers a process, if that has changed.
+
+    Before the first announcement of the process it does nothing; callers repeat
+    it with each call to the store.
+
+    Args:
+        node: The process.
+        is_lost: Whether the store does not answer it.
+    """
+    gossiper = node.gossiper
+    if gossiper.announced and gossiper.own.store_lost is not is_lost:
+        node.announce(store_lost=is_lost)
