Let a balancer that hears no peer watch the store itself

Cause: a balancer that is cut off from its peers, but not from the store, waited until enough of its zone's balancers had been declared dead: about 3 s with four in a zone, longer with more. Change: a process that has received no control message for 1 s watches the store; it pings and is pinged every 0.3 s.

--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -38,6 +38,12 @@
 DISSEMINATION_DELAY_S = 0.01
 """Time in which changes for the balancers of the zone are batched, seconds."""
 
+PEER_SILENCE_S = 1.0
+"""Time without any control message after which peers are out of reach, seconds.
+
+A process pings a peer every 0.3 s and is pinged as often.
+"""
+
 MAX_INTRODUCTIONS = 64
 """Most processes to which a balancer introduces itself; gossip reaches others.
 
@@ -135,6 +141,7 @@
         )
         self._flush_scheduled = False
         self._zone_changed = asyncio.Event()
+        self._last_control_at = now
         self._seeds = seeds
         self._settings = settings
         self._bound = bound
@@ -329,6 +336,17 @@
             ],
         )
 
+    def is_cut_off(self, now: float) -> bool:
+        """Returns whether no peer has sent anything for ``PEER_SILENCE_S``.
+
+        Changes can't be expected from peers then, although the member table
+        still lists them as alive.
+
+        Args:
+            now: Present time, seconds.
+        """
+        return now - self._last_control_at >= PEER_SILENCE_S
+
     def _may_change_watchers(self, change: members.Change) -> bool:
         """Returns whether a change concerns a balancer of the own zone."""
         record = change.new
@@ -380,6 +398,7 @@
         self, control: controls.Control, source: tuple[str, int]
     ) -> None:
         now = time.monotonic()
+        self._last_control_at = now
         messages, changes = self.gossiper.on_control(control, source, now)
         self._send(messages)
         self._on_changes(changes, now)
--- a/clementinelead/processes/route_watch.py
+++ b/clementinelead/processes/route_watch.py
@@ -95,7 +95,9 @@
         """Watches the source until cancelled."""
         pause = MIN_RETRY_DELAY_S
         while True:
-            self._set_role(self._node.is_watcher)
+            self._set_role(
+                self._node.is_watcher or self._node.is_cut_off(time.monotonic())
+            )
             if not self._is_watching:
                 await self._node.wait_for_watchers(WATCHER_CHECK_INTERVAL_S)
                 continue
--- a/clementinelead/processes/tests/test_relay_node.py
+++ b/clementinelead/processes/tests/test_relay_node.py
@@ -3,6 +3,8 @@
 import socket
 import time
 
+import xxhash
+
 from clementinelead.memberships import evacuations
 from clementinelead.memberships import records
 from clementinelead.messages import compression
@@ -531,6 +533,35 @@
     asyncio.run(_run(nodes, check))
 
 
+def test_balancer_without_contact_to_peers_reads_changes_itself(monkeypatch):
+    # It is none of its zone's watchers, and the store answers it.
+    ports = _free_ports()
+    nodes = [_node(number, ports, ("127.0.0.2",))[0] for number in range(2, 9)]
+    serving = ChangeableSource()
+
+    async def check():
+        await _eventually(
+            lambda: all(len(node.gossiper.peers()) == 6 for node in nodes),
+            JOIN_BOUND_S + SYNC_BOUND_S,
+        )
+        cut = max(
+            nodes,
+            key=lambda node: xxhash.xxh3_64_intdigest(
+                node.gossiper.own.id.encode()
+            ),
+        )
+        assert not cut.is_watcher
+        watch = route_watch.RouteWatch(cut, serving)
+        cut.supervise("watch", watch.run)
+        monkeypatch.setattr(cut, "_on_control", lambda *_: None)
+        monkeypatch.setattr(cut._channel, "_receiver", lambda *_: None)
+        monkeypatch.setattr(cut._channel, "send", lambda message: None)
+        serving.version = 7
+        await _eventually(lambda: cut.routes.table.version == 7, APPLY_BOUND_S)
+
+    asyncio.run(_run(nodes, check))
+
+
 def test_joining_process_gets_the_complete_view(monkeypatch):
     monkeypatch.setattr(member_exchange, "SAMPLE_MEMBERS", 2)
     ports = _free_ports()
