Probe dropped routes in the soak; stall its connections to the store

Cause: the soak changed routes that nobody used, so it could not see a late configuration, and its faults ended for open connections when they ended for new ones, so no connection stayed silent. Change: opening packets to each balancer for routes that were dropped; one that a target accepts 3 s after the drop is a violation if balancer and store were undisturbed for 4 s. A fault stalls the open connections for good, and each run ends with a drop just after one.

--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -3,11 +3,13 @@
 import dataclasses
 import pathlib
 import random
+import time
 import typing
 
 from bench import ports as ports_module
 from bench.soak import audit as audit_module
 from bench.soak import callers
+from bench.soak import config_probes
 from bench.soak import programs
 from bench.soak import proxy as proxy_module
 from bench.soak import router as router_module
@@ -22,6 +24,9 @@
 SERVICES = ("lookups", "exports")
 ZONES = ("z0", "z1")
 SERVICE_ENDPOINTS = (("198.18.0.1", 443), ("198.18.0.2", 80))
+FIRST_IDLE_PORT = 9_000
+"""First of the ports whose routes changes add and drop."""
+
 _PACKAGE = "clementinelead.platform"
 _PORT_NAMES = ("datagrams", "ready", "control", "outbound", "app", "store")
 
@@ -38,6 +43,7 @@
             too; seeds that failed before these faults existed replay without
             them.
         evacuations: Whether zones are evacuated; likewise.
+        stalls: Whether open connections to the store stall; likewise.
     """
 
     balancers: int = 3
@@ -45,6 +51,7 @@
     callers: int = 24
     connections: bool = True
     evacuations: bool = True
+    stalls: bool = True
 
 
 class Environment:
@@ -61,6 +68,7 @@
         sides: Side processes, in the order of ``targets``.
         targets: Stand-in targets.
         router: Router that callers send through.
+        store_faults: Faults of the store and the connections to it.
     """
 
     def __init__(self, folder: pathlib.Path, sizes: Sizes, seed: int):
@@ -102,6 +110,8 @@
             [self._address(1 + number) for number in range(sizes.balancers)],
             self.port_by_name,
         )
+        self.store_faults = config_probes.StoreFaults()
+        self._dropped_routes = config_probes.DroppedRoutes()
         self._tasks = tasks.Tasks()
         self._idle_routes = 0
 
@@ -130,13 +140,18 @@
         path.write_text(node_files.settings_text(node))
         return programs.Program(f"{_PACKAGE}.{role}", name, path)
 
-    def change_config(self) -> None:
+    def change_config(self, idle_routes: int | None = None) -> None:
         """Stores a new version with another number of idle routes.
 
-        An idle route is one that no caller uses. Their number grows by one
-        with each version and starts again from none after three.
+        An idle route is one that no caller uses.
+
+        Args:
+            idle_routes: Their number. By default it grows by one with each
+                version and starts again from none after three.
         """
-        self._idle_routes = (self._idle_routes + 1) % 4
+        if idle_routes is None:
+            idle_routes = (self._idle_routes + 1) % 4
+        self._idle_routes = idle_routes
         routes = [
             node_files.route_entry(f"r{number}", address, service)
             for number, (address, service) in enumerate(
@@ -144,14 +159,14 @@
             )
         ]
         host, _ = SERVICE_ENDPOINTS[0]
+        idle_ports = range(FIRST_IDLE_PORT, FIRST_IDLE_PORT + self._idle_routes)
         routes += [
-            node_files.route_entry(
-                f"idle{number}", (host, 9000 + number), SERVICES[0]
-            )
-            for number in range(self._idle_routes)
+            node_files.route_entry(f"idle{port}", (host, port), SERVICES[0])
+            for port in idle_ports
         ]
         version = self.store.version + self.random.randint(1, 4)
         self.store.put(version, {"routes": routes, "services": []})
+        self._dropped_routes.on_change(frozenset(idle_ports), time.monotonic())
 
     async def start(self) -> None:
         """Starts all parts but the callers, in no particular order."""
@@ -167,6 +182,19 @@
 
     def start_callers(self) -> None:
         """Starts the callers; each second one uses persistent flows."""
+        probes = config_probes.ConfigProbes(
+            self._address(100 + self.sizes.callers),
+            self.port_by_name["datagrams"],
+            SERVICE_ENDPOINTS[0][0],
+            {
+                self._address(1 + number): program
+                for number, program in enumerate(self.balancers)
+            },
+            self._dropped_routes,
+            self.store_faults,
+            self.audit,
+        )
+        self.spawn(probes.run())
         for number in range(self.sizes.callers):
             service = 1 if number % 4 == 3 else 0
             caller = callers.Caller(
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -4,12 +4,17 @@
 import signal
 import time
 
+from bench.soak import config_probes
 from bench.soak import environment as environment_module
 from bench.soak import proxy
 
-__all__ = ["inject"]
+__all__ = ["drop_routes_while_stalled", "inject"]
 
 FAULT_INTERVAL_RANGE_S = (0.2, 1.2)
+STALL_DELAY_S = 0.1
+STALL_CHECK_S = 1.5
+"""Time in which probes test that dropped routes are refused, seconds."""
+
 _STORE_FAULTS = ("busy", "silent", "slow", "forgets")
 
 
@@ -32,6 +37,8 @@
     names = sorted(_FAULTS)
     if not environment.sizes.connections:
         names.remove("connections")
+    if not environment.sizes.stalls:
+        names.remove("stall connections")
     if not environment.sizes.evacuations:
         names.remove("evacuate zone")
     while time.monotonic() - start_s < seconds:
@@ -47,6 +54,22 @@
     return injected
 
 
+async def drop_routes_while_stalled(
+    environment: environment_module.Environment,
+) -> None:
+    """Drops routes just after connections to the store have stalled.
+
+    The change before answers all watches, so that new ones begin together.
+    Returns when the change must have been in force for some time.
+    """
+    environment.change_config(idle_routes=3)
+    await asyncio.sleep(STALL_DELAY_S)
+    with environment.store_faults.inject():
+        environment.proxy.stall()
+    environment.change_config(idle_routes=0)
+    await asyncio.sleep(config_probes.CONTACT_S + STALL_CHECK_S)
+
+
 async def _kill_program(environment: environment_module.Environment) -> None:
     environment.random.choice(environment.balancers + environment.sides).kill()
 
@@ -87,7 +110,8 @@
 
 async def _disturb_store(environment: environment_module.Environment) -> None:
     environment.store.fault = environment.random.choice(_STORE_FAULTS)
-    await asyncio.sleep(environment.random.uniform(0.5, 4.0))
+    with environment.store_faults.inject():
+        await asyncio.sleep(environment.random.uniform(0.5, 4.0))
     environment.store.fault = ""
 
 
@@ -97,10 +121,20 @@
     """Injects a fault into the connections to the store."""
     kinds = [kind for kind in proxy.Fault if kind is not proxy.Fault.NONE]
     environment.proxy.inject(environment.random.choice(kinds))
-    await asyncio.sleep(environment.random.uniform(0.5, 4.0))
+    with environment.store_faults.inject():
+        await asyncio.sleep(environment.random.uniform(0.5, 4.0))
     environment.proxy.inject(proxy.Fault.NONE)
 
 
+async def _stall_connections(
+    environment: environment_module.Environment,
+) -> None:
+    """Stalls the open connections to the store, then changes a route."""
+    with environment.store_faults.inject():
+        environment.proxy.stall()
+    await _change_config(environment)
+
+
 async def _change_config(environment: environment_module.Environment) -> None:
     for _ in range(environment.random.randint(1, 5)):
         environment.change_config()
@@ -143,5 +177,6 @@
     "pause": _pause,
     "reload": _reload,
     "roll": _restart_in_sequence,
+    "stall connections": _stall_connections,
     "store": _disturb_store,
 }
--- a/bench/soak/programs.py
+++ b/bench/soak/programs.py
@@ -30,6 +30,7 @@
         self._settings = settings
         self._process: subprocess.Popen[bytes] | None = None
         self._ended = False
+        self._disturbed_at = float("-inf")
 
     async def run(self) -> None:
         """Starts the process, restarts it after each exit, until cancelled."""
@@ -43,7 +44,16 @@
         finally:
             self.kill()
 
+    def undisturbed_s(self, now: float) -> float:
+        """Returns for how long the process has run undisturbed, seconds.
+
+        Args:
+            now: Present monotonic time, seconds.
+        """
+        return 0.0 if self.paused else now - self._disturbed_at
+
     def _start(self) -> None:
+        self._disturbed_at = time.monotonic()
         log = self._settings.with_suffix(".log").open("ab")
         environment = {
             "PATH": os.environ["PATH"],
@@ -60,6 +70,8 @@
 
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the process if it runs, otherwise does nothing."""
+        if number is not signal.SIGHUP:
+            self._disturbed_at = time.monotonic()
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
 
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -33,6 +33,7 @@
         self._target = target
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
+        self._stalled = asyncio.Event()
 
     async def start(self, address: tuple[str, int]) -> None:
         """Begins to accept connections on an address and port.
@@ -55,6 +56,11 @@
         if fault is Fault.RESET:
             self._reset()
 
+    def stall(self) -> None:
+        """Makes open connections discard all data; later ones work."""
+        self._stalled.set()
+        self._stalled = asyncio.Event()
+
     def _reset(self) -> None:
         for writer in list(self._writers):
             writer.transport.abort()
@@ -96,13 +102,16 @@
             writer: Destination.
             discarding_fault: Fault that discards the data of this direction.
         """
+        stalled = self._stalled
         with contextlib.suppress(OSError):
             while data := await reader.read(MAX_READ_BYTES):
                 if self.fault is Fault.DELAYED:
                     await asyncio.sleep(FORWARD_DELAY_S)
                 if self.fault in (discarding_fault, Fault.SILENT):
                     continue
+                if stalled.is_set():
+                    continue
                 writer.write(data)
                 await writer.drain()
-            if writer.can_write_eof():
+            if writer.can_write_eof() and not stalled.is_set():
                 writer.write_eof()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,15 +9,19 @@
 from bench.soak import run
 
 SMALL = environment.Sizes(balancers=2, targets=3, callers=8)
-WITHOUT_EVACUATIONS = dataclasses.replace(SMALL, evacuations=False)
-WITHOUT_LATER_FAULTS = environment.Sizes(connections=False, evacuations=False)
+WITHOUT_STALLS = dataclasses.replace(SMALL, stalls=False)
+WITHOUT_EVACUATIONS = dataclasses.replace(WITHOUT_STALLS, evacuations=False)
+WITHOUT_LATER_FAULTS = environment.Sizes(
+    connections=False, evacuations=False, stalls=False
+)
 
 
 @pytest.mark.parametrize(
     ("seed", "seconds", "sizes"),
     [
         (7, 6.0, WITHOUT_EVACUATIONS),
-        (8, 6.0, SMALL),
+        (8, 6.0, WITHOUT_STALLS),
+        (9, 12.0, SMALL),
         # A restarted target accepted flows before its first heartbeat; its
         # side process then treated them as flows of the former incarnation
         # and denied them.
@@ -33,3 +37,4 @@
     )
     assert violations == [], faults
     assert outcomes["answered"] > 0
+    assert outcomes["probes"] > 0
