--- a/clementinelead/memberships/records.py
+++ b/clementinelead/memberships/records.py
@@ -42,7 +42,6 @@
         role: Kind of the process.
         state: State that the process publishes.
         health: Health that peers assign to it.
-        store_lost: Whether the store does not answer the process.
         region: Region of the process.
         zone: Availability zone of the process.
         address: IP address of the process.
@@ -51,6 +50,7 @@
         http_port: TCP port for peers, metrics and the administration API.
         services: Services that its target serves; empty for a balancer.
         weight: Relative share of new flows.
+        store_lost: Whether the store does not answer the process.
     """
 
     id: str
