--- a/clementinelead/memberships/watchers.py
+++ b/clementinelead/memberships/watchers.py
@@ -20,9 +20,9 @@
 
     They are the first two balancers, by the hash of the identifiers, that the
     store answers, and those before them, which go on to try; only the first
-    ``MAX_CANDIDATES`` are considered. The selection needs no consensus: a surplus watcher costs some calls to the store, and if
-    none is selected because tables differ, the next change of the table
-    corrects it.
+    ``MAX_CANDIDATES`` are considered. The selection needs no consensus: a
+    surplus watcher costs some calls to the store, and if none is selected
+    because tables differ, the next change of the table corrects it.
 
     Args:
         own: Record of this process.
