review: open flows are not found after a rolling restart

Cause: a search for the owner of a flow probes at most 8 unsure targets, in rendezvous order, and the repeated searches keep the count; a target that has rank 9 or more is never asked while the restarted side processes are unsure.

Case: review/1 opens 80 flows on a route with a split over 7 and 4 servers, restarts all nodes in turn (planned work alone), and lets each flow send its next request.

--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,175 @@
+"""Open flows after a rolling restart of all nodes."""
+
+import asyncio
+import os
+import pathlib
+import random
+import sys
+import tempfile
+import time
+
+from common import deployment
+from common import packets
+from common import record as record_module
+from common import requesters
+from common import servers
+
+REORDER_S = 2.0
+CONTACT_S = 4.0
+MIN_WRONG_PACKETS = 3
+FLOWS_PER_ZONE = 20
+BUDGET_S = 8.0
+"""Time budget of a download on the sheets, seconds."""
+
+GAP_S = 1.3
+GRACE_S = 6.0
+CALM_S = CONTACT_S + 1.5
+"""Time from the last start of a process to the requests, seconds."""
+
+Arrival = tuple[float, servers.Server]
+
+
+class Audit:
+    """Arrivals of requesters' packets at servers, by flow."""
+
+    def __init__(self) -> None:
+        self.arrivals: dict[servers.Flow, list[Arrival]] = {}
+
+    def observe(
+        self,
+        server: servers.Server,
+        packet: packets.Packet,
+        held: bool,
+        now: float,
+    ) -> None:
+        """Records an arrival."""
+        flow = packet.from_requester
+        self.arrivals.setdefault(flow, []).append((now, server))
+
+
+def broken_part_b(
+    arrivals: list[Arrival], own: servers.Server, begin: float
+) -> tuple[int, float]:
+    """Returns packets at other servers, and the span in which they arrived.
+
+    Both are 0 unless, since ``begin``, ``MIN_WRONG_PACKETS`` or more reached
+    other servers in a span of ``REORDER_S`` or more and none its own.
+    """
+    wrong: list[float] = []
+    for now, server in arrivals:
+        if now < begin:
+            continue
+        if server is own:
+            wrong.clear()
+            continue
+        wrong.append(now)
+        span_s = wrong[-1] - wrong[0]
+        if len(wrong) >= MIN_WRONG_PACKETS and span_s >= REORDER_S:
+            return len(wrong), span_s
+    return 0, 0.0
+
+
+async def run(folder: pathlib.Path, record: record_module.Record) -> int:
+    """Runs the case and returns the exit code."""
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    audit = Audit()
+    system = deployment.Deployment(folder, record, audit.observe)
+    try:
+        if not await system.start():
+            record.say("the system did not get into service")
+            return 2
+        record.say("all processes are in service")
+        flows: list[requesters.Flow] = []
+        for zone in deployment.ZONES:
+            requester = system.add_requester(zone)
+            for _ in range(FLOWS_PER_ZONE):
+                flows.append(requester.flow(deployment.BOARD))
+        generator = random.Random(1)
+        generator.shuffle(flows)
+
+        async def use(
+            flow: requesters.Flow, delay_s: float, round_name: str
+        ) -> str:
+            await asyncio.sleep(delay_s)
+            return await flow.request(f"{flow.name}-{round_name}", BUDGET_S)
+
+        async def open_flow(flow: requesters.Flow, delay_s: float) -> str:
+            await asyncio.sleep(delay_s)
+            if not await flow.open():
+                return "not opened"
+            return await flow.request(f"{flow.name}-first", BUDGET_S)
+
+        first = await asyncio.gather(
+            *(open_flow(flow, n * 0.02) for n, flow in enumerate(flows))
+        )
+        if first.count("answered") < len(flows):
+            record.say(
+                f"only {first.count('answered')} first requests answered"
+            )
+            return 2
+        own = {flow.key: system.server_of(flow.key) for flow in flows}
+        record.say(f"{len(flows)} flows are open and idle")
+        system.write_settings(first_start=False)
+        if trouble:
+            for role in ("side", "balancer"):
+                record.say(f"all nodes of role {role} are restarted in turn")
+                for program in system.of_role(role):
+                    system.spawn(program.terminate(GRACE_S))
+                    await asyncio.sleep(GAP_S)
+            await asyncio.sleep(1.0)
+            if not await system.wait_in_service():
+                record.say("the system did not get into service again")
+                return 2
+        last_start = max(p.started_at for p in system.programs.values())
+        await asyncio.sleep(max(0.0, last_start + CALM_S - time.monotonic()))
+        begin = time.monotonic()
+        record.say(
+            f"{begin - last_start:.1f} s after the last start of a process:"
+            " each flow sends its next request"
+        )
+        outcomes = await asyncio.gather(
+            *(use(flow, n * 0.02, "next") for n, flow in enumerate(flows))
+        )
+        if any(p.started_at > last_start for p in system.programs.values()):
+            record.say("a process was started meanwhile")
+            return 2
+        broken = 0
+        for flow, outcome in zip(flows, outcomes, strict=True):
+            server = own[flow.key]
+            assert server is not None
+            arrivals = audit.arrivals.get(flow.key, [])
+            wrong, span_s = broken_part_b(arrivals, server, begin)
+            resets = [whole for _, whole in flow.resets if not whole]
+            if not wrong and not resets:
+                continue
+            broken += 1
+            record.line(
+                f"FLOW broken: {flow.name} is open at {server.name}"
+                f" ({server.holds(flow.key)}); {wrong} packets reached other"
+                f" servers in {span_s:.1f} s, none its own; resets of the"
+                f" system: {len(resets)};"
+                f" outcome: {outcome}"
+            )
+            for now, other in arrivals:
+                if now >= begin:
+                    record.line(f"  {now - begin:.3f} s at {other.name}")
+        counts = {text: outcomes.count(text) for text in sorted(set(outcomes))}
+        record.say(f"requests of the open flows: {counts}")
+        record.say(f"flows for which FLOW is broken: {broken} of {len(flows)}")
+        return 1 if broken else 0
+    finally:
+        await system.stop()
+
+
+def main() -> int:
+    """Runs the case in a temporary folder."""
+    record = record_module.Record(pathlib.Path(__file__).parent / "record.txt")
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            return asyncio.run(run(pathlib.Path(folder), record))
+    finally:
+        record.close()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
