--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,9 +6,9 @@
 import random
 import signal
 import sys
-import tempfile
 import time
 
+from common import cases
 from common import deployment
 from common import packets
 from common import record as record_module
@@ -76,7 +76,7 @@
     try:
         if not await system.start():
             record.say("the system did not get into service")
-            return 2
+            return cases.NOT_RUN
         record.say("all processes are in service")
         flows: list[requesters.Flow] = []
         for zone in deployment.ZONES:
@@ -105,7 +105,7 @@
             record.say(
                 f"only {first.count('answered')} first requests answered"
             )
-            return 2
+            return cases.NOT_RUN
         own = {flow.key: system.server_of(flow.key) for flow in flows}
         record.say(f"{len(flows)} flows are open and idle")
         system.write_settings(first_start=False)
@@ -116,7 +116,7 @@
             await asyncio.sleep(1.0)
             if not await system.wait_in_service():
                 record.say("the system did not get into service again")
-                return 2
+                return cases.NOT_RUN
         last_start = max(p.started_at for p in system.programs.values())
         await asyncio.sleep(max(0.0, last_start + CALM_S - time.monotonic()))
         begin = time.monotonic()
@@ -129,7 +129,7 @@
         )
         if any(p.started_at > last_start for p in system.programs.values()):
             record.say("a process was started meanwhile")
-            return 2
+            return cases.NOT_RUN
         broken = 0
         for flow, outcome in zip(flows, outcomes, strict=True):
             server = own[flow.key]
@@ -153,20 +153,10 @@
         counts = {text: outcomes.count(text) for text in sorted(set(outcomes))}
         record.say(f"requests of the open flows: {counts}")
         record.say(f"flows for which FLOW is broken: {broken} of {len(flows)}")
-        return 1 if broken else 0
+        return cases.BROKEN if broken else cases.HELD
     finally:
         await system.stop()
 
 
-def main() -> int:
-    """Runs the case in a temporary folder."""
-    record = record_module.Record(pathlib.Path(__file__).parent / "record.txt")
-    try:
-        with tempfile.TemporaryDirectory() as folder:
-            return asyncio.run(run(pathlib.Path(folder), record))
-    finally:
-        record.close()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(cases.main(run, pathlib.Path(__file__).parent))
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -175,6 +175,7 @@
         folder: pathlib.Path,
         record: record_module.Record,
         observer: servers.Observer,
+        capacity: int = CAPACITY,
     ):
         self.record = record
         self.network, self.ports = free_network()
@@ -209,7 +210,7 @@
                 self.ports,
                 HEARTBEAT_S,
                 WORK_S,
-                CAPACITY,
+                capacity,
                 record,
                 observer,
             )
