--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -31,10 +31,10 @@
 )
 """Services and zones as on the sheet of ``further/ballast-berth.toml``."""
 
-BOARD = ("198.18.0.1", 8443)
+BOARD = ("127.18.0.1", 8443)
 """Address and port of the route to ``crewdesk``."""
 
-VAULT = ("198.18.0.2", 8443)
+VAULT = ("127.18.0.2", 8443)
 """Address and port of the route to ``docvault``."""
 
 HEARTBEAT_S = 0.77
