--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,9 +1,10 @@
-"""Open flows after a rolling restart of all nodes."""
+"""Open flows after all processes were killed at once."""
 
 import asyncio
 import os
 import pathlib
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -21,8 +22,6 @@
 BUDGET_S = 8.0
 """Time budget of a download on the sheets, seconds."""
 
-GAP_S = 1.3
-GRACE_S = 6.0
 CALM_S = CONTACT_S + 1.5
 """Time from the last start of a process to the requests, seconds."""
 
@@ -111,11 +110,9 @@
         record.say(f"{len(flows)} flows are open and idle")
         system.write_settings(first_start=False)
         if trouble:
-            for role in ("side", "balancer"):
-                record.say(f"all nodes of role {role} are restarted in turn")
-                for program in system.of_role(role):
-                    system.spawn(program.terminate(GRACE_S))
-                    await asyncio.sleep(GAP_S)
+            record.say("all processes of the system are killed")
+            for program in system.programs.values():
+                program.send(signal.SIGKILL)
             await asyncio.sleep(1.0)
             if not await system.wait_in_service():
                 record.say("the system did not get into service again")
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -32,10 +32,10 @@
 """Services and zones as on the sheet of ``further/ballast-berth.toml``."""
 
 BOARD = ("198.18.0.1", 8443)
-"""Route with a split over both services, as in ``fleetbench wire``."""
+"""Address and port of the route to ``crewdesk``."""
 
 VAULT = ("198.18.0.2", 8443)
-"""Route to ``docvault`` alone."""
+"""Address and port of the route to ``docvault``."""
 
 HEARTBEAT_S = 0.77
 WORK_S = 0.055
@@ -150,7 +150,7 @@
     address: tuple[str, int],
     timeout_ms: int,
     aim_ms: int,
-    **target: typing.Any,
+    service: str,
 ) -> dict[str, typing.Any]:
     """Returns a route of the operator's configuration."""
     host, port = address
@@ -163,7 +163,7 @@
         "target_latency_ms": aim_ms,
         "priority": 2,
         "max_attempts": 2,
-        **target,
+        "service": service,
     }
 
 
@@ -275,16 +275,12 @@
     def put_config(self) -> None:
         """Writes a further version of the operator's configuration."""
         self._version += 3
-        split = [
-            {"service": "crewdesk", "weight": 90},
-            {"service": "docvault", "weight": 10},
-        ]
         self.store.put_config(
             {
                 "version": self._version,
                 "routes": [
-                    _route("r-board", BOARD, 4000, 275, backends=split),
-                    _route("r-vault", VAULT, 8000, 502, service="docvault"),
+                    _route("r-board", BOARD, 4000, 275, "crewdesk"),
+                    _route("r-vault", VAULT, 8000, 502, "docvault"),
                 ],
                 "services": [
                     {
@@ -300,7 +296,7 @@
                     "max_header_bytes": 16384,
                     "max_body_bytes": 262144,
                     "header_timeout_ms": 3000,
-                    "idle_timeout_ms": 60000,
+                    "idle_timeout_ms": 15000,
                 },
             }
         )
