Take only complete heartbeats of the target beside the process

Cause: a request with five of nine fields counted as a heartbeat, and the incarnation with the latest start won for good, so the living target's own heartbeats were rejected from then on. Also, its first heartbeat counted as proof that all flows were recorded, and open flows were denied.

Change: all fields are required, integers are bounded, address and zone must be those of the target; documents that are nested too deeply are malformed. An incarnation that goes on sending while the applied one is silent is reinstated, which also takes a target that starts after its clock was set back. Flows count as recorded from the second heartbeat of a replacement on.

Inputs of older tests have the address and zone of their settings now; their checks are unchanged.

--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -103,6 +103,7 @@
                 self.port_by_name,
                 self.audit,
                 self.random,
+                ZONES[number % len(ZONES)],
             )
             for number in range(sizes.targets)
         ]
--- a/clementinelead/platform/heartbeats.py
+++ b/clementinelead/platform/heartbeats.py
@@ -1,58 +1,85 @@
 """HTTP handlers for the heartbeats of the target beside a side process."""
 
+import typing
+
 import loguru
 import msgspec
 
+from clementinelead import decoding
 from clementinelead.processes import http_site
 from clementinelead.processes import relay_side
 from clementinelead.relays import announcements
 
-__all__ = ["INSTANCES_PREFIX", "HeartbeatHandlers", "decode"]
+__all__ = ["INSTANCES_PREFIX", "HeartbeatHandlers", "TargetPlace", "decode"]
 
 INSTANCES_PREFIX = "/instances/"
 
 _MS_PER_S = 1000.0
 _DRAINING = "draining"
-_STATES = ("ready", _DRAINING)
 _REFUSED = (
     announcements.UpdateResult.STALE,
     announcements.UpdateResult.OTHER_SERVICE,
 )
 
 
+_MAX_CAPACITY = 2**31 - 1
+_MAX_WARMUP_MS = 86_400_000.0  # one day
+
+
 class _Heartbeat(msgspec.Struct):
     service: str
-    capacity: int  # largest number of concurrent requests
-    state: str
-    sequence: int
-    born: int  # start of the incarnation, milliseconds since 1970
-    warmup_left_ms: float = 0.0
+    address: str  # IP address and port at which the target receives packets
+    zone: str
+    version: str  # of the target's software
+    # Largest number of concurrent requests.
+    capacity: typing.Annotated[int, msgspec.Meta(ge=1, le=_MAX_CAPACITY)]
+    state: typing.Literal["ready", "draining"]
+    sequence: decoding.Count
+    born: decoding.Count  # start of the incarnation, milliseconds since 1970
+    warmup_left_ms: typing.Annotated[float, msgspec.Meta(le=_MAX_WARMUP_MS)]
 
 
 class _Departure(msgspec.Struct):
-    born: int | None = None
+    born: decoding.Count | None = None
 
 
-def decode(identifier: str, body: bytes) -> announcements.Heartbeat:
-    """Returns the heartbeat that a request carries.
+class TargetPlace(msgspec.Struct, frozen=True):
+    """Where the target of a side process runs.
+
+    Attributes:
+        endpoint: IP address and UDP port where it receives packets.
+        zone: Its availability zone.
+    """
+
+    endpoint: tuple[str, int]
+    zone: str
+
+
+def decode(
+    identifier: str, body: bytes, place: TargetPlace
+) -> announcements.Heartbeat:
+    """Returns the heartbeat that a request of the target carries.
 
     A negative warm-up time counts as 0.
 
     Args:
         identifier: Identifier of the target, from the path of the request.
         body: JSON body of the request.
+        place: Where the target runs.
 
     Raises:
-        ValueError: The body is malformed, the state is unknown, the identifier
-            is empty or the capacity is below 1.
+        ValueError: The body is malformed, a field is missing or out of range,
+            the identifier is empty, or the sender runs elsewhere.
     """
-    heartbeat = msgspec.json.decode(body, type=_Heartbeat)
-    if (
-        heartbeat.state not in _STATES
-        or not identifier
-        or heartbeat.capacity < 1
-    ):
-        raise ValueError("unknown state, empty identifier or capacity below 1")
+    heartbeat = decoding.decode_json(body, _Heartbeat)
+    if not identifier:
+        raise ValueError("empty identifier")
+    host, port = place.endpoint
+    if heartbeat.address != f"{host}:{port}" or heartbeat.zone != place.zone:
+        raise ValueError(
+            f"sender at {heartbeat.address} in zone {heartbeat.zone}"
+            f" is not the target at {host}:{port} in zone {place.zone}"
+        )
     return announcements.Heartbeat(
         id=identifier,
         started_ms=heartbeat.born,
@@ -71,8 +98,15 @@
     for another service, and 200 otherwise.
     """
 
-    def __init__(self, side: relay_side.RelaySide):
+    def __init__(self, side: relay_side.RelaySide, place: TargetPlace):
+        """Creates the handlers of a side process.
+
+        Args:
+            side: The side process.
+            place: Where its target runs.
+        """
         self._side = side
+        self._place = place
 
     def register_routes(self, site: http_site.HttpSite) -> None:
         """Registers the handlers of the target's requests.
@@ -85,9 +119,11 @@
 
     def _on_heartbeat(self, request: http_site.Request) -> http_site.Response:
         try:
-            heartbeat = decode(_identifier(request), request.body)
+            heartbeat = decode(_identifier(request), request.body, self._place)
         except ValueError as error:
-            loguru.logger.bind(reason=str(error)).warning("heartbeat refused")
+            loguru.logger.bind(
+                target=_identifier(request), reason=str(error)
+            ).warning("heartbeat refused")
             return http_site.Response(http_site.BAD_REQUEST, b"{}")
         return _response(self._side.on_heartbeat(heartbeat))
 
@@ -95,9 +131,7 @@
         started_ms = None
         if request.body:
             try:
-                started_ms = msgspec.json.decode(
-                    request.body, type=_Departure
-                ).born
+                started_ms = decoding.decode_json(request.body, _Departure).born
             except ValueError as error:
                 loguru.logger.bind(reason=str(error)).warning("leave refused")
                 return http_site.Response(http_site.BAD_REQUEST, b"{}")
--- a/clementinelead/platform/side_program.py
+++ b/clementinelead/platform/side_program.py
@@ -49,7 +49,11 @@
     sites = []
     if node_settings.heartbeat_endpoint is not None:
         heartbeat_site = http_site.HttpSite()
-        heartbeats.HeartbeatHandlers(side).register_routes(heartbeat_site)
+        place = heartbeats.TargetPlace(
+            node_settings.target_endpoint, node_settings.relay.zone
+        )
+        handlers = heartbeats.HeartbeatHandlers(side, place)
+        handlers.register_routes(heartbeat_site)
         sites.append((heartbeat_site, node_settings.heartbeat_endpoint))
     return side, sites
 
--- a/clementinelead/platform/standins/targets.py
+++ b/clementinelead/platform/standins/targets.py
@@ -74,6 +74,7 @@
         ports: typing.Mapping[str, int],
         audit: Audit,
         generator: random.Random,
+        zone: str,
     ):
         self.name = name
         self.service = service
@@ -83,6 +84,7 @@
         self._ports = ports
         self._audit = audit
         self._random = generator
+        self._zone = zone
         self._reply_by_request: dict[str, packets.Packet | None] = {}
         self._slots = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
         self._state = "ready"
@@ -186,6 +188,10 @@
         self._sequence += 1
         content = {
             "service": self.service,
+            "address": f"{self.address}:{self._ports['app']}",
+            "zone": self._zone,
+            "version": "v1",
+            "warmup_left_ms": 0,
             "capacity": MAX_CONCURRENT_REQUESTS,
             "state": state,
             "sequence": self._sequence,
--- a/clementinelead/platform/tests/test_heartbeats.py
+++ b/clementinelead/platform/tests/test_heartbeats.py
@@ -11,8 +11,8 @@
 
 HEARTBEAT = {
     "service": "whois",
-    "address": "10.128.0.9:8080",
-    "zone": "muscat-a",
+    "address": settings_files.CONTENT["app"],
+    "zone": settings_files.CONTENT["zone"],
     "version": "v1",
     "capacity": 2,
     "state": "ready",
@@ -24,12 +24,9 @@
 
 @pytest.fixture(name="respond")
 def _respond():
-    side, _ = side_program.build(
+    side, [(site, _)] = side_program.build(
         settings_files.side(service="whois"), sockets.PreboundSockets()
     )
-    handlers = heartbeats.HeartbeatHandlers(side)
-    site = http_site.HttpSite()
-    handlers.register_routes(site)
 
     def call(method, identifier, content):
         body = content if isinstance(content, bytes) else _body(content)
@@ -46,7 +43,8 @@
 
 
 def test_heartbeat_is_decoded():
-    heartbeat = heartbeats.decode("i-1", _body(HEARTBEAT))
+    place = heartbeats.TargetPlace(("127.0.0.1", 8165), "a")
+    heartbeat = heartbeats.decode("i-1", _body(HEARTBEAT), place)
     assert heartbeat.id == "i-1"
     assert heartbeat.slots == 2
     assert heartbeat.warmup_s == 1.5
@@ -111,3 +109,51 @@
     assert workload.completion_ms(time.monotonic()) > warm_ms
     respond("PUT", "i-1", {**warm, "sequence": 6})
     assert workload.completion_ms(time.monotonic()) == warm_ms
+
+
+def _without(field):
+    return {name: HEARTBEAT[name] for name in HEARTBEAT if name != field}
+
+
+def _deeply_nested():
+    nested = b"[" * 20_000 + b"]" * 20_000
+    return _body(HEARTBEAT)[:-1] + b',"unknown":' + nested + b"}"
+
+
+# Guards against a request of another writer that takes back an acknowledged
+# drain, or puts the target out of use (DRAIN, review/3).
+@pytest.mark.parametrize(
+    "content",
+    [
+        *(_without(field) for field in HEARTBEAT),
+        {**HEARTBEAT, "address": "127.0.0.2:8165"},
+        {**HEARTBEAT, "address": "127.0.0.1:99999"},
+        {**HEARTBEAT, "address": 8165},
+        {**HEARTBEAT, "zone": "b"},
+        {**HEARTBEAT, "version": 1},
+        {**HEARTBEAT, "born": 2**70},
+        {**HEARTBEAT, "born": -1},
+        {**HEARTBEAT, "born": 1.5},
+        {**HEARTBEAT, "sequence": 2**70},
+        {**HEARTBEAT, "sequence": -1},
+        {**HEARTBEAT, "capacity": 2**70},
+        {**HEARTBEAT, "warmup_left_ms": 1e300},
+        {**HEARTBEAT, "warmup_left_ms": None},
+        _deeply_nested(),
+    ],
+)
+def test_request_of_another_writer_does_not_end_a_drain(respond, content):
+    respond("PUT", "i-1", {**HEARTBEAT, "sequence": 5, "state": "draining"})
+    if isinstance(content, dict) and content.get("born") == HEARTBEAT["born"]:
+        content = {**content, "born": HEARTBEAT["born"] + 60_000}
+    assert respond("PUT", "i-other", content) == 400
+    assert not respond.side.target_relay.accepting
+    own = {**HEARTBEAT, "sequence": 6, "state": "draining"}
+    assert respond("PUT", "i-1", own) == 200
+
+
+def test_malformed_departure_is_rejected(respond):
+    respond("PUT", "i-1", HEARTBEAT)
+    for body in (_deeply_nested(), {"born": 2**70}, b"{"):
+        assert respond("DELETE", "i-1", body) == 400
+    assert respond.side.target_relay.accepting
--- a/clementinelead/platform/tests/test_launch.py
+++ b/clementinelead/platform/tests/test_launch.py
@@ -44,7 +44,8 @@
 address = "127.0.0.1:{store}"
 """
 HEARTBEAT = (
-    b'{"service":"whois","capacity":2,"state":"ready","sequence":1,"born":7}'
+    '{{"service":"whois","address":"127.0.0.1:{app}","zone":"a","version":"v1",'
+    '"capacity":2,"state":"ready","warmup_left_ms":0,"sequence":1,"born":7}}'
 )
 
 
@@ -109,7 +110,7 @@
         connection = http.client.HTTPConnection(
             HOST, ports["control"], timeout=TIMEOUT_S
         )
-        connection.request("PUT", "/instances/i-1", HEARTBEAT)
+        connection.request("PUT", "/instances/i-1", HEARTBEAT.format(**ports))
         assert connection.getresponse().status == 200
     finally:
         process.terminate()
--- a/clementinelead/relays/announcements.py
+++ b/clementinelead/relays/announcements.py
@@ -7,6 +7,15 @@
 
 __all__ = ["Departure", "Heartbeat", "TargetLifecycle", "UpdateResult"]
 
+REINSTATING_HEARTBEATS = 3
+"""Consecutive rejected heartbeats of an incarnation that prove it runs."""
+
+MIN_REINSTATING_S = 1.0
+"""Shortest time from the first to the last of them, seconds.
+
+Heartbeats that a partition has delayed arrive together.
+"""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
@@ -50,12 +59,47 @@
     """How a report of the target was applied."""
 
     NEW_INCARNATION = "started"  # first heartbeat of an incarnation
+    REINSTATED = "reinstated"  # its incarnation was rejected before, but runs
     CHANGED = "changed"  # the state of the target has changed
     UNCHANGED = "same"  # applied without a change of state
     STALE = "stale"  # delayed: a newer report was applied before
     OTHER_SERVICE = "foreign"  # for another service than the configured one
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Rejections:
+    """Consecutive rejected heartbeats of one incarnation.
+
+    Attributes:
+        latest: The latest of them.
+        first_at: Time of the first one, seconds.
+        count: Number of them.
+    """
+
+    latest: Heartbeat
+    first_at: float
+    count: int = 1
+
+    def followed_by(self, heartbeat: Heartbeat) -> bool:
+        """Returns whether a heartbeat is a later one of the incarnation."""
+        return (
+            heartbeat.id == self.latest.id
+            and heartbeat.started_ms == self.latest.started_ms
+            and heartbeat.sequence > self.latest.sequence
+        )
+
+    def prove_life(self, now: float) -> bool:
+        """Returns whether the incarnation must be running.
+
+        Args:
+            now: Present time, seconds.
+        """
+        return (
+            self.count >= REINSTATING_HEARTBEATS
+            and now - self.first_at >= MIN_REINSTATING_S
+        )
+
+
 class TargetLifecycle:
     """State machine of the target beside a side process.
 
@@ -75,6 +119,7 @@
         """
         self.service = service
         self.last_heartbeat: Heartbeat | None = None
+        self._rejections: _Rejections | None = None
         self._state_machine = charts.machine("target", self)
 
     @property
@@ -82,14 +127,18 @@
         """Whether the target has reported that it accepts new flows."""
         return self.last_heartbeat is not None and self.state == "ready"
 
-    def on_heartbeat(self, heartbeat: Heartbeat) -> UpdateResult:
+    def on_heartbeat(self, heartbeat: Heartbeat, now: float) -> UpdateResult:
         """Applies a heartbeat unless a newer one was applied before.
 
         Incarnations are ordered by their start: a heartbeat that a partition
-        has delayed may arrive after its sender has been replaced.
+        has delayed may arrive after its sender has been replaced. The order is
+        wrong if the clock was set back between two starts, or if the heartbeat
+        applied last was not of this target. An incarnation that goes on
+        sending while the applied one is silent is therefore reinstated.
 
         Args:
             heartbeat: The heartbeat.
+            now: Present time, seconds.
 
         Returns:
             Whether it was applied and what it changed.
@@ -98,19 +147,41 @@
             return UpdateResult.OTHER_SERVICE
         latest = self.last_heartbeat
         if latest is None or heartbeat.started_ms > latest.started_ms:
-            self.last_heartbeat = heartbeat
-            self._enter_first_state(heartbeat.draining)
-            return UpdateResult.NEW_INCARNATION
-        if (heartbeat.id, heartbeat.started_ms) != (
-            latest.id,
-            latest.started_ms,
-        ):
-            return UpdateResult.STALE
-        if heartbeat.sequence <= latest.sequence:
-            return UpdateResult.STALE
+            return self._replace(heartbeat, UpdateResult.NEW_INCARNATION)
+        is_next = (
+            heartbeat.id == latest.id
+            and heartbeat.started_ms == latest.started_ms
+            and heartbeat.sequence > latest.sequence
+        )
+        if not is_next:
+            return self._reject(heartbeat, now)
+        self._rejections = None
         self.last_heartbeat = heartbeat
         return self._advance(heartbeat.draining)
 
+    def _replace(
+        self, heartbeat: Heartbeat, result: UpdateResult
+    ) -> UpdateResult:
+        """Applies the first heartbeat of another incarnation."""
+        self._rejections = None
+        self.last_heartbeat = heartbeat
+        self._enter_first_state(heartbeat.draining)
+        return result
+
+    def _reject(self, heartbeat: Heartbeat, now: float) -> UpdateResult:
+        """Rejects a heartbeat, unless it proves that its incarnation runs."""
+        rejections = self._rejections
+        if rejections is not None and rejections.followed_by(heartbeat):
+            rejections = _Rejections(
+                heartbeat, rejections.first_at, rejections.count + 1
+            )
+        else:
+            rejections = _Rejections(heartbeat, now)
+        if rejections.prove_life(now):
+            return self._replace(heartbeat, UpdateResult.REINSTATED)
+        self._rejections = rejections
+        return UpdateResult.STALE
+
     def on_departure(self, departure: Departure) -> UpdateResult:
         """Applies the report that the target has ended.
 
--- a/clementinelead/relays/startup_recovery.py
+++ b/clementinelead/relays/startup_recovery.py
@@ -38,6 +38,7 @@
         self._absent_at_start = False
         self._target_seen = False
         self._recovered_at = now + FLOW_RECOVERY_S
+        self._replaced_at: float | None = None
 
     def on_incarnation(
         self,
@@ -47,6 +48,9 @@
     ) -> None:
         """Applies the first heartbeat of an incarnation of the target.
 
+        A replacement counts from its second heartbeat on: the first one may be
+        from another sender, while the target and its flows go on.
+
         Args:
             heartbeat: The heartbeat.
             replaced: Whether this process has had a heartbeat of an earlier
@@ -55,12 +59,27 @@
         """
         self._target_seen = True
         if replaced:
-            self._recovered_at = now
+            self._replaced_at = now
+            return
         earliest_ms = self._started_ms - SAME_START_MARGIN_MS
         self._started_with_target = (
             heartbeat.started_ms >= earliest_ms or heartbeat.sequence <= 1
         )
 
+    def on_further_heartbeat(self) -> None:
+        """Applies a later heartbeat of the present incarnation.
+
+        The flows of an incarnation that has replaced another one were opened
+        through this process.
+        """
+        if self._replaced_at is not None:
+            self._recovered_at = min(self._recovered_at, self._replaced_at)
+            self._replaced_at = None
+
+    def on_reinstated(self) -> None:
+        """Applies the observation that an earlier incarnation goes on."""
+        self._replaced_at = None
+
     def on_target_absent(self, now: float) -> bool:
         """Applies the observation that no target is running yet.
 
--- a/clementinelead/relays/target_relay.py
+++ b/clementinelead/relays/target_relay.py
@@ -33,6 +33,7 @@
 
 _APPLIED = (
     announcements.UpdateResult.NEW_INCARNATION,
+    announcements.UpdateResult.REINSTATED,
     announcements.UpdateResult.CHANGED,
     announcements.UpdateResult.UNCHANGED,
 )
@@ -155,19 +156,39 @@
         Returns:
             Whether the heartbeat was applied and what it changed.
         """
-        previous = self.lifecycle.last_heartbeat
-        result = self.lifecycle.on_heartbeat(heartbeat)
-        if result is announcements.UpdateResult.NEW_INCARNATION:
-            self.workload.configure(heartbeat.slots, heartbeat.warmup_s, now)
-            replaced = previous is not None
-            if replaced:
-                self._flows.on_new_incarnation(now)
-            self.startup.on_incarnation(heartbeat, replaced, now)
+        replaced = self.lifecycle.last_heartbeat is not None
+        result = self.lifecycle.on_heartbeat(heartbeat, now)
+        match result:
+            case announcements.UpdateResult.NEW_INCARNATION:
+                self._begin_incarnation(heartbeat, replaced, now)
+                self.startup.on_incarnation(heartbeat, replaced, now)
+            case announcements.UpdateResult.REINSTATED:
+                self._begin_incarnation(heartbeat, True, now)
+                self.startup.on_reinstated()
+            case (
+                announcements.UpdateResult.CHANGED
+                | announcements.UpdateResult.UNCHANGED
+            ):
+                self.startup.on_further_heartbeat()
         if result in _APPLIED:
             self.workload.set_warmup(heartbeat.warmup_s, now)
             self._limit.on_heartbeat(heartbeat.warmup_s, now)
         return result
 
+    def _begin_incarnation(
+        self, heartbeat: announcements.Heartbeat, replaced: bool, now: float
+    ) -> None:
+        """Resets the workload, and the flows if there was another incarnation.
+
+        Args:
+            heartbeat: First heartbeat of the incarnation.
+            replaced: Whether a heartbeat of another one was applied before.
+            now: Present time, seconds.
+        """
+        self.workload.configure(heartbeat.slots, heartbeat.warmup_s, now)
+        if replaced:
+            self._flows.on_new_incarnation(now)
+
     def on_target_absent(self, now: float) -> bool:
         """Applies the observation that no target listens at its address.
 
--- a/clementinelead/relays/tests/test_target_relay.py
+++ b/clementinelead/relays/tests/test_target_relay.py
@@ -298,3 +298,32 @@
         network.packet(network.flow_key(2), sequence=501, length=20), 100.1
     )
     assert not side.startup.target_absent
+
+
+# Guards against resets of open flows after a heartbeat of another writer: a
+# restarted process would take its target's earlier flows for recorded ones.
+def test_single_heartbeat_of_another_does_not_deny_unrecorded_flows():
+    net = network.Network(targets=1)
+    net.restart_side(0)
+    side = _side(net)
+    net.send_heartbeat(0, sequence=50, started_ms=1)
+    key = network.flow_key(1)
+    assert _holding_status(side, key, net.now) is frames.Kind.UNSURE
+    net.send_heartbeat(0, sequence=2, started_ms=60_000)
+    assert _holding_status(side, key, net.now) is frames.Kind.UNSURE
+    for sequence in (51, 52, 53):
+        net.now += 0.8
+        net.send_heartbeat(0, sequence=sequence, started_ms=1)
+    assert side.lifecycle.last_heartbeat.started_ms == 1
+    assert _holding_status(side, key, net.now) is frames.Kind.UNSURE
+
+
+def test_flows_are_recorded_once_a_new_incarnation_goes_on():
+    net = network.Network(targets=1)
+    net.restart_side(0)
+    side = _side(net)
+    key = network.flow_key(1)
+    net.send_heartbeat(0, sequence=50, started_ms=1)
+    net.send_heartbeat(0, sequence=1, started_ms=60_000)
+    net.send_heartbeat(0, sequence=2, started_ms=60_000)
+    assert _holding_status(side, key, net.now) is frames.Kind.ABSENT
--- a/tests/test_soak_targets.py
+++ b/tests/test_soak_targets.py
@@ -57,7 +57,13 @@
         )
         observed = audit.Audit()
         target = targets.Target(
-            "t0", "lookups", address, port_by_name, observed, random.Random(1)
+            "t0",
+            "lookups",
+            address,
+            port_by_name,
+            observed,
+            random.Random(1),
+            "a",
         )
         target.start()
         await script(target, control)
