Query side processes that appear during a search before it ends

Cause: whether the view is complete was asked at the end of a search, whom to query at its start. A process that appeared in between was never asked.

Change: a search goes on with the processes that have appeared since.

--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -160,13 +160,14 @@
     def _query_further(self, search: searches.Search, now: float) -> bool:
         """Queries side processes that the search has not queried yet.
 
-        Those of the flow's services are queried first. If all deny the flow,
-        those of all other services follow where they may hold it.
+        These have appeared since it began. If there are none, and all present
+        and former services of the address deny the flow, those of all other
+        services are queried where they may hold it.
 
         Returns:
             Whether replies are awaited.
         """
-        if not search.queried and self._query_new(search, now):
+        if self._query_new(search, now):
             return True
         if search.everywhere or not search.all_replied:
             return False
--- a/clementinelead/relays/tests/test_probing.py
+++ b/clementinelead/relays/tests/test_probing.py
@@ -5,6 +5,7 @@
 from clementinelead.relays import candidates
 from clementinelead.relays import searching
 from clementinelead.relays.tests import network
+from clementinelead.replays import packets
 
 ZONES = ("z", "y", "x", "w")
 REORDER_S = 2.0
@@ -146,3 +147,25 @@
     for key, owner in owner_by_key.items():
         reached = {address for _, address in arrivals.of(key)}
         assert owner in reached or owner == silent
+
+
+# Guards against the reset of an open flow by a search that began before its
+# owner was known and ended once the view was complete.
+def test_flow_of_a_process_that_appears_during_the_search_is_not_reset():
+    net = network.Network(targets=3)
+    key = _put_flow(net, 1, ("side2", 1))
+    balancer = net.balancer_by_address[("balancer0", 1)]
+    balancer.set_complete_from(float("inf"))
+    all_targets = balancer._directory.targets(network.SERVICE)
+    balancer.set_targets(network.SERVICE, all_targets[:2])
+    _send_data(net, key, ("side2", 1))
+    net.run(0.003)  # the queries are under way
+    net.side_by_address[("side2", 1)].on_target_packet(
+        network.packet(key, packets.ACCEPTS, 3), net.now
+    )
+    balancer.set_targets(network.SERVICE, all_targets)
+    balancer.set_complete_from(net.now)
+    net.run(0.5)
+    assert not any(
+        network.Format().from_target(data).resets for data in net.to_caller
+    )
