Treat every odd value in the store as malformed

Cause: RecursionError is no ValueError, integers had no bounds, and a supervised task that fails eight times in a row ends its process. A version above 2^63 was put in force and hid all later ones.

Change: one decoder with one error for all JSON from outside; numbers are bounded by the messages that carry them; an unexpected error of a read counts as a failed read.

--- a/clementinelead/administration/api.py
+++ b/clementinelead/administration/api.py
@@ -335,7 +335,7 @@
         )
     try:
         content = json.loads(data or b"{}")
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise _http_error(web.HTTPBadRequest, f"not JSON: {error}") from error
     if not isinstance(content, dict):
         raise _http_error(web.HTTPBadRequest, "not a JSON object")
--- a/clementinelead/platform/config_source.py
+++ b/clementinelead/platform/config_source.py
@@ -9,6 +9,7 @@
 import loguru
 import msgspec
 
+from clementinelead import decoding
 from clementinelead.platform import configs
 from clementinelead.platform import evacuation_keys
 from clementinelead.platform import items
@@ -29,12 +30,12 @@
 
 class _KeyAnswer(msgspec.Struct):
     value: str
-    current_rev: int  # revision of the whole store
+    current_rev: decoding.Count  # revision of the whole store
 
 
 class _WatchAnswer(msgspec.Struct):
     events: list[items.Item]
-    current_rev: int
+    current_rev: decoding.Count
 
 
 _Content = typing.TypeVar("_Content")
@@ -122,7 +123,7 @@
         answer = await self._call("/kv-key", key=_CONFIG_KEY)
         if isinstance(answer, route_watch.Failed):
             return answer
-        read = msgspec.json.decode(answer.body, type=_KeyAnswer)
+        read = decoding.decode_json(answer.body, _KeyAnswer)
         return _Read(read.value, answer.era, read.current_rev)
 
     async def _read_zones(
@@ -136,7 +137,7 @@
         answer = await self._call("/kv-range", prefix=evacuation_keys.PREFIX)
         if isinstance(answer, route_watch.Failed):
             return answer
-        page = msgspec.json.decode(answer.body, type=items.Page)
+        page = decoding.decode_json(answer.body, items.Page)
         return _Read(tuple(page.items), answer.era, page.current_rev)
 
     async def _call(
@@ -172,7 +173,7 @@
             self._schedule.on_failure()
             return route_watch.Failed(f"status {answer.status}", True)
         self._schedule.on_answer()
-        watched = msgspec.json.decode(answer.body, type=_WatchAnswer)
+        watched = decoding.decode_json(answer.body, _WatchAnswer)
         self._last_revision = max(last_revision, watched.current_rev)
         return self._changes(watched.events)
 
--- a/clementinelead/platform/configs.py
+++ b/clementinelead/platform/configs.py
@@ -1,10 +1,12 @@
 """Decoder of the operator's configuration into a routing table."""
 
 import collections.abc
+import typing
 
 import loguru
 import msgspec
 
+from clementinelead import decoding
 from clementinelead.platform import packets
 from clementinelead.relays import routes
 
@@ -16,17 +18,20 @@
 """Highest rate that is accepted, requests a second; more is no limit."""
 
 
+_Milliseconds = typing.Annotated[float, msgspec.Meta(le=routes.MAX_MS)]
+
+
 class _Share(msgspec.Struct):
     service: str
-    weight: int
+    weight: typing.Annotated[int, msgspec.Meta(le=routes.MAX_WEIGHT)]
 
 
 class _Route(msgspec.Struct):
     name: str
     host: str  # IPv4 address of the service
     prefix: str  # port of the service, as in ``/443/``
-    target_latency_ms: float = routes.DEFAULT_OBJECTIVE_MS
-    timeout_ms: float = routes.DEFAULT_TIMEOUT_MS
+    target_latency_ms: _Milliseconds = routes.DEFAULT_OBJECTIVE_MS
+    timeout_ms: _Milliseconds = routes.DEFAULT_TIMEOUT_MS
     service: str = ""
     backends: list[
         _Share
@@ -34,7 +39,7 @@
 
 
 class _Limits(msgspec.Struct):
-    idle_timeout_ms: float = routes.DEFAULT_IDLE_TIMEOUT_S * _MS_PER_S
+    idle_timeout_ms: _Milliseconds = routes.DEFAULT_IDLE_TIMEOUT_S * _MS_PER_S
 
 
 class _Service(msgspec.Struct):
@@ -44,7 +49,7 @@
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: decoding.Count
     routes: list[_Route]
     limits: _Limits = msgspec.field(default_factory=_Limits)
     # Decoded one by one, so that a malformed one does not affect the others.
@@ -55,20 +60,21 @@
     """Returns the routing table that a configuration defines.
 
     Unknown fields are ignored. Latencies and timeouts below 1 ms count as
-    1 ms, negative weights as 0.
+    1 ms, negative weights and idle timeouts as 0.
 
     Args:
         data: JSON document from the operator's key in the store.
 
     Raises:
-        ValueError: The document is not valid JSON, lacks a field, or has a
-            field of another type or an address that can't be used.
+        ValueError: The document is not valid JSON, is nested too deeply, lacks
+            a field, or has a field of another type, a number out of range or
+            an address that can't be used.
     """
-    config = msgspec.json.decode(data, type=_Config)
+    config = decoding.decode_json(data, _Config)
     return routes.RoutingTable(
         version=config.version,
         routes=tuple(_converted(route) for route in config.routes),
-        idle_timeout_s=config.limits.idle_timeout_ms / _MS_PER_S,
+        idle_timeout_s=max(0.0, config.limits.idle_timeout_ms) / _MS_PER_S,
         warmup_rates=tuple(_warmup_rates(config.services)),
     )
 
@@ -79,7 +85,7 @@
     """Yields the rates of services that have one; logs malformed ones."""
     for position, content in enumerate(services):
         try:
-            service = msgspec.json.decode(content, type=_Service)
+            service = decoding.decode_json(content, _Service)
             rate = service.warmup_per_s
             if not 0 <= rate <= _MAX_WARMUP_PER_S:
                 raise ValueError(f"warmup_per_s {rate} is out of range")
--- a/clementinelead/platform/evacuation_keys.py
+++ b/clementinelead/platform/evacuation_keys.py
@@ -4,12 +4,11 @@
 """
 
 import base64
-import binascii
 import collections.abc
 
 import loguru
-import msgspec
 
+from clementinelead import decoding
 from clementinelead.memberships import evacuations
 from clementinelead.platform import items
 
@@ -105,7 +104,9 @@
 
 def _is_object(value: str) -> bool:
     try:
-        content = msgspec.json.decode(base64.b64decode(value, validate=True))
-    except (binascii.Error, ValueError):
+        decoding.decode_json(
+            base64.b64decode(value, validate=True), dict[str, object]
+        )
+    except ValueError:
         return False
-    return isinstance(content, dict)
+    return True
--- a/clementinelead/platform/items.py
+++ b/clementinelead/platform/items.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from clementinelead import decoding
+
 __all__ = ["Item", "Page"]
 
 
@@ -16,7 +18,7 @@
     """
 
     key: str
-    revision: int
+    revision: decoding.Count
     value: str = ""
     deleted: bool = False
 
@@ -30,4 +32,4 @@
     """
 
     items: list[Item]
-    current_rev: int
+    current_rev: decoding.Count
--- a/clementinelead/platform/store.py
+++ b/clementinelead/platform/store.py
@@ -7,6 +7,7 @@
 import loguru
 import msgspec
 
+from clementinelead import decoding
 from clementinelead.platform import items
 from clementinelead.platform import store_eras
 from clementinelead.processes import contact_keys
@@ -147,9 +148,9 @@
         ):
             return contact_keys.Failed(str(leased))
         try:
-            self._lease = msgspec.json.decode(leased.body, type=_Lease).lease
+            self._lease = decoding.decode_json(leased.body, _Lease).lease
             self._lease_era = self._store.era_tracker.era
-        except msgspec.DecodeError as error:
+        except ValueError as error:
             return contact_keys.Failed(f"malformed answer: {error}")
         return None
 
@@ -196,8 +197,8 @@
         ):
             return contact_keys.Failed(str(answer))
         try:
-            page = msgspec.json.decode(answer.body, type=items.Page)
-        except msgspec.DecodeError as error:
+            page = decoding.decode_json(answer.body, items.Page)
+        except ValueError as error:
             return contact_keys.Failed(f"malformed answer: {error}")
         contacts = []
         for item in sorted(page.items, key=lambda item: item.revision):
--- a/clementinelead/processes/peers.py
+++ b/clementinelead/processes/peers.py
@@ -242,7 +242,7 @@
                 zone: models.Evacuation.model_validate(evacuation)
                 for zone, evacuation in content.get("evacuations", {}).items()
             }
-        except (ValueError, KeyError) as error:
+        except (ValueError, KeyError, RecursionError) as error:
             raise exceptions.PeerUnavailableError(
                 f"{peer.id}: {error}"
             ) from error
--- a/clementinelead/processes/route_watch.py
+++ b/clementinelead/processes/route_watch.py
@@ -101,7 +101,7 @@
             if not self._is_watching:
                 await self._node.wait_for_watchers(WATCHER_CHECK_INTERVAL_S)
                 continue
-            outcome = await self._source.next()
+            outcome = await self._next()
             now = time.monotonic()
             match outcome:
                 case Changed(table, evacuated):
@@ -121,6 +121,18 @@
             self.contact.on_answer(self._version, now)
             store_contact.publish_loss(self._node, False)
 
+    async def _next(self) -> Changed | Unchanged | Failed:
+        """Returns what the source returns; an unexpected error is a failure.
+
+        What the store contains must not end the process: it would read the
+        same again after a restart.
+        """
+        try:
+            return await self._source.next()
+        except Exception as error:
+            loguru.logger.opt(exception=error).error("store can't be read")
+            return Failed(f"unexpected {type(error).__name__}", True)
+
     @property
     def _version(self) -> int:
         """Version of the routes in force."""
--- a/clementinelead/relays/route_patches.py
+++ b/clementinelead/relays/route_patches.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from clementinelead import decoding
 from clementinelead import exceptions
 from clementinelead.messages import compression
 from clementinelead.relays import former_services
@@ -35,8 +36,8 @@
             as in the older one.
     """
 
-    since: int
-    version: int
+    since: decoding.Count
+    version: decoding.Count
     changed: tuple[routes.Route, ...]
     removed: tuple[bytes, ...]
     idle_timeout_s: float
@@ -56,8 +57,8 @@
         exceptions.MalformedMessageError: The data is not an encoded patch.
     """
     try:
-        return msgspec.json.decode(compression.decompress(data), type=Patch)
-    except msgspec.DecodeError as error:
+        return decoding.decode_json(compression.decompress(data), Patch)
+    except ValueError as error:
         raise exceptions.MalformedMessageError(str(error)) from error
 
 
--- a/clementinelead/relays/routes.py
+++ b/clementinelead/relays/routes.py
@@ -1,5 +1,7 @@
 """Routes: which services receive the flows to an address."""
 
+import typing
+
 import msgspec
 import xxhash
 
@@ -13,8 +15,16 @@
 DEFAULT_TIMEOUT_MS = 1_000
 """Time budget of a route that names none, milliseconds."""
 
+MAX_MS = 2**32 - 1
+"""Longest time that datagrams between processes can carry, milliseconds."""
+
+MAX_WEIGHT = 2**31 - 1
+"""Largest relative share of a service."""
+
 _SPLIT_SEED = 0x53
 
+_Milliseconds = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_MS)]
+
 
 class Share(msgspec.Struct, frozen=True):
     """A service's share of the new flows of a route.
@@ -25,7 +35,7 @@
     """
 
     service: str
-    weight: int
+    weight: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
 
 
 class Route(msgspec.Struct, frozen=True):
@@ -42,8 +52,8 @@
     name: str
     address: bytes
     shares: tuple[Share, ...]
-    objective_ms: int = DEFAULT_OBJECTIVE_MS
-    timeout_ms: int = DEFAULT_TIMEOUT_MS
+    objective_ms: _Milliseconds = DEFAULT_OBJECTIVE_MS
+    timeout_ms: _Milliseconds = DEFAULT_TIMEOUT_MS
 
     def select_service(self, key: bytes) -> str:
         """Returns the service of a new flow, the same at all balancers.
