End tasks before sockets close, and reading after errors that stay

Cause: sockets were closed while the next batch was scheduled; reading took each OSError for that of one datagram, and EBADF came back for ever.

Change: node tasks end first, then sockets are closed and the batch (the fast tick of a side process) is cancelled. A closed socket has no datagrams; eight errors in a row end an attempt to read.

--- a/clementinelead/platform/tests/virtual_store.py
+++ b/clementinelead/platform/tests/virtual_store.py
@@ -27,9 +27,9 @@
         self.is_silent = False
         self.answer_delay_s = ANSWER_DELAY_S
         self.calls = 0
-        self.content: bytes | None = None
-        self.body: bytes | None = None
-        self.items: list[dict[str, object]] = []
+        self.content = None
+        self.body = None
+        self.items = []
         self._version = 1
         self._changed = asyncio.Event()
         self._silenced = asyncio.Event()
--- a/clementinelead/processes/datagrams.py
+++ b/clementinelead/processes/datagrams.py
@@ -15,6 +15,9 @@
 MAX_BATCH_DATAGRAMS = 64
 """Datagrams read per wake-up, so that other work of the loop gets a turn."""
 
+MAX_CONSECUTIVE_ERRORS = 8
+"""Errors of reading after which a socket counts as empty for the moment."""
+
 ERROR_LINES_PER_S = 2.0
 """Highest rate of logged unexpected errors per second; all are counted."""
 
@@ -43,6 +46,7 @@
         self._receiver = receiver
         self._error_limit = logs.RateLimiter(ERROR_LINES_PER_S)
         self._socket = bound
+        self._closed = False
 
     def start(
         self,
@@ -64,6 +68,7 @@
         Args:
             loop: Event loop that was passed to ``start``.
         """
+        self._closed = True
         loop.remove_reader(self._socket.fileno())
         self._socket.close()
 
@@ -80,15 +85,24 @@
             self.error_counts.add(type(error).__name__)
 
     def receive(self) -> tuple[bytes, tuple[str, int]] | None:
-        """Returns the next datagram and its source, None if none is queued."""
-        while True:
+        """Returns the next datagram and its source.
+
+        Returns:
+            The datagram, None if none is queued, if the socket is closed, or
+            if reading fails again and again.
+        """
+        if self._closed:
+            return None
+        for _ in range(MAX_CONSECUTIVE_ERRORS):
             try:
                 return self._socket.recvfrom(_MAX_DATAGRAM_BYTES)
             except BlockingIOError:
                 return None
             except OSError as error:
-                # The error concerns an earlier datagram sent to a closed port.
+                # It mostly concerns one datagram that was sent to a closed
+                # port, and does not return.
                 self.error_counts.add(type(error).__name__)
+        return None
 
     def _read(self) -> None:
         for _ in range(MAX_BATCH_DATAGRAMS):
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -213,9 +213,18 @@
             await stopping.wait()
             await self._drain()
         finally:
-            self._caller_socket.close(self._loop)
-            self._peer_socket.close(self._loop)
-            await self.node.stop()
+            try:
+                await self.node.stop()
+            finally:
+                self._close()
+
+    def _close(self) -> None:
+        """Closes the sockets, and cancels the batch that would read them."""
+        self._caller_socket.close(self._loop)
+        self._peer_socket.close(self._loop)
+        if self._scheduled_batch is not None:
+            self._scheduled_batch.cancel()
+            self._scheduled_batch = None
 
     async def _drain(self) -> None:
         """Forwards packets until the fabric stops sending them."""
--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -114,7 +114,7 @@
         self._heartbeat_overdue_s = MAX_MISSED_HEARTBEATS * settings.heartbeat_s
         self._announced_state = records.State.COLD
         self._target_checked = asyncio.Event()
-        self._tick_scheduled = False
+        self._scheduled_tick: asyncio.Handle | None = None
         self._loop: asyncio.AbstractEventLoop
         self._target_socket: datagrams.DatagramSocket
         self._peer_socket: datagrams.DatagramSocket
@@ -167,9 +167,18 @@
             await stopping.wait()
             await self._drain()
         finally:
-            self._target_socket.close(self._loop)
-            self._peer_socket.close(self._loop)
-            await self.node.stop()
+            try:
+                await self.node.stop()
+            finally:
+                self._close()
+
+    def _close(self) -> None:
+        """Closes the sockets, and cancels the tick that would use them."""
+        self._target_socket.close(self._loop)
+        self._peer_socket.close(self._loop)
+        if self._scheduled_tick is not None:
+            self._scheduled_tick.cancel()
+            self._scheduled_tick = None
 
     async def _drain(self) -> None:
         """Refuses new flows and waits for the requests under way."""
@@ -319,12 +328,13 @@
                     self._peer_socket.send(data, address)
                 case outcomes.ToTarget(data):
                     self._target_socket.send(data, self._target)
-        if not self._tick_scheduled and self.target_relay.needs_fast_ticks:
-            self._tick_scheduled = True
-            self._loop.call_later(FAST_TICK_INTERVAL_S, self._fast_tick)
+        if self._scheduled_tick is None and self.target_relay.needs_fast_ticks:
+            self._scheduled_tick = self._loop.call_later(
+                FAST_TICK_INTERVAL_S, self._fast_tick
+            )
 
     def _fast_tick(self) -> None:
-        self._tick_scheduled = False
+        self._scheduled_tick = None
         self._send(self.target_relay.on_tick(time.monotonic()))
 
     # Events of the node.
--- a/clementinelead/processes/tests/test_datagrams.py
+++ b/clementinelead/processes/tests/test_datagrams.py
@@ -1,6 +1,7 @@
 """Errors of the receiver of a datagram socket."""
 
 import asyncio
+import errno
 import socket
 
 from clementinelead.processes import datagrams
@@ -36,3 +37,37 @@
     counts_by_cause = asyncio.run(main())
     assert handled == [b"1", b"2", b"3"]
     assert counts_by_cause == {"unhandled KeyError": 2}
+
+
+class _FailingSocket:
+    """A socket whose every read fails, as that of a closed one does."""
+
+    def __init__(self):
+        self.reads = 0
+
+    def recvfrom(self, _):
+        self.reads += 1
+        assert self.reads < 1_000, "it is read for ever"
+        raise OSError(errno.EBADF, "Bad file descriptor")
+
+
+# Guards against a process that spins when an error of reading does not go away
+# (review/2).
+def test_error_that_returns_for_ever_ends_the_reading():
+    failing = _FailingSocket()
+    datagram_socket = datagrams.DatagramSocket(failing)
+    assert datagram_socket.receive() is None
+    counted = datagram_socket.error_counts.by_cause["OSError"]
+    assert counted == failing.reads > 1
+
+
+def test_closed_socket_has_no_datagrams():
+    async def main():
+        bound = sockets.PreboundSockets().claim_udp(("127.0.0.1", 0))
+        datagram_socket = datagrams.DatagramSocket(bound)
+        datagram_socket.start(asyncio.get_running_loop())
+        datagram_socket.close(asyncio.get_running_loop())
+        assert datagram_socket.receive() is None
+        return datagram_socket.error_counts.by_cause
+
+    assert not asyncio.run(main())
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -1,6 +1,8 @@
 import asyncio
 import dataclasses
+import time
 
+import msgspec
 import pytest
 import uvloop
 
@@ -29,6 +31,7 @@
     """A source that never has new routes."""
 
     async def next(self):
+        await asyncio.sleep(0.01)
         return route_watch.Unchanged()
 
 
@@ -246,3 +249,47 @@
     started_at, run_times = uvloop.run(schedule())
     assert len(run_times) == 2
     assert run_times[0] < started_at + 0.05
+
+
+# Guards against a balancer that reads closed sockets until it is killed, since
+# a search or a placement was pending when it was stopped (review/2).
+def test_nothing_is_due_after_a_stop_with_a_pending_search():
+    async def stop_while_searching():
+        settings = msgspec.structs.replace(
+            samples.settings("b"), data_port=0, control_port=0, http_port=0
+        )
+        balancer = relay_balancer.RelayBalancer(
+            settings,
+            ("127.0.0.1", 0),
+            network.Format(),
+            EmptySource(),
+            samples.UnavailableContactKeys(),
+            sockets.PreboundSockets(),
+        )
+        balancer.node.routes.adopt(
+            routes.RoutingTable(1, (ROUTE,), 60.0), "test"
+        )
+        stopping = asyncio.Event()
+        running = asyncio.create_task(balancer.run(stopping))
+        await asyncio.sleep(0.1)
+        _merge_record(balancer, SIDE, time.monotonic())
+        stopping.set()
+        while not running.done():
+            # Packets of unknown flows keep a search pending until the end.
+            key = network.flow_key(1)
+            balancer.steering.on_packet(
+                network.packet(key, length=10), time.monotonic()
+            )
+            balancer._schedule_batch(0.004)
+            await asyncio.sleep(0.001)
+        await running
+        batches = []
+        balancer._process_batch = lambda: batches.append(1)
+        await asyncio.sleep(0.05)
+        return batches
+
+    async def with_timeout():
+        async with asyncio.timeout(10.0):
+            return await stop_while_searching()
+
+    assert not uvloop.run(with_timeout())
