Let the soak leave odd values, keep flows idle, and watch how processes end

Callers now hold flows that idle through all faults and are used once more; each must be found if its target has kept it. Other writers leave odd configurations and heartbeats. A process that ends by itself, or not when it is stopped, is a violation.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -94,6 +94,37 @@
             if packet.dport == self._port:
                 self._queue.put_nowait(packet)
 
+    async def hold_flow(self, release: asyncio.Event) -> None:
+        """Opens a flow, leaves it idle, and then sends another request on it.
+
+        The request must be answered if the target has kept the flow.
+
+        Args:
+            release: Set when the processes have recovered from all faults.
+        """
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self._socket.fileno(), self._read)
+        try:
+            request = self._next_request()
+            ack = await self._open(request)
+            while ack is None and not release.is_set():
+                ack = await self._open(request)
+            if ack is None:
+                return
+            await self._send_request(request, ack)
+            await release.wait()
+            if not self._is_flow_held(self._flow()):
+                return
+            self._audit.outcomes["idle flows used"] += 1
+            if not await self._send_request(self._next_request(), ack):
+                self._audit.record_violation(
+                    f"{self._name}: an idle flow was not found at its target",
+                    time.monotonic(),
+                )
+        finally:
+            loop.remove_reader(self._socket.fileno())
+            self._socket.close()
+
     async def _run_flow(self, requests: int) -> None:
         request = self._next_request()
         for _ in range(1 + MAX_OPEN_RETRIES):
--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -1,5 +1,6 @@
 """Test environment of a soak: programs, stand-ins and callers on loopback."""
 
+import asyncio
 import dataclasses
 import pathlib
 import random
@@ -44,6 +45,8 @@
             them.
         evacuations: Whether zones are evacuated; likewise.
         stalls: Whether open connections to the store stall; likewise.
+        odd_values: Whether other writers leave odd values; likewise.
+        idle_flows: Number of flows that idle through all faults; likewise.
     """
 
     balancers: int = 3
@@ -52,6 +55,8 @@
     connections: bool = True
     evacuations: bool = True
     stalls: bool = True
+    odd_values: bool = True
+    idle_flows: int = 12
 
 
 class Environment:
@@ -114,6 +119,8 @@
         self.store_faults = config_probes.StoreFaults()
         self._dropped_routes = config_probes.DroppedRoutes()
         self._tasks = tasks.Tasks()
+        self._recovered = asyncio.Event()
+        self._idle_flows: list[asyncio.Task[None]] = []
         self._idle_routes = 0
 
     def _address(self, number: int) -> str:
@@ -197,18 +204,32 @@
         )
         self.spawn(probes.run())
         for number in range(self.sizes.callers):
-            service = 1 if number % 4 == 3 else 0
-            caller = callers.Caller(
-                f"c{number}",
-                self._address(100 + number),
-                self.port_by_name["datagrams"],
-                (*SERVICE_ENDPOINTS[service], SERVICES[service]),
-                self.router,
-                self.is_flow_held,
-                self.audit,
-                self.random,
-            )
+            caller = self._caller(f"c{number}", number)
             self.spawn(caller.run(persistent=number % 2 == 0))
+        first = self.sizes.callers + 1
+        for number in range(first, first + self.sizes.idle_flows):
+            holding = self._caller(f"i{number}", number).hold_flow(
+                self._recovered
+            )
+            self._idle_flows.append(asyncio.create_task(holding))
+
+    def _caller(self, name: str, number: int) -> callers.Caller:
+        service = 1 if number % 4 == 3 else 0
+        return callers.Caller(
+            name,
+            self._address(100 + number),
+            self.port_by_name["datagrams"],
+            (*SERVICE_ENDPOINTS[service], SERVICES[service]),
+            self.router,
+            self.is_flow_held,
+            self.audit,
+            self.random,
+        )
+
+    async def use_idle_flows(self) -> None:
+        """Sends another request on each flow that has been idle."""
+        self._recovered.set()
+        await asyncio.gather(*self._idle_flows)
 
     def is_flow_held(self, flow: tuple[int, int, int, int]) -> bool:
         """Returns whether a target that is serving holds a flow."""
@@ -222,7 +243,13 @@
 
     async def stop(self) -> None:
         """Ends all parts; records a failed task as a violation."""
+        for holding in self._idle_flows:
+            holding.cancel()
+        await asyncio.gather(*self._idle_flows, return_exceptions=True)
         await self._tasks.stop()
+        for program in self.balancers + self.sides:
+            for fault in program.faults:
+                self.audit.record_violation(fault, time.monotonic())
         try:
             self._tasks.raise_failure()
         except exceptions.TaskFailedError as error:
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -1,12 +1,14 @@
 """Fault injection: faults drawn at random, which may overlap."""
 
 import asyncio
+import json
 import signal
 import time
 
 from bench.soak import config_probes
 from bench.soak import environment as environment_module
 from bench.soak import proxy
+from clementinelead.processes import http_client
 
 __all__ = ["drop_routes_while_stalled", "inject"]
 
@@ -15,6 +17,14 @@
 STALL_CHECK_S = 1.5
 """Time in which probes test that dropped routes are refused, seconds."""
 
+_NESTED = b"[" * 20_000 + b"]" * 20_000
+_ODD_CONFIGURATIONS = (
+    b'{"version":1,"routes":[],"unknown":' + _NESTED + b"}",
+    b'{"version":%d,"routes":[]}' % 2**80,
+    b"\xff\xfe",
+    b'{"version":1000000,"routes":[{"name":"r","host":"198.18.0.1",'
+    b'"prefix":"/99999/","service":"s"}]}',
+)
 _STORE_FAULTS = ("busy", "silent", "slow", "forgets")
 
 
@@ -41,6 +51,9 @@
         names.remove("stall connections")
     if not environment.sizes.evacuations:
         names.remove("evacuate zone")
+    if not environment.sizes.odd_values:
+        names.remove("odd configuration")
+        names.remove("odd heartbeat")
     while time.monotonic() - start_s < seconds:
         name = generator.choice(names)
         injected.append(f"{time.monotonic():.3f} s: {name}")
@@ -148,6 +161,44 @@
     environment.store.restore(zone)
 
 
+async def _write_odd_configuration(
+    environment: environment_module.Environment,
+) -> None:
+    """Leaves a configuration of another writer in the store for a while."""
+    environment.store.put_raw(environment.random.choice(_ODD_CONFIGURATIONS))
+    await asyncio.sleep(environment.random.uniform(0.2, 3.0))
+    environment.change_config()
+
+
+async def _send_odd_heartbeat(
+    environment: environment_module.Environment,
+) -> None:
+    """Sends a request of another writer to the address of the heartbeats."""
+    target = environment.random.choice(environment.targets)
+    await http_client.call(
+        (target.address, environment.port_by_name["control"]),
+        "PUT",
+        "/instances/another",
+        environment.random.choice(_odd_heartbeats(target.service)),
+        1.0,
+    )
+
+
+def _odd_heartbeats(service: str) -> list[bytes]:
+    fields = {
+        "service": service,
+        "capacity": 4,
+        "state": "ready",
+        "sequence": 1,
+        "born": time.time_ns() // 1_000_000 + 60_000,
+    }
+    return [
+        json.dumps(fields).encode(),
+        json.dumps({**fields, "born": 2**70}).encode(),
+        json.dumps(fields).encode()[:-1] + b',"unknown":' + _NESTED + b"}",
+    ]
+
+
 async def _crash_target(environment: environment_module.Environment) -> None:
     target = environment.random.choice(environment.targets)
     if target.serving:
@@ -174,6 +225,8 @@
     "kill all": _kill_all,
     "kill balancers": _kill_balancers,
     "kill one": _kill_program,
+    "odd configuration": _write_odd_configuration,
+    "odd heartbeat": _send_odd_heartbeat,
     "pause": _pause,
     "reload": _reload,
     "roll": _restart_in_sequence,
--- a/bench/soak/programs.py
+++ b/bench/soak/programs.py
@@ -21,11 +21,14 @@
     Attributes:
         name: Name of the program in this soak.
         paused: Whether ``pause`` holds the process stopped now.
+        faults: Ends that nobody has asked for, and stops that took too long.
     """
 
     def __init__(self, module: str, name: str, settings: pathlib.Path):
         self.name = name
         self.paused = False
+        self.faults: list[str] = []
+        self._end_requested = False
         self._module = module
         self._settings = settings
         self._process: subprocess.Popen[bytes] | None = None
@@ -40,6 +43,9 @@
                 assert self._process is not None
                 while self._process.poll() is None:
                     await asyncio.sleep(0.02)
+                if not self._end_requested:
+                    code = self._process.returncode
+                    self.faults.append(f"{self.name} ended by itself: {code}")
                 await asyncio.sleep(RESTART_DELAY_S)
         finally:
             self.kill()
@@ -54,6 +60,7 @@
 
     def _start(self) -> None:
         self._disturbed_at = time.monotonic()
+        self._end_requested = False
         log = self._settings.with_suffix(".log").open("ab")
         environment = {
             "PATH": os.environ["PATH"],
@@ -72,6 +79,8 @@
         """Sends a signal to the process if it runs, otherwise does nothing."""
         if number is not signal.SIGHUP:
             self._disturbed_at = time.monotonic()
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            self._end_requested = True
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
 
@@ -91,6 +100,8 @@
         self.send(signal.SIGTERM)
         while process is not None and process.poll() is None:
             if time.monotonic() - start_s > TERMINATE_TIMEOUT_S:
+                if not self.paused and self._process is process:
+                    self.faults.append(f"{self.name} did not end when stopped")
                 self.kill()
             await asyncio.sleep(0.02)
         return time.monotonic() - start_s
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -72,6 +72,7 @@
             environment.audit.record_violation(
                 f"only {share:.2f} served again", check_start_s
             )
+        await environment.use_idle_flows()
         if sizes.stalls:
             await faults.drop_routes_while_stalled(environment)
     finally:
--- a/clementinelead/platform/standins/store.py
+++ b/clementinelead/platform/standins/store.py
@@ -49,6 +49,16 @@
         self._advance()
         self._config_revision = self._revision
 
+    def put_raw(self, value: bytes) -> None:
+        """Stores a configuration that another writer has left.
+
+        Args:
+            value: The value, which may be malformed.
+        """
+        self._config_value = value
+        self._advance()
+        self._config_revision = self._revision
+
     def evacuate(self, zone: str) -> None:
         """Writes the key of an evacuated zone.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,10 +9,15 @@
 from bench.soak import run
 
 SMALL = environment.Sizes(balancers=2, targets=3, callers=8)
-WITHOUT_STALLS = dataclasses.replace(SMALL, stalls=False)
+WITHOUT_ODD_VALUES = dataclasses.replace(SMALL, odd_values=False, idle_flows=0)
+WITHOUT_STALLS = dataclasses.replace(WITHOUT_ODD_VALUES, stalls=False)
 WITHOUT_EVACUATIONS = dataclasses.replace(WITHOUT_STALLS, evacuations=False)
 WITHOUT_LATER_FAULTS = environment.Sizes(
-    connections=False, evacuations=False, stalls=False
+    connections=False,
+    evacuations=False,
+    stalls=False,
+    odd_values=False,
+    idle_flows=0,
 )
 
 
@@ -21,7 +26,7 @@
     [
         (7, 6.0, WITHOUT_EVACUATIONS),
         (8, 6.0, WITHOUT_STALLS),
-        (9, 12.0, SMALL),
+        (9, 12.0, WITHOUT_ODD_VALUES),
         # A restarted target accepted flows before its first heartbeat; its
         # side process then treated them as flows of the former incarnation
         # and denied them.
@@ -29,6 +34,8 @@
         # The refusal of a late retransmission of an opening packet reset its
         # flow.
         (139, 10.0, WITHOUT_LATER_FAULTS),
+        (10, 12.0, SMALL),
+        (11, 10.0, environment.Sizes(targets=18)),
     ],
 )
 def test_short_soak_has_no_violations(tmp_path, seed, seconds, sizes):
@@ -37,5 +44,7 @@
     )
     assert violations == [], faults
     assert outcomes["answered"] > 0
+    if sizes.idle_flows:
+        assert outcomes["idle flows used"] > 0
     if sizes.stalls:
         assert outcomes["probes to be refused"] > 0
