--- a/clementinelead/platform/balancer.py
+++ b/clementinelead/platform/balancer.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from clementinelead.platform import launch
+from clementinelead.platform import start
 
 if __name__ == "__main__":
-    sys.exit(launch.launch("clementinelead.platform.balancer_program"))
+    sys.exit(start.start("clementinelead.platform.balancer_program"))
--- a/clementinelead/platform/tests/test_launch.py
+++ b/clementinelead/platform/tests/test_launch.py
@@ -2,6 +2,7 @@
 
 import http.client
 import pathlib
+import signal
 import socket
 import subprocess
 import sys
@@ -18,8 +19,8 @@
 import sys
 import time
 sys.path.insert(0, {folder!r})
-from clementinelead.platform import launch
-sys.exit(launch.launch("slow_side"))
+from clementinelead.platform import start
+sys.exit(start.start("slow_side"))
 """
 SLOW_MODULE = '''
 """Side process that loads slowly, so that a test can send before it is up."""
@@ -94,19 +95,43 @@
     assert launch_count < 0.6 * program_count
 
 
-def test_heartbeat_sent_while_the_program_loads_is_acknowledged(
-    tmp_path,
-):
-    file, ports = _settings_file(tmp_path)
+def _start_slowly(tmp_path, file):
+    """Starts a side process that loads for a second."""
     module = tmp_path / "slow_side.py"
     module.write_text(SLOW_MODULE.format(load_time_s=1.0))
-    process = subprocess.Popen(
+    return subprocess.Popen(
         [sys.executable, "-c", SLOW_PROGRAM.format(folder=str(tmp_path))],
         env={settings.SETTINGS_FILE_VARIABLE: str(file), "PATH": ""},
-        stdout=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        text=True,
     )
+
+
+def test_heartbeat_sent_while_the_program_loads_is_acknowledged(
+    tmp_path,
+):
+    file, ports = _settings_file(tmp_path)
+    process = _start_slowly(tmp_path, file)
+    try:
+        _wait_until_bound(ports["control"])
+        connection = http.client.HTTPConnection(
+            HOST, ports["control"], timeout=TIMEOUT_S
+        )
+        connection.request("PUT", "/instances/i-1", HEARTBEAT.format(**ports))
+        assert connection.getresponse().status == 200
+    finally:
+        process.terminate()
+        process.communicate(timeout=TIMEOUT_S)
+
+
+# Guards against processes that end by themselves at a reload soon after their
+# start.
+def test_reload_while_the_program_loads_is_carried_out_later(tmp_path):
+    file, ports = _settings_file(tmp_path)
+    process = _start_slowly(tmp_path, file)
     try:
         _wait_until_bound(ports["control"])
+        process.send_signal(signal.SIGHUP)
         connection = http.client.HTTPConnection(
             HOST, ports["control"], timeout=TIMEOUT_S
         )
@@ -114,7 +139,8 @@
         assert connection.getresponse().status == 200
     finally:
         process.terminate()
-        process.wait(TIMEOUT_S)
+        output, _ = process.communicate(timeout=TIMEOUT_S)
+    assert "settings reloaded" in output
 
 
 def _wait_until_bound(port):
--- a/clementinelead/processes/lifetime.py
+++ b/clementinelead/processes/lifetime.py
@@ -90,6 +90,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, on_reload)
+        # Held back since the start of the program.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         for site, address in sites:
             await site.start(bound.claim_tcp(address))
         loguru.logger.info("started")
