Search other services only with a complete list of members

Change: other services follow when replies of the listed processes can prove a flow lost. test_other_services_are_not_queried_while_the_directory_is_incomplete fails without it.

--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -32,10 +32,10 @@
 owner, within the time for which packets may be reordered.
 """
 
-REPLACED_AFTER_S = 1.0
-"""Time without a reply after which a process no longer delays probes, seconds.
+RESTART_TIME_S = 1.0
+"""Time in which a side process that is restarted replies again, seconds.
 
-A side process that is restarted as planned replies again within that time.
+One that does not reply for longer no longer delays probes.
 """
 
 MAX_QUEUED_PACKETS = 8
@@ -162,7 +162,8 @@
 
         These have appeared since it began. If there are none, and all present
         and former services of the address deny the flow, those of all other
-        services are queried where they may hold it.
+        services are queried where they may hold it. That waits for a complete
+        directory: the owner is most likely a process that is missing in it.
 
         Returns:
             Whether replies are awaited.
@@ -171,6 +172,8 @@
             return True
         if search.everywhere or not search.all_replied:
             return False
+        if not self._directory.absence_decidable(now):
+            return False
         search.everywhere = self._owners.may_be_elsewhere(
             search.segment, search.services, now
         )
@@ -283,7 +286,7 @@
         """Returns whether a process that does not reply may soon do so."""
         responsiveness = self._directory.responsiveness
         return any(
-            responsiveness.unanswered_s(address, now) < REPLACED_AFTER_S
+            responsiveness.unanswered_s(address, now) < RESTART_TIME_S
             for address in search.timed_out
         )
 
--- a/clementinelead/relays/tests/test_probing.py
+++ b/clementinelead/relays/tests/test_probing.py
@@ -143,7 +143,7 @@
     for _ in range(3):
         for key, address in owner_by_key.items():
             _send_data(net, key, address)
-        net.run(searching.REPLACED_AFTER_S)
+        net.run(searching.RESTART_TIME_S)
     for key, owner in owner_by_key.items():
         reached = {address for _, address in arrivals.of(key)}
         assert owner in reached or owner == silent
--- a/clementinelead/relays/tests/test_searching.py
+++ b/clementinelead/relays/tests/test_searching.py
@@ -191,6 +191,16 @@
     assert _deny_all(balancer, [OTHER], key, BEGIN + 0.02) == 1
 
 
+def test_other_services_are_not_queried_while_the_directory_is_incomplete():
+    # The owner may be a process that is missing in the directory.
+    former = former_services.FormerServices(first_start=False)
+    balancer = _balancer_with_other_service(former)
+    key = _search(balancer, 1, BEGIN)
+    queried = _queried_sides(balancer, BEGIN + 0.004)
+    assert not _deny_all(balancer, queried, key, BEGIN + 0.01)
+    assert not _queried_sides(balancer, BEGIN + 0.014)
+
+
 def _deny_all(balancer, queried, key, now):
     """Sends denials of all queried processes; returns the number of resets."""
     sends = []
