Keep a drain while the target's own heartbeats go on

Cause: a complete heartbeat of another writer, with a later start, still replaced a draining target for 2.3 s, until the target was reinstated.

Change: a target that drains is replaced once it has left, or has been silent for two heartbeat intervals; a successor has the same address, so it can't run before. Whether one heartbeat follows another is decided in one place.

--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -108,6 +108,7 @@
             warmup_limit.WarmupLimit(
                 settings.warmup_bound, settings.heartbeat_s, time.monotonic()
             ),
+            settings.heartbeat_s,
         )
         self._heartbeat_awaited_since = time.monotonic()
         self._last_tick_at = self._heartbeat_awaited_since
--- a/clementinelead/relays/announcements.py
+++ b/clementinelead/relays/announcements.py
@@ -7,6 +7,11 @@
 
 __all__ = ["Departure", "Heartbeat", "TargetLifecycle", "UpdateResult"]
 
+DEFAULT_HEARTBEAT_S = 1.0
+
+MAX_SILENT_INTERVALS = 2.0
+"""Heartbeat intervals without a heartbeat for which a target counts as alive."""
+
 REINSTATING_HEARTBEATS = 3
 """Consecutive rejected heartbeats of an incarnation that prove it runs."""
 
@@ -40,6 +45,18 @@
     draining: bool
     warmup_s: float
 
+    def follows(self, earlier: "Heartbeat") -> bool:
+        """Returns whether this is a later heartbeat of the same incarnation.
+
+        Args:
+            earlier: Another heartbeat.
+        """
+        return (
+            self.id == earlier.id
+            and self.started_ms == earlier.started_ms
+            and self.sequence > earlier.sequence
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Departure:
@@ -80,14 +97,6 @@
     first_at: float
     count: int = 1
 
-    def followed_by(self, heartbeat: Heartbeat) -> bool:
-        """Returns whether a heartbeat is a later one of the incarnation."""
-        return (
-            heartbeat.id == self.latest.id
-            and heartbeat.started_ms == self.latest.started_ms
-            and heartbeat.sequence > self.latest.sequence
-        )
-
     def prove_life(self, now: float) -> bool:
         """Returns whether the incarnation must be running.
 
@@ -111,13 +120,16 @@
 
     state: str
 
-    def __init__(self, service: str):
+    def __init__(self, service: str, heartbeat_s: float = DEFAULT_HEARTBEAT_S):
         """Starts without a target.
 
         Args:
             service: Name of the service that the target is to serve.
+            heartbeat_s: Interval of its heartbeats, seconds.
         """
         self.service = service
+        self._heartbeat_s = heartbeat_s
+        self._last_heartbeat_at = float("-inf")
         self.last_heartbeat: Heartbeat | None = None
         self._rejections: _Rejections | None = None
         self._state_machine = charts.machine("target", self)
@@ -135,6 +147,7 @@
         wrong if the clock was set back between two starts, or if the heartbeat
         applied last was not of this target. An incarnation that goes on
         sending while the applied one is silent is therefore reinstated.
+        A target that drains is not replaced while its heartbeats go on.
 
         Args:
             heartbeat: The heartbeat.
@@ -146,39 +159,49 @@
         if heartbeat.service != self.service:
             return UpdateResult.OTHER_SERVICE
         latest = self.last_heartbeat
-        if latest is None or heartbeat.started_ms > latest.started_ms:
-            return self._replace(heartbeat, UpdateResult.NEW_INCARNATION)
-        is_next = (
-            heartbeat.id == latest.id
-            and heartbeat.started_ms == latest.started_ms
-            and heartbeat.sequence > latest.sequence
-        )
-        if not is_next:
+        if latest is None:
+            return self._replace(heartbeat, UpdateResult.NEW_INCARNATION, now)
+        is_newer = heartbeat.started_ms > latest.started_ms
+        if is_newer and not self._drains_still(now):
+            return self._replace(heartbeat, UpdateResult.NEW_INCARNATION, now)
+        if not heartbeat.follows(latest):
             return self._reject(heartbeat, now)
+        self._record(heartbeat, now)
+        return self._advance(heartbeat.draining)
+
+    def _record(self, heartbeat: Heartbeat, now: float) -> None:
         self._rejections = None
         self.last_heartbeat = heartbeat
-        return self._advance(heartbeat.draining)
+        self._last_heartbeat_at = now
+
+    def _drains_still(self, now: float) -> bool:
+        """Returns whether the target is draining and was heard lately.
+
+        Its replacement can't run yet, as both would have the same address.
+        """
+        silent_s = now - self._last_heartbeat_at
+        max_silent_s = MAX_SILENT_INTERVALS * self._heartbeat_s
+        return self.state == "draining" and silent_s < max_silent_s
 
     def _replace(
-        self, heartbeat: Heartbeat, result: UpdateResult
+        self, heartbeat: Heartbeat, result: UpdateResult, now: float
     ) -> UpdateResult:
         """Applies the first heartbeat of another incarnation."""
-        self._rejections = None
-        self.last_heartbeat = heartbeat
+        self._record(heartbeat, now)
         self._enter_first_state(heartbeat.draining)
         return result
 
     def _reject(self, heartbeat: Heartbeat, now: float) -> UpdateResult:
         """Rejects a heartbeat, unless it proves that its incarnation runs."""
         rejections = self._rejections
-        if rejections is not None and rejections.followed_by(heartbeat):
+        if rejections is not None and heartbeat.follows(rejections.latest):
             rejections = _Rejections(
                 heartbeat, rejections.first_at, rejections.count + 1
             )
         else:
             rejections = _Rejections(heartbeat, now)
         if rejections.prove_life(now):
-            return self._replace(heartbeat, UpdateResult.REINSTATED)
+            return self._replace(heartbeat, UpdateResult.REINSTATED, now)
         self._rejections = rejections
         return UpdateResult.STALE
 
--- a/clementinelead/relays/target_relay.py
+++ b/clementinelead/relays/target_relay.py
@@ -62,6 +62,7 @@
         now: float,
         started_ms: int,
         limit: warmup_limit.WarmupLimit | None = None,
+        heartbeat_s: float = announcements.DEFAULT_HEARTBEAT_S,
     ):
         """Starts without a target.
 
@@ -73,8 +74,9 @@
             started_ms: Start of this process, milliseconds since 1970.
             limit: Limit of new flows while the target warms up, None for no
                 limit.
+            heartbeat_s: Interval of the target's heartbeats, seconds.
         """
-        self.lifecycle = announcements.TargetLifecycle(service)
+        self.lifecycle = announcements.TargetLifecycle(service, heartbeat_s)
         self.workload = workload.Workload(now)
         self._limit = limit or warmup_limit.WarmupLimit(None, 0.0, now)
         self.counts = counters.CounterSet()
