--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -19,6 +19,7 @@
 MAX_REQUESTS_PER_FLOW = 12
 MAX_OPEN_RETRIES = 2
 REQUEST_PAUSE_RANGE_S = (0.05, 0.4)
+IDLE_CHECK_S = 0.2
 
 IsFlowHeld = typing.Callable[[tuple[int, int, int, int]], bool]
 
@@ -97,7 +98,8 @@
     async def hold_flow(self, release: asyncio.Event) -> None:
         """Opens a flow, leaves it idle, and then sends another request on it.
 
-        The request must be answered if the target has kept the flow.
+        The request must be answered. Another flow is opened if its target has
+        crashed meanwhile.
 
         Args:
             release: Set when the processes have recovered from all faults.
@@ -105,15 +107,12 @@
         loop = asyncio.get_running_loop()
         loop.add_reader(self._socket.fileno(), self._read)
         try:
-            request = self._next_request()
-            ack = await self._open(request)
-            while ack is None and not release.is_set():
-                ack = await self._open(request)
-            if ack is None:
-                return
-            await self._send_request(request, ack)
-            await release.wait()
-            if not self._is_flow_held(self._flow()):
+            ack = None
+            while not release.is_set():
+                if ack is None or not self._is_flow_held(self._flow()):
+                    ack = await self._open_and_use()
+                await asyncio.sleep(IDLE_CHECK_S)
+            if ack is None or not self._is_flow_held(self._flow()):
                 return
             self._audit.outcomes["idle flows used"] += 1
             if not await self._send_request(self._next_request(), ack):
@@ -125,6 +124,14 @@
             loop.remove_reader(self._socket.fileno())
             self._socket.close()
 
+    async def _open_and_use(self) -> int | None:
+        """Opens a flow and sends a request on it; returns as ``_open`` does."""
+        request = self._next_request()
+        ack = await self._open(request)
+        if ack is not None:
+            await self._send_request(request, ack)
+        return ack
+
     async def _run_flow(self, requests: int) -> None:
         request = self._next_request()
         for _ in range(1 + MAX_OPEN_RETRIES):
