Count a reload in the soak from the start of its process

Cause: the exemption for a reload in the interpreter's start was counted from the last disturbance, which a signal after the start moves, so that a later end by a reload could pass. It is counted from the start now, and only after it.

--- a/bench/soak/programs.py
+++ b/bench/soak/programs.py
@@ -40,6 +40,7 @@
         self._process: subprocess.Popen[bytes] | None = None
         self._ended = False
         self._disturbed_at = float("-inf")
+        self._started_at = float("-inf")
         self._reloaded_at = float("-inf")
 
     async def run(self) -> None:
@@ -60,9 +61,10 @@
     def _was_ended_by_reload(self) -> bool:
         """Returns whether a reload came before the program's first line."""
         assert self._process is not None
+        age_s = self._reloaded_at - self._started_at
         return (
             self._process.returncode == -signal.SIGHUP
-            and self._reloaded_at - self._disturbed_at < INTERPRETER_START_S
+            and 0.0 <= age_s < INTERPRETER_START_S
         )
 
     def undisturbed_s(self, now: float) -> float:
@@ -74,7 +76,7 @@
         return 0.0 if self.paused else now - self._disturbed_at
 
     def _start(self) -> None:
-        self._disturbed_at = time.monotonic()
+        self._started_at = self._disturbed_at = time.monotonic()
         self._end_requested = False
         log = self._settings.with_suffix(".log").open("ab")
         environment = {
