Take replies to searches that arrive after their timeout

Cause: a search waits 60 ms for the replies of side processes. Replies that came later were dropped, and each repeated search, with the same timeout, dropped them again. With a round trip of 70 ms no open flow was ever found.

Change: a search keeps the processes that have not replied in time. A late reply resumes it, also after its end, until the flow is found or its retry expires; a late HELD ends it. Whether all have replied is derived from this state, so a flow that nobody holds is reset by late denials too. While a reply is missing at most two targets are probed, as before.

Ruled out: a longer timeout, which moves the limit only and delays the search for flows whose process is really gone.

--- a/clementinelead/relays/searches.py
+++ b/clementinelead/relays/searches.py
@@ -28,9 +28,9 @@
         everywhere: Whether the targets of all services are searched.
         absent_count: Number of side processes that do not hold the flow.
         timed_out: Side processes that have not replied in time.
+        not_returned: Probed ones whose target has not returned the packet in
+            time.
         any_unsure: Whether a side process has replied that it is unsure.
-        all_replied: Whether every queried side process, and every unsure
-            target that was to be probed, has replied.
     """
 
     segment: formats.Segment
@@ -44,11 +44,38 @@
     wave_size: int
     probed: set[tuple[str, int]]
     awaiting_return: set[tuple[str, int]]
+    timed_out: set[tuple[str, int]]
+    not_returned: set[tuple[str, int]]
     everywhere: bool = False
     absent_count: int = 0
-    timed_out: frozenset[tuple[str, int]] = frozenset()
     any_unsure: bool = False
-    all_replied: bool = True
+
+    @property
+    def all_replied(self) -> bool:
+        """Whether no reply is missing and no unsure target left to probe."""
+        missing = self.awaiting_reply or self.timed_out or self.not_returned
+        return not missing and not self.unsure_owners
+
+    @property
+    def idle(self) -> bool:
+        """Whether no reply and no return is awaited, or is still due."""
+        return not (
+            self.awaiting_reply or self.timed_out or self.awaiting_return
+        )
+
+    def take_reply(self, source: tuple[str, int]) -> bool:
+        """Returns whether a reply of a side process is due, in time or late.
+
+        Args:
+            source: Address of the side process; it is not due any longer.
+        """
+        if source in self.awaiting_reply:
+            self.awaiting_reply.discard(source)
+            return True
+        if source in self.timed_out:
+            self.timed_out.discard(source)
+            return True
+        return False
 
     @property
     def opening(self) -> bool:
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -150,6 +150,8 @@
             wave_size=MAX_EARLY_PROBES,
             probed=set(),
             awaiting_return=set(),
+            timed_out=set(),
+            not_returned=set(),
         )
         if not self._query_further(search, now):
             self._counts.add("unknown_service")
@@ -208,15 +210,31 @@
         """
         self._rounds.record_reply(source, now)
         return [
-            self._end_found(key, frame.service, source, now)
+            self._end_found(key, search, frame.service, source, now)
             for key in _keys(frame)
-            if key in self._search_by_key
+            if (search := self._last_search(key)) is not None
         ]
 
+    def _last_search(self, key: bytes) -> searches.Search | None:
+        """Returns the search for a flow, or the one whose retry is scheduled.
+
+        A reply that is later than its timeout is as true as any other.
+        """
+        search = self._search_by_key.get(key)
+        last = self._unresolved.get(key)
+        if search is None and last is not None:
+            return last.last_search
+        return search
+
     def _end_found(
-        self, key: bytes, service: int, source: _Address, now: float
+        self,
+        key: bytes,
+        search: searches.Search,
+        service: int,
+        source: _Address,
+        now: float,
     ) -> searches.FoundFlow:
-        search = self._search_by_key.pop(key)
+        self._search_by_key.pop(key, None)
         self._unresolved.remove(key)
         self._report_end(key, search, "found", source[0], now)
         # The probe has already delivered the first packet to its owner.
@@ -246,20 +264,28 @@
         self._rounds.record_reply(source, now)
         sends: list[outcomes.Outcome] = []
         for key in _keys(frame):
-            search = self._search_by_key.get(key)
-            if search is None or source not in search.awaiting_reply:
+            search = self._last_search(key)
+            if search is None or not search.take_reply(source):
                 continue
-            search.awaiting_reply.discard(source)
+            self._resume(key, search, now)
             unsure = frame.kind is _Kind.UNSURE
             search.any_unsure |= unsure
             if unsure and source not in self._returned.sources(key):
                 search.unsure_owners.append((source, frame.service))
             else:
                 search.absent_count += 1
-            if not search.awaiting_reply:
+            if search.idle:
                 sends.extend(self._begin_probes(key, search, now))
         return sends
 
+    def _resume(self, key: bytes, search: searches.Search, now: float) -> None:
+        """Goes on with a search that ended before a reply arrived."""
+        if key in self._search_by_key:
+            return
+        self._search_by_key[key] = search
+        search.deadline = now + query_rounds.QUERY_REPLY_TIMEOUT_S
+        self._counts.add("searches_resumed")
+
     def _begin_probes(
         self, key: bytes, search: searches.Search, now: float
     ) -> list[outcomes.Outcome]:
@@ -272,16 +298,19 @@
         search.unsure_owners = self._owners.by_likelihood(
             key, search.unsure_owners
         )
-        limit = len(search.unsure_owners)
-        if search.opening:
-            limit = 0
-        elif self._owner_may_return(search, now):
-            limit = MAX_EARLY_PROBES - len(self._returned.sources(key))
-        if limit < len(search.unsure_owners):
-            search.all_replied = False
-            del search.unsure_owners[max(0, limit) :]
         return self._probe_next(key, search, now)
 
+    def _max_probes(
+        self, key: bytes, search: searches.Search, now: float
+    ) -> int:
+        """Returns how many more targets may be probed now."""
+        if search.opening:
+            return 0
+        if not self._owner_may_return(search, now):
+            return len(search.unsure_owners)
+        reached = search.probed | self._returned.sources(key)
+        return max(0, MAX_EARLY_PROBES - len(reached))
+
     def _owner_may_return(self, search: searches.Search, now: float) -> bool:
         """Returns whether a process that does not reply may soon do so."""
         responsiveness = self._directory.responsiveness
@@ -294,12 +323,13 @@
         self, key: bytes, search: searches.Search, now: float
     ) -> list[outcomes.Outcome]:
         """Probes the next wave of targets, or ends the search without any."""
-        wave = search.unsure_owners[: search.wave_size]
+        count = min(search.wave_size, self._max_probes(key, search, now))
+        wave = search.unsure_owners[:count]
         if not wave:
             if self._query_further(search, now):
                 return []
             return self._end_search(key, search, now)
-        del search.unsure_owners[: search.wave_size]
+        del search.unsure_owners[:count]
         search.wave_size *= 2
         search.deadline = now + PROBE_TIMEOUT_S
         sends: list[outcomes.Outcome] = []
@@ -375,6 +405,10 @@
         search = self._search_by_key.get(key)
         if search is None:
             return None
+        if source in search.not_returned:
+            search.not_returned.discard(source)
+            search.absent_count += 1
+            return []
         if source not in search.awaiting_return:
             return []
         search.awaiting_return.discard(source)
@@ -407,13 +441,13 @@
         self, key: bytes, search: searches.Search, now: float
     ) -> list[outcomes.Outcome]:
         """Goes on without the replies or returns that are missing."""
-        search.all_replied = False
-        if search.awaiting_reply:
-            search.timed_out |= search.awaiting_reply
-            search.awaiting_reply.clear()
-            return self._begin_probes(key, search, now)
-        search.awaiting_return.clear()
-        return self._probe_next(key, search, now)
+        if search.awaiting_return:
+            search.not_returned |= search.awaiting_return
+            search.awaiting_return.clear()
+            return self._probe_next(key, search, now)
+        search.timed_out |= search.awaiting_reply
+        search.awaiting_reply.clear()
+        return self._begin_probes(key, search, now)
 
     def cancel(self, key: bytes) -> None:
         """Cancels the search for a flow that may be opened now.
--- a/clementinelead/relays/tests/network.py
+++ b/clementinelead/relays/tests/network.py
@@ -77,6 +77,7 @@
 
 
 _Datagram = tuple[tuple[str, int], tuple[str, int], bytes]
+_FromTarget = tuple[tuple[str, int], bytes]
 
 
 @dataclasses.dataclass
@@ -87,6 +88,8 @@
         balancers: Number of balancers.
         targets: Number of targets, each with a side process.
         zones: Availability zones of the targets, in turn.
+        delay_s: Time that each datagram between processes takes, seconds.
+        target_delay_s: Time that targets take to send a packet, seconds.
         now: Present time, seconds.
         to_caller: Packets sent to callers, in order.
         decisions: Decisions that the processes have reported.
@@ -100,6 +103,8 @@
     balancers: int = 1
     targets: int = 3
     zones: tuple[str, ...] = ("z",)
+    delay_s: float = STEP_S
+    target_delay_s: float = 0.0
 
     def __post_init__(self) -> None:
         self.now = 100.0
@@ -107,6 +112,7 @@
         self.decisions: list[outcomes.Decision] = []
         self.unreachable: set[tuple[str, int]] = set()
         self._queue: list[tuple[float, int, _Datagram]] = []
+        self._target_queue: list[tuple[float, int, _FromTarget]] = []
         self._sent_count = 0
         self.target_by_address = {
             (f"side{number}", 1): Target(number + 1)
@@ -317,6 +323,10 @@
             while self._queue and self._queue[0][0] <= self.now:
                 _, _, (source, address, data) = heapq.heappop(self._queue)
                 self._deliver(source, address, data)
+            while self._target_queue and self._target_queue[0][0] <= self.now:
+                _, _, (source, data) = heapq.heappop(self._target_queue)
+                side = self.side_by_address[source]
+                self._carry_out(source, side.on_target_packet(data, self.now))
             for address, balancer in self.balancer_by_address.items():
                 self._carry_out(address, balancer.on_tick(self.now))
             for address, side in self.side_by_address.items():
@@ -386,7 +396,7 @@
                 case outcomes.ToPeer(address, data):
                     self._sent_count += 1
                     item = (source, address, data)
-                    due = self.now + STEP_S
+                    due = self.now + self.delay_s
                     heapq.heappush(self._queue, (due, self._sent_count, item))
                 case outcomes.ToCaller(_, data):
                     self.to_caller.append(data)
@@ -394,6 +404,11 @@
                     side = self.side_by_address[source]
                     target = self.target_by_address[source]
                     for answer in target.receive(data):
-                        self._carry_out(
-                            source, side.on_target_packet(answer, self.now)
-                        )
+                        if not self.target_delay_s:
+                            results = side.on_target_packet(answer, self.now)
+                            self._carry_out(source, results)
+                            continue
+                        self._sent_count += 1
+                        due = self.now + self.target_delay_s
+                        item = (due, self._sent_count, (source, answer))
+                        heapq.heappush(self._target_queue, item)
--- a/clementinelead/relays/tests/test_probing.py
+++ b/clementinelead/relays/tests/test_probing.py
@@ -15,7 +15,7 @@
 """Packets that may reach other targets within this time without one there."""
 
 
-class _Arrivals:
+class Arrivals:
     """Records which targets get packets of flows, and when."""
 
     def __init__(self, net):
@@ -37,7 +37,7 @@
         return self._by_key.get(key, [])
 
 
-def _put_flow(net, number, address):
+def put_flow(net, number, address):
     """Opens a flow at a target, whatever its load."""
     key = network.flow_key(number)
     target = net.target_by_address[address]
@@ -45,7 +45,7 @@
     return key
 
 
-def _restart_all(net):
+def restart_all(net):
     """Restarts all side processes and balancers; the targets go on."""
     for number in range(net.targets):
         net.restart_side(number)
@@ -54,7 +54,7 @@
         net.restart_balancer(number)
 
 
-def _send_data(net, key, address):
+def send_data(net, key, address):
     acknowledgement = net.target_by_address[address].seed + 1
     net.send(network.packet(key, length=10, acknowledgement=acknowledgement))
 
@@ -64,14 +64,14 @@
 @pytest.mark.parametrize("targets", [9, 35, 150])
 def test_open_flow_is_found_at_any_of_many_unsure_targets(targets):
     net = network.Network(targets=targets, zones=ZONES)
-    arrivals = _Arrivals(net)
+    arrivals = Arrivals(net)
     owner_by_key = {
-        _put_flow(net, number, address): address
+        put_flow(net, number, address): address
         for number, address in enumerate(net.target_by_address)
     }
-    _restart_all(net)
+    restart_all(net)
     for key, address in owner_by_key.items():
-        _send_data(net, key, address)
+        send_data(net, key, address)
     net.run(REORDER_S)
     for key, owner in owner_by_key.items():
         at, addresses = zip(*arrivals.of(key), strict=True)
@@ -88,8 +88,8 @@
     keys = [network.flow_key(number) for number in range(20)]
     for key in keys:
         net.open_flow(key)
-    arrivals = _Arrivals(net)
-    _restart_all(net)
+    arrivals = Arrivals(net)
+    restart_all(net)
     for key in keys:
         net.send(network.packet(key, length=10))
     net.run(REORDER_S)
@@ -104,10 +104,10 @@
         The network, the arrivals at its targets, the flow and its owner.
     """
     net = network.Network(targets=12)
-    arrivals = _Arrivals(net)
+    arrivals = Arrivals(net)
     owner = ("side5", 1)
-    key = _put_flow(net, 1, owner)
-    _restart_all(net)
+    key = put_flow(net, 1, owner)
+    restart_all(net)
     net.unreachable.add(owner)
     return net, arrivals, key, owner
 
@@ -115,7 +115,7 @@
 def test_targets_that_returned_a_packet_do_not_get_its_copies():
     net, arrivals, key, owner = _lose_owner_after_restart()
     for _ in range(8):
-        _send_data(net, key, owner)
+        send_data(net, key, owner)
         net.run(0.8)
     addresses = [address for _, address in arrivals.of(key)]
     assert len(addresses) == len(set(addresses))
@@ -126,28 +126,28 @@
 def test_few_targets_get_the_packet_while_the_owner_may_be_restarting():
     net, arrivals, key, owner = _lose_owner_after_restart()
     for _ in range(4):
-        _send_data(net, key, owner)
+        send_data(net, key, owner)
         net.run(0.2)
     assert len(arrivals.of(key)) <= MAX_WRONG_PACKETS
     net.unreachable.clear()
-    _send_data(net, key, owner)
+    send_data(net, key, owner)
     net.run(1.0)
     assert owner in dict(map(reversed, arrivals.of(key)))
 
 
 def test_silent_process_does_not_delay_the_flows_of_others_for_long():
     net = network.Network(targets=12)
-    arrivals = _Arrivals(net)
+    arrivals = Arrivals(net)
     owner_by_key = {
-        _put_flow(net, number, address): address
+        put_flow(net, number, address): address
         for number, address in enumerate(net.target_by_address)
     }
-    _restart_all(net)
+    restart_all(net)
     silent = ("side5", 1)
     net.unreachable.add(silent)
     for _ in range(3):
         for key, address in owner_by_key.items():
-            _send_data(net, key, address)
+            send_data(net, key, address)
         net.run(searching.RESTART_TIME_S)
     for key, owner in owner_by_key.items():
         reached = {address for _, address in arrivals.of(key)}
@@ -158,12 +158,12 @@
 # owner was known and ended once the view was complete.
 def test_flow_of_a_process_that_appears_during_the_search_is_not_reset():
     net = network.Network(targets=3)
-    key = _put_flow(net, 1, ("side2", 1))
+    key = put_flow(net, 1, ("side2", 1))
     balancer = net.balancer_by_address[("balancer0", 1)]
     balancer.set_complete_from(float("inf"))
     all_targets = balancer._directory.targets(network.SERVICE)
     balancer.set_targets(network.SERVICE, all_targets[:2])
-    _send_data(net, key, ("side2", 1))
+    send_data(net, key, ("side2", 1))
     net.run(0.003)  # the queries are under way
     net.side_by_address[("side2", 1)].on_target_packet(
         network.packet(key, packets.ACCEPTS, 3), net.now
