Decode priority and type of routes

Cause: the configuration names a priority and a type for each route, and the adapter dropped both, so that no decision could tell urgent requests from others, nor requests that may be repeated.

Change: routes.Route has priority (0 first, 255 if missing or unusable) and idempotent; side processes keep the routes. No decision uses them yet.

--- a/clementinelead/platform/configs.py
+++ b/clementinelead/platform/configs.py
@@ -18,6 +18,9 @@
 """Highest rate that is accepted, requests a second; more is no limit."""
 
 
+_IDEMPOTENT_TYPES = frozenset({"idempotent", "download"})
+"""Types of routes whose requests may be executed more than once."""
+
 _Milliseconds = typing.Annotated[float, msgspec.Meta(le=routes.MAX_MS)]
 
 
@@ -32,6 +35,8 @@
     prefix: str  # port of the service, as in ``/443/``
     target_latency_ms: _Milliseconds = routes.DEFAULT_OBJECTIVE_MS
     timeout_ms: _Milliseconds = routes.DEFAULT_TIMEOUT_MS
+    priority: object = None  # 0 is the highest
+    type: object = None  # kind of its requests
     service: str = ""
     backends: list[
         _Share
@@ -122,4 +127,24 @@
         shares=shares,
         objective_ms=max(1, int(route.target_latency_ms)),
         timeout_ms=max(1, int(route.timeout_ms)),
+        priority=_priority(route),
+        idempotent=isinstance(route.type, str)
+        and route.type in _IDEMPOTENT_TYPES,
     )
+
+
+def _priority(route: _Route) -> int:
+    """Returns the priority of a route; logs one that can't be used.
+
+    A number above the lowest priority counts as the lowest.
+    """
+    priority = route.priority
+    if priority is None:
+        return routes.LOWEST_PRIORITY
+    if type(priority) is not int or priority < 0:
+        loguru.logger.bind(
+            place=f"route {route.name}",
+            reason=f"priority {str(priority)[:40]!r} is not a whole number",
+        ).warning("priority ignored")
+        return routes.LOWEST_PRIORITY
+    return min(priority, routes.LOWEST_PRIORITY)
--- a/clementinelead/platform/tests/test_configs.py
+++ b/clementinelead/platform/tests/test_configs.py
@@ -49,6 +49,62 @@
     assert single_route.select_service(b"any") == "whois"
 
 
+def _route(**fields):
+    content = json.loads(_config())["routes"][0]
+    return {**content, **fields}
+
+
+# Guards against a configuration that is rejected, or updates that are repeated,
+# because of an odd priority or type of one route.
+@pytest.mark.parametrize(
+    ("value", "priority"),
+    [
+        (0, 0),
+        (1, 1),
+        (300, routes.LOWEST_PRIORITY),
+        (10**30, routes.LOWEST_PRIORITY),
+        (-1, routes.LOWEST_PRIORITY),
+        (1.5, routes.LOWEST_PRIORITY),
+        (True, routes.LOWEST_PRIORITY),
+        ("high", routes.LOWEST_PRIORITY),
+        ([[]], routes.LOWEST_PRIORITY),
+        (None, routes.LOWEST_PRIORITY),
+    ],
+)
+def test_odd_priorities_count_as_the_lowest(value, priority):
+    table = configs.decode(_config(routes=[_route(priority=value)]))
+    assert table.routes[0].priority == priority
+
+
+@pytest.mark.parametrize(
+    ("value", "idempotent"),
+    [
+        ("idempotent", True),
+        ("download", True),
+        ("non_idempotent", False),
+        ("upload", False),
+        ("unknown", False),
+        (7, False),
+        (["idempotent"], False),
+        (None, False),
+    ],
+)
+def test_only_known_types_may_be_executed_twice(value, idempotent):
+    table = configs.decode(_config(routes=[_route(type=value)]))
+    assert table.routes[0].idempotent is idempotent
+
+
+def test_priorities_of_a_service_are_those_of_its_routes():
+    routes_of_config = [
+        _route(priority=2),
+        _route(priority=1, prefix="/9/"),
+        _route(priority=0, prefix="/10/", service="export"),
+    ]
+    table = configs.decode(_config(routes=routes_of_config))
+    assert table.priorities("whois") == (1, 2)
+    assert table.priorities("export") == (0,)
+
+
 def test_warm_up_rates_are_those_of_services_that_have_one():
     services = [
         {"name": "whois", "warmup_per_s": 12.5},
--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -370,7 +370,7 @@
         ).info("predecessor")
 
     def on_routes(self, table: routes.RoutingTable, now: float) -> None:
-        """Applies the warm-up rate of the target's service.
+        """Applies the warm-up rate and the priorities of the routes.
 
         The node serves the routes to peers: balancers that start while the
         store is unavailable fetch them here.
@@ -379,8 +379,7 @@
             table: Routes in force.
             now: Present time, seconds.
         """
-        rate = table.warmup_flows_per_s(self._service)
-        self.target_relay.set_warmup_rate(rate)
+        self.target_relay.set_routes(table)
 
     def on_evacuations(self, zones: frozenset[str], now: float) -> None:
         """Refuses new flows while the own zone is evacuated.
--- a/clementinelead/relays/routes.py
+++ b/clementinelead/relays/routes.py
@@ -7,7 +7,14 @@
 
 from clementinelead.relays import frames
 
-__all__ = ["EMPTY", "Route", "RoutingTable", "Share", "WarmupRate"]
+__all__ = [
+    "EMPTY",
+    "LOWEST_PRIORITY",
+    "Route",
+    "RoutingTable",
+    "Share",
+    "WarmupRate",
+]
 
 DEFAULT_OBJECTIVE_MS = 200
 """Latency objective of a route that names none, milliseconds."""
@@ -21,6 +28,9 @@
 MAX_WEIGHT = 2**31 - 1
 """Largest relative share of a service."""
 
+LOWEST_PRIORITY = 255
+"""Priority of a route that names none or one that can't be used."""
+
 _SPLIT_SEED = 0x53
 
 _Milliseconds = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_MS)]
@@ -47,6 +57,9 @@
         shares: Services that receive the new flows, at least one.
         objective_ms: Latency objective of its requests, milliseconds.
         timeout_ms: Time after which a caller gives up, milliseconds.
+        priority: Rank among the routes that compete for targets; 0 is served
+            first.
+        idempotent: Whether its requests may be executed more than once.
     """
 
     name: str
@@ -54,6 +67,10 @@
     shares: tuple[Share, ...]
     objective_ms: _Milliseconds = DEFAULT_OBJECTIVE_MS
     timeout_ms: _Milliseconds = DEFAULT_TIMEOUT_MS
+    priority: typing.Annotated[int, msgspec.Meta(ge=0, le=LOWEST_PRIORITY)] = (
+        LOWEST_PRIORITY
+    )
+    idempotent: bool = False
 
     def select_service(self, key: bytes) -> str:
         """Returns the service of a new flow, the same at all balancers.
@@ -123,6 +140,19 @@
                 return rate.flows_per_s
         return 0.0
 
+    def priorities(self, service: str) -> tuple[int, ...]:
+        """Returns the priorities of the routes that name a service, ascending.
+
+        Args:
+            service: Name of the service.
+        """
+        found = {
+            route.priority
+            for route in self.routes
+            if any(share.service == service for share in route.shares)
+        }
+        return tuple(sorted(found))
+
     @property
     def service_by_number(self) -> dict[int, str]:
         """The names of all services, keyed by their numbers in datagrams."""
--- a/clementinelead/relays/target_relay.py
+++ b/clementinelead/relays/target_relay.py
@@ -17,6 +17,7 @@
 from clementinelead.relays import outcomes
 from clementinelead.relays import outstanding_packets
 from clementinelead.relays import query_replies
+from clementinelead.relays import routes
 from clementinelead.relays import startup_recovery
 from clementinelead.relays import target_packets
 from clementinelead.relays import warmup_limit
@@ -85,6 +86,8 @@
         self.evacuated = False
         self.startup = startup_recovery.StartupRecovery(now, started_ms)
         self._format = packet_format
+        self._service = service
+        self._route_by_address: dict[bytes, routes.Route] = {}
         self._service_number = frames.service_number(service)
         self._report = report
         self._flows = held_flows.HeldFlows(self.workload)
@@ -141,6 +144,23 @@
         """
         self._limit.flows_per_s = flows_per_s
 
+    def set_routes(self, table: routes.RoutingTable) -> None:
+        """Applies the routes in force: warm-up rate and priorities.
+
+        Args:
+            table: The routes.
+        """
+        self.set_warmup_rate(table.warmup_flows_per_s(self._service))
+        self._route_by_address = table.by_address
+
+    def route_of(self, key: bytes) -> routes.Route | None:
+        """Returns the route of a flow, None if no route in force has it.
+
+        Args:
+            key: Flow key.
+        """
+        return self._route_by_address.get(self._format.service_address(key))
+
     # Reports of the target.
 
     def on_heartbeat(
