Add settings for zone preference and extra openings; reword the page on the load

Cause: two parts to come take effect only if operators ask for them, and the platform's settings file has no field for either. Change: shares from 0 to 1 in two environment variables, off if not set; other values end the start with name, value and range.

--- a/clementinelead/platform/settings.py
+++ b/clementinelead/platform/settings.py
@@ -1,5 +1,6 @@
 """Settings of a process, read from the platform's settings file."""
 
+import collections.abc
 import dataclasses
 import os
 import pathlib
@@ -14,6 +15,8 @@
 __all__ = ["NodeSettings", "load"]
 
 SETTINGS_FILE_VARIABLE = "CLEMENTINELEAD_NODE_FILE"
+ZONE_SPILL_SHARE_VARIABLE = "CLEMENTINELEAD_ZONE_SPILL_SHARE"
+EXTRA_OPENINGS_SHARE_VARIABLE = "CLEMENTINELEAD_EXTRA_OPENINGS_SHARE"
 METRICS_PORT = 9464  # the same as in deploy/system.toml
 
 # Offsets of the ports of a process from the first of its internal ports.
@@ -110,16 +113,25 @@
 def load() -> NodeSettings:
     """Returns the settings in the file that an environment variable names.
 
-    The variable is ``CLEMENTINELEAD_NODE_FILE``.
+    The variable is ``CLEMENTINELEAD_NODE_FILE``. Two further variables hold
+    shares that the operators set for all deployments of a build.
 
     Raises:
         exceptions.SettingsError: The file can't be read, is not valid TOML or
-            has a field that is missing or invalid.
+            has a field that is missing or invalid, or a share is invalid.
     """
     path = os.environ.get(SETTINGS_FILE_VARIABLE, "")
     try:
         content = tomllib.loads(pathlib.Path(path).read_text("utf-8"))
-        return convert(content)
+        node_settings = convert(content)
+        relay = msgspec.structs.replace(
+            node_settings.relay,
+            zone_spill_share=read_share(os.environ, ZONE_SPILL_SHARE_VARIABLE),
+            extra_openings_share=read_share(
+                os.environ, EXTRA_OPENINGS_SHARE_VARIABLE
+            ),
+        )
+        return dataclasses.replace(node_settings, relay=relay)
     except (OSError, ValueError) as error:
         raise exceptions.SettingsError(
             f"{path or SETTINGS_FILE_VARIABLE}: {error}"
@@ -173,6 +185,32 @@
     )
 
 
+def read_share(
+    environment: collections.abc.Mapping[str, str], variable: str
+) -> float:
+    """Returns the share that an environment variable holds, 0 if it is unset.
+
+    Args:
+        environment: Environment variables by name.
+        variable: Name of the variable.
+
+    Raises:
+        ValueError: The text is not a number from 0 to 1.
+    """
+    text = environment.get(variable, "")
+    if not text:
+        return 0.0
+    try:
+        share = float(text)
+    except ValueError:
+        share = float("nan")
+    if not 0.0 <= share <= 1.0:
+        raise ValueError(
+            f"{variable}: {text[:40]!r} is not allowed (allowed: 0 to 1)"
+        )
+    return share
+
+
 def _change_bound_s(bounds: _Bounds) -> float:
     """Returns the strictest bound on changes that are read from the store."""
     strictest_ms = bounds.config_apply_ms
--- a/clementinelead/processes/relay_settings.py
+++ b/clementinelead/processes/relay_settings.py
@@ -26,6 +26,10 @@
         first_start: Whether the whole system starts for the first time.
         warmup_bound: Bound on new flows at targets that warm up, None if their
             number is not limited.
+        zone_spill_share: Share of a route's latency objective up to which a
+            balancer prefers targets in its availability zone, 0 if not at all.
+        extra_openings_share: Share of the openings of a service that a
+            balancer may repeat at a second target, 0 for none.
     """
 
     id: str
@@ -42,3 +46,5 @@
     heartbeat_s: float
     first_start: bool = False
     warmup_bound: warmup_limit.WarmupBound | None = None
+    zone_spill_share: float = 0.0
+    extra_openings_share: float = 0.0
