Replay long-lived flows, retries after failures and routes with priorities

Replays know one request per flow, callers that send data once, and side processes without routes, so nothing that depends on priorities or on flows opened long ago can be replayed. RequestKind gets a priority, a worth of late answers and whether it is idempotent; an arrival may belong to a session, whose requests share a flow; callers repeat data and pause before retries if the load says so. Balancers and side processes get the routes of the load.

--- a/clementinelead/replays/calls.py
+++ b/clementinelead/replays/calls.py
@@ -1,4 +1,4 @@
-"""Requests of callers, with retries after refusals and a deadline."""
+"""Requests of callers, with retries and a deadline."""
 
 import dataclasses
 import enum
@@ -11,7 +11,7 @@
 __all__ = ["Call", "Outcome", "Result", "Transport"]
 
 MAX_RETRIES = 2
-"""Further flows that a caller opens after refusals."""
+"""Further flows that a caller opens after refusals and failures."""
 
 
 class Result(enum.Enum):
@@ -48,8 +48,10 @@
     def open_flow(self, call: "Call") -> None:
         """Opens a flow for the present attempt of a call; sends its request.
 
-        The end of the attempt is reported by ``Call.on_refusal`` or
-        ``Call.on_answer``, or never.
+        The first attempt of a call with a session uses the session's flow if
+        that is open. The end of the attempt is reported by
+        ``Call.on_refusal``, ``Call.on_failure`` or ``Call.on_answer``, or
+        never.
 
         Args:
             call: The call.
@@ -74,6 +76,7 @@
         kind: loads.RequestKind,
         event_queue: event_queues.EventQueue,
         transport: Transport,
+        retry_delay_s: float = 0.0,
     ):
         self.number = number
         self.arrival = arrival
@@ -82,6 +85,12 @@
         self.outcome: Outcome | None = None
         self._event_queue = event_queue
         self._transport = transport
+        self._retry_delay_s = retry_delay_s
+
+    @property
+    def deadline_s(self) -> float:
+        """Time at which its caller gives up, seconds."""
+        return self.arrival.at_s + self.kind.timeout_s
 
     def start(self) -> None:
         """Makes the first attempt and schedules the deadline."""
@@ -102,11 +111,43 @@
         """
         if self.outcome is not None or attempt != self.attempts:
             return
+        self._retry_or_end(Result.REFUSED)
+
+    def on_failure(self, attempt: int) -> None:
+        """Handles the failure of a request that a target may have run.
+
+        Only idempotent requests are retried.
+
+        Args:
+            attempt: Number of the attempt; that of an earlier attempt is
+                ignored.
+        """
+        if self.outcome is not None or attempt != self.attempts:
+            return
+        if self.kind.idempotent:
+            self._retry_or_end(Result.FAILED)
+        else:
+            self._end(Result.FAILED, "")
+
+    def _retry_or_end(self, result: Result) -> None:
+        """Schedules the next attempt, or ends the call if there is none left.
+
+        Args:
+            result: How the call ends then.
+        """
         if self.attempts > MAX_RETRIES:
-            self._end(Result.REFUSED, "")
+            self._end(result, "")
+        elif self._retry_delay_s:
+            self._event_queue.schedule(
+                self._event_queue.now + self._retry_delay_s, self._retry
+            )
         else:
             self._make_attempt()
 
+    def _retry(self) -> None:
+        if self.outcome is None:
+            self._make_attempt()
+
     def on_answer(
         self, attempt: int, status: servers.Status, target: str
     ) -> None:
@@ -123,6 +164,8 @@
         match status:
             case servers.Status.OK:
                 self._end(Result.SERVED, target)
+            case servers.Status.FAILED if self.kind.idempotent:
+                self.on_failure(attempt)
             case servers.Status.FAILED:
                 self._end(Result.FAILED, target)
             case servers.Status.SHED:
--- a/clementinelead/replays/direct.py
+++ b/clementinelead/replays/direct.py
@@ -34,7 +34,9 @@
         self, call: calls.Call, all_servers: list[servers.Server], now: float
     ) -> servers.Server:
         """Returns the target with the highest rendezvous hash for the flow."""
-        flow = f"{call.number}/{call.attempts}"
+        session = call.arrival.session
+        name = call.number if session is None else f"session {session}"
+        flow = f"{name}/{call.attempts}"
         return max(
             all_servers,
             key=lambda server: xxhash.xxh3_64_intdigest(
@@ -62,7 +64,14 @@
 
 
 class DirectTransport:
-    """Sends each request straight to the target that a policy chooses."""
+    """Sends each request straight to the target that a policy chooses.
+
+    Requests of a session do not wait for each other.
+
+    Attributes:
+        placements: Requests sent to a target.
+        placements_elsewhere: Those sent outside the zone of their caller.
+    """
 
     def __init__(
         self,
@@ -71,6 +80,8 @@
         event_queue: event_queues.EventQueue,
         draw: typing.Callable[[], float],
     ):
+        self.placements = 0
+        self.placements_elsewhere = 0
         self._policy = policy
         self._servers = all_servers
         self._event_queue = event_queue
@@ -92,6 +103,8 @@
     def _send_request(self, call: calls.Call, attempt: int) -> None:
         now = self._event_queue.now
         server = self._policy.choose(call, self._servers, now)
+        self.placements += 1
+        self.placements_elsewhere += server.spec.zone != call.arrival.zone
         delay_s = latencies.one_way_s(call.arrival.zone, server.spec.zone)
         answer = server.serve(call.arrival.work_s, self._draw(), now + delay_s)
         if answer is None:
--- a/clementinelead/replays/loads.py
+++ b/clementinelead/replays/loads.py
@@ -6,10 +6,12 @@
 import msgspec
 
 from clementinelead import exceptions
+from clementinelead.relays import routes
 
 __all__ = [
     "Arrival",
     "BalancerSpec",
+    "CallerSpec",
     "Change",
     "Condition",
     "Evacuation",
@@ -31,14 +33,44 @@
         name: Its name.
         objective_s: Latency objective, seconds.
         timeout_s: Time from arrival until its callers give up, seconds.
-        worth: Worth of an answer within the objective; a late one is worth
-            half of it.
+        worth: Worth of an answer within the objective.
+        late_worth: Worth of a late answer, as a share of ``worth``.
+        priority: Rank among the kinds that compete for targets; 0 is served
+            first.
+        idempotent: Whether its requests may be executed more than once.
     """
 
     name: str
     objective_s: float
     timeout_s: float
     worth: float = 1.0
+    late_worth: float = 0.5
+    priority: int = routes.LOWEST_PRIORITY
+    idempotent: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerSpec:
+    """How callers proceed without an answer.
+
+    Attributes:
+        first_retransmission_s: Time after which data that no target has
+            acknowledged is sent again, seconds; it doubles with each copy.
+            None if data is sent once.
+        max_retransmission_s: Longest time between two copies, seconds.
+        opening_timeout_s: Time after which the opening of a flow is abandoned,
+            seconds; None if it ends with the request only.
+        retry_delay_s: Pause before a retry, seconds.
+        reset_is_refusal: Whether a reset of an open flow counts as a refusal;
+            else it is a failure, after which only idempotent requests are
+            retried.
+    """
+
+    first_retransmission_s: float | None = None
+    max_retransmission_s: float = 1.6
+    opening_timeout_s: float | None = None
+    retry_delay_s: float = 0.0
+    reset_is_refusal: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,12 +101,16 @@
         zone: Availability zone of its caller.
         kind: Name of its kind.
         work_s: Service time at a target of slowness 1, seconds.
+        session: Number of the long-lived flow on which it is sent, None for a
+            flow of its own. The requests of a session are sent one at a time;
+            one that arrives before the previous answer waits at its caller.
     """
 
     at_s: float
     zone: str
     kind: str
     work_s: float
+    session: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -182,6 +218,7 @@
         balancers: Properties of every balancer.
         evacuations: Evacuations of zones.
         warmup: Limit of flows at targets that warm up, None for no limit.
+        callers: Behaviour of all callers.
     """
 
     name: str
@@ -192,6 +229,7 @@
     balancers: BalancerSpec = BalancerSpec()
     evacuations: tuple[Evacuation, ...] = ()
     warmup: WarmupSpec | None = None
+    callers: CallerSpec = CallerSpec()
 
     @property
     def kind_by_name(self) -> dict[str, RequestKind]:
--- a/clementinelead/replays/relay_processes.py
+++ b/clementinelead/replays/relay_processes.py
@@ -1,11 +1,14 @@
 """Models of the balancers and side processes of a simulation."""
 
+import dataclasses
+import inspect
 import typing
 
 from clementinelead.relays import announcements
 from clementinelead.relays import former_services
 from clementinelead.relays import intake
 from clementinelead.relays import outcomes
+from clementinelead.relays import routes
 from clementinelead.relays import steering
 from clementinelead.relays import target_relay
 from clementinelead.relays import warmup_limit
@@ -15,7 +18,15 @@
 from clementinelead.replays import processors
 from clementinelead.replays import servers
 
-__all__ = ["HEARTBEAT_INTERVAL_S", "SERVICE_NAME", "Balancer", "SideProcess"]
+__all__ = [
+    "HEARTBEAT_INTERVAL_S",
+    "SERVICE_NAME",
+    "Balancer",
+    "Options",
+    "SideProcess",
+    "address_by_kind",
+    "routing_table",
+]
 
 HEARTBEAT_INTERVAL_S = 0.8
 """Interval of the targets' heartbeats, seconds."""
@@ -24,26 +35,112 @@
 """Name of the only service of a simulation."""
 
 
+IDLE_TIMEOUT_S = 60.0
+"""Idle time of flows that the routes allow, seconds."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """Settings of the balancers, 0 for off.
+
+    Attributes:
+        zone_spill_share: Share of the objective up to which a flow stays in
+            its zone, from 0 to 1.
+        extra_openings_share: Largest share of second openings, from 0 to 1.
+    """
+
+    zone_spill_share: float = 0.0
+    extra_openings_share: float = 0.0
+
+
+def _supported(options: Options) -> dict[str, typing.Any]:
+    """Returns the options as keyword arguments of ``steering.Steering``.
+
+    Raises:
+        ValueError: An option is set that ``steering.Steering`` does not have.
+    """
+    parameters = inspect.signature(steering.Steering).parameters
+    keywords = {}
+    for name, share in dataclasses.asdict(options).items():
+        if name in parameters:
+            keywords[name] = share
+        elif share:
+            raise ValueError(f"balancers have no option {name}")
+    return keywords
+
+
+def address_by_kind(load: loads.Load) -> dict[str, bytes]:
+    """Returns the service address of each kind of request.
+
+    Args:
+        load: The load.
+    """
+    return {
+        kind.name: f"S{number}".encode()
+        for number, kind in enumerate(load.kinds, start=1)
+    }
+
+
+def routing_table(load: loads.Load) -> routes.RoutingTable:
+    """Returns the routes of a load, one for each kind of request.
+
+    Args:
+        load: The load.
+    """
+    addresses = address_by_kind(load)
+    kind_routes = tuple(
+        routes.Route(
+            kind.name,
+            addresses[kind.name],
+            (routes.Share(SERVICE_NAME, 1),),
+            int(kind.objective_s * 1000),
+            int(kind.timeout_s * 1000),
+            kind.priority,
+            kind.idempotent,
+        )
+        for kind in load.kinds
+    )
+    warmup_rates: tuple[routes.WarmupRate, ...] = ()
+    if load.warmup is not None:
+        rate = routes.WarmupRate(SERVICE_NAME, load.warmup.flows_per_s)
+        warmup_rates = (rate,)
+    return routes.RoutingTable(1, kind_routes, IDLE_TIMEOUT_S, warmup_rates)
+
+
+@dataclasses.dataclass(slots=True)
+class TargetFlow:
+    """A flow that is open at a target.
+
+    Attributes:
+        first_sequence: First sequence number of the target.
+        received_end: Sequence number after the data received.
+        sent_bytes: Data sent so far, bytes.
+    """
+
+    first_sequence: int
+    received_end: int = 0
+    sent_bytes: int = 0
+
+
 class SideProcess:
     """A side process with its target.
 
     Attributes:
         server: Model of the target.
         address: Where the side process receives datagrams.
-        sequence_by_key: First sequence number of each flow that is open at the
-            target, by flow key.
+        flow_by_key: Flows that are open at the target, by flow key.
         target_relay: The decisions of the side process.
     """
 
     def __init__(
         self,
         server: servers.Server,
-        warmup: loads.WarmupSpec | None,
+        load: loads.Load,
         now: float,
     ):
         self.server = server
         self.address = (server.spec.name, 1)
-        self.sequence_by_key: dict[bytes, int] = {}
+        self.flow_by_key: dict[bytes, TargetFlow] = {}
         self._incarnation = 0
         self._sequence = 0
         self._warm_at = now
@@ -53,10 +150,9 @@
             _discard,
             now,
             started_ms=0,
-            limit=_limit(warmup, now),
+            limit=_limit(load.warmup, now),
         )
-        if warmup is not None:
-            self.target_relay.set_warmup_rate(warmup.flows_per_s)
+        self.target_relay.set_routes(routing_table(load))
         self.target_relay.startup.no_predecessor = True
         self.announce_incarnation(now)
 
@@ -118,8 +214,10 @@
         event_queue: event_queues.EventQueue,
         share: float | None,
         send: typing.Callable[["Balancer", list[outcomes.Outcome]], None],
+        options: Options,
     ):
         self.zone = zone
+        self._keywords = _supported(options)
         self.address = (f"balancer-{zone}", 1)
         self.caller_socket = processors.SocketBuffer()
         self.peer_socket = processors.SocketBuffer()
@@ -139,7 +237,11 @@
         """
         former = former_services.FormerServices(first_start)
         self.steering = steering.Steering(
-            packets.Format(), self._count_log_line, self.zone, former
+            packets.Format(),
+            self._count_log_line,
+            self.zone,
+            former,
+            **self._keywords,
         )
         self._intake = intake.Intake(
             self.steering,
--- a/clementinelead/replays/relayed.py
+++ b/clementinelead/replays/relayed.py
@@ -1,15 +1,14 @@
 """A transport that simulates the product's decisions packet by packet."""
 
-import dataclasses
 import functools
 import typing
 
 from clementinelead.relays import candidates
 from clementinelead.relays import formats
 from clementinelead.relays import intake
-from clementinelead.relays import opening_retransmissions
 from clementinelead.relays import outcomes
 from clementinelead.relays import routes
+from clementinelead.replays import caller_flows
 from clementinelead.replays import calls
 from clementinelead.replays import event_queues
 from clementinelead.replays import latencies
@@ -24,35 +23,18 @@
 IDLE_TICK_S = 0.05
 """Interval of the processes' idle timer, seconds."""
 
-REQUEST_BYTES = 10
-_ATTEMPTS = 1 + calls.MAX_RETRIES
 _Address = tuple[str, int]
 
 
-@dataclasses.dataclass(slots=True)
-class _Flow:
-    """The caller's state of a flow.
-
-    Attributes:
-        call: The call that it belongs to.
-        attempt: Number of the call's attempt that opened it.
-        opened: Whether the caller has received a target's acceptance.
-        status: Answer of the target that executes its request.
-        target: Name of that target.
-    """
-
-    call: calls.Call
-    attempt: int
-    opened: bool = False
-    status: servers.Status = servers.Status.OK
-    target: str = ""
-
-
 class RelayedTransport:
     """Forwards flows through balancers and side processes.
 
     Each caller's packets go to the balancer of its availability zone; no
     datagram is lost in the network.
+
+    Attributes:
+        placements: Flows accepted by a target.
+        placements_elsewhere: Those accepted outside the zone of their caller.
     """
 
     def __init__(
@@ -61,16 +43,25 @@
         all_servers: list[servers.Server],
         event_queue: event_queues.EventQueue,
         draw: typing.Callable[[], float],
+        options: relay_processes.Options,
     ):
+        self.placements = 0
+        self.placements_elsewhere = 0
         self._event_queue = event_queue
         self._draw = draw
-        self._flow_by_key: dict[bytes, _Flow] = {}
+        self._acknowledges_data = (
+            load.callers.first_retransmission_s is not None
+        )
+        self._callers = caller_flows.CallerFlows(
+            load,
+            event_queue,
+            relay_processes.address_by_kind(load),
+            self._send_to_balancer,
+        )
         self._side_by_address = {
             side.address: side
             for side in (
-                relay_processes.SideProcess(
-                    server, load.warmup, event_queue.now
-                )
+                relay_processes.SideProcess(server, load, event_queue.now)
                 for server in all_servers
             )
         }
@@ -78,18 +69,18 @@
         share = load.balancers.share
         balancers = [
             relay_processes.Balancer(
-                zone, event_queue, share, self._apply_balancer_outcomes
+                zone,
+                event_queue,
+                share,
+                self._apply_balancer_outcomes,
+                options,
             )
             for zone in zones
         ]
         self._balancer_by_address = {
             balancer.address: balancer for balancer in balancers
         }
-        self._kinds = load.kinds
-        self._address_by_kind = {
-            kind.name: f"S{number}".encode()
-            for number, kind in enumerate(load.kinds, start=1)
-        }
+        self._table = relay_processes.routing_table(load)
         self._evacuated_zones: frozenset[str] = frozenset()
         for balancer in balancers:
             self._configure(balancer)
@@ -145,21 +136,9 @@
 
     def _configure(self, balancer: relay_processes.Balancer) -> None:
         now = self._event_queue.now
-        share = routes.Share(relay_processes.SERVICE_NAME, 1)
-        kind_routes = tuple(
-            routes.Route(
-                kind.name,
-                self._address_by_kind[kind.name],
-                (share,),
-                int(kind.objective_s * 1000),
-                int(kind.timeout_s * 1000),
-            )
-            for kind in self._kinds
-        )
-        table = routes.RoutingTable(1, kind_routes, 60.0)
         balancer.steering.set_evacuated_zones(self._evacuated_zones)
-        balancer.steering.former.record_change(routes.EMPTY, table, now)
-        balancer.steering.set_routes(table)
+        balancer.steering.former.record_change(routes.EMPTY, self._table, now)
+        balancer.steering.set_routes(self._table)
         targets = tuple(
             candidates.Target(
                 side.server.spec.name,
@@ -187,7 +166,7 @@
         was_up = side.server.condition.up
         side.server.condition = condition
         if not condition.up:
-            side.sequence_by_key.clear()
+            side.flow_by_key.clear()
         elif not was_up:
             side.announce_incarnation(self._event_queue.now)
         else:
@@ -196,55 +175,16 @@
     # Callers.
 
     def open_flow(self, call: calls.Call) -> None:
-        """Opens a flow for the present attempt of a call; sends its request.
-
-        Schedules the copies of the opening packet, and the reset at the call's
-        deadline.
+        """Sends the request of a call's present attempt.
 
         Args:
             call: The call.
         """
-        number = call.number * _ATTEMPTS + call.attempts - 1
-        address = self._address_by_kind[call.kind.name]
-        key = packets.flow_key(number, address)
-        flow = _Flow(call, call.attempts)
-        self._flow_by_key[key] = flow
-        self._send_opening(key, flow, 0)
-        for copies, delay_s in enumerate(
-            opening_retransmissions.RETRANSMISSION_TIMES_S, start=1
-        ):
-            self._event_queue.schedule(
-                self._event_queue.now + delay_s,
-                functools.partial(self._send_opening, key, flow, copies),
-            )
-        deadline = call.arrival.at_s + call.kind.timeout_s
-        self._event_queue.schedule(
-            deadline, lambda: self._reset_if_opened(key, flow)
-        )
+        self._callers.start(call)
 
-    def _send_opening(self, key: bytes, flow: _Flow, copies: int) -> None:
-        if self._is_awaited(flow) and not flow.opened:
-            opening = packets.build_packet(
-                key, packets.OPENS, acknowledgement=copies
-            )
-            self._send_to_balancer(flow, opening)
-
-    def _is_awaited(self, flow: _Flow) -> bool:
-        """Returns whether a flow is the present attempt of an unfinished call."""
-        call = flow.call
-        return call.outcome is None and call.attempts == flow.attempt
-
-    def _reset_if_opened(self, key: bytes, flow: _Flow) -> None:
-        """Resets a flow at its call's deadline, if it is still open."""
-        if flow.opened and key in self._flow_by_key:
-            self._send_to_balancer(
-                flow, packets.build_packet(key, packets.RESETS)
-            )
-
-    def _send_to_balancer(self, flow: _Flow, data: bytes) -> None:
+    def _send_to_balancer(self, zone: str, data: bytes) -> None:
         """Sends a caller's packet to the balancer of its zone."""
-        address = (f"balancer-{flow.call.arrival.zone}", 1)
-        balancer = self._balancer_by_address[address]
+        balancer = self._balancer_by_address[(f"balancer-{zone}", 1)]
         self._event_queue.schedule(
             self._event_queue.now + latencies.CALLER_TO_ZONE_S,
             lambda: self._deliver_to_balancer(
@@ -252,37 +192,6 @@
             ),
         )
 
-    def _deliver_to_caller(self, data: bytes) -> None:
-        """Handles a packet at its caller."""
-        segment = packets.Format().from_target(data)
-        assert segment is not None, "simulated packets are never truncated"
-        flow = self._flow_by_key.get(segment.key)
-        if flow is None:
-            return
-        if segment.resets:
-            del self._flow_by_key[segment.key]
-            flow.call.on_refusal(flow.attempt)
-        elif segment.accepts:
-            self._on_accepted(segment, flow)
-        elif segment.length:
-            del self._flow_by_key[segment.key]
-            self._send_to_balancer(
-                flow, packets.build_packet(segment.key, packets.CLOSES)
-            )
-            flow.call.on_answer(flow.attempt, flow.status, flow.target)
-
-    def _on_accepted(self, segment: formats.Segment, flow: _Flow) -> None:
-        if flow.opened or not self._is_awaited(flow):
-            return
-        flow.opened = True
-        request = packets.build_packet(
-            segment.key,
-            sequence=1,
-            acknowledgement=segment.sequence + 1,
-            length=REQUEST_BYTES,
-        )
-        self._send_to_balancer(flow, request)
-
     # Processes.
 
     def _apply_balancer_outcomes(
@@ -308,7 +217,7 @@
                 case outcomes.ToCaller(_, data):
                     self._event_queue.schedule(
                         now + latencies.CALLER_TO_ZONE_S,
-                        functools.partial(self._deliver_to_caller, data),
+                        functools.partial(self._callers.on_packet, data),
                     )
         if balancer.steering.busy:
             self._event_queue.schedule(
@@ -375,13 +284,13 @@
         """Sends a target's packet to its caller, not through a balancer."""
         segment = packets.Format().from_target(data)
         assert segment is not None, "simulated packets are never truncated"
-        flow = self._flow_by_key.get(segment.key)
-        if flow is None:
+        caller_zone = self._callers.zone_by_key.get(segment.key)
+        if caller_zone is None:
             return
-        delay_s = latencies.one_way_s(zone, flow.call.arrival.zone)
+        delay_s = latencies.one_way_s(zone, caller_zone)
         self._event_queue.schedule(
             self._event_queue.now + delay_s + latencies.CALLER_TO_ZONE_S,
-            lambda: self._deliver_to_caller(data),
+            lambda: self._callers.on_packet(data),
         )
 
     # Targets.
@@ -395,25 +304,59 @@
         if not side.server.condition.up:
             return
         key = segment.key
+        flow = side.flow_by_key.get(key)
         if segment.opens:
-            number = side.sequence_by_key.setdefault(
-                key, int(self._draw() * (1 << 30))
-            )
-            self._send_from_target(
-                side, packets.build_packet(key, packets.ACCEPTS, number)
-            )
-        elif key not in side.sequence_by_key:
+            self._accept(side, key, flow)
+        elif flow is None:
             self._send_from_target(side, packets.mark_returned(data))
         elif segment.closes or segment.resets:
-            del side.sequence_by_key[key]
+            del side.flow_by_key[key]
         elif segment.length:
-            self._execute_request(side, key)
+            self._receive_data(side, flow, segment)
+
+    def _accept(
+        self,
+        side: relay_processes.SideProcess,
+        key: bytes,
+        flow: relay_processes.TargetFlow | None,
+    ) -> None:
+        """Answers an opening packet; counts the placement of a new flow."""
+        if flow is None:
+            flow = relay_processes.TargetFlow(int(self._draw() * (1 << 30)))
+            side.flow_by_key[key] = flow
+            caller_zone = self._callers.zone_by_key.get(key)
+            self.placements += 1
+            self.placements_elsewhere += caller_zone != side.server.spec.zone
+        acceptance = packets.build_packet(
+            key, packets.ACCEPTS, flow.first_sequence
+        )
+        self._send_from_target(side, acceptance)
+
+    def _receive_data(
+        self,
+        side: relay_processes.SideProcess,
+        flow: relay_processes.TargetFlow,
+        segment: formats.Segment,
+    ) -> None:
+        """Executes a request; acknowledges data if callers repeat it."""
+        end = segment.sequence + segment.length
+        is_new = end > flow.received_end
+        flow.received_end = max(flow.received_end, end)
+        if self._acknowledges_data:
+            acknowledgement = packets.build_packet(
+                segment.key,
+                sequence=flow.first_sequence + 1 + flow.sent_bytes,
+                acknowledgement=flow.received_end,
+            )
+            self._send_from_target(side, acknowledgement)
+        if is_new:
+            self._execute_request(side, segment.key)
 
     def _execute_request(
         self, side: relay_processes.SideProcess, key: bytes
     ) -> None:
-        flow = self._flow_by_key.get(key)
-        if flow is None:
+        flow = self._callers.by_key.get(key)
+        if flow is None or flow.call is None:
             return
         work_s = flow.call.arrival.work_s
         answer = side.server.serve(work_s, self._draw(), self._event_queue.now)
@@ -429,12 +372,17 @@
         self, side: relay_processes.SideProcess, key: bytes
     ) -> None:
         """Sends the answer of an executed request, if its flow is still open."""
-        number = side.sequence_by_key.get(key)
-        if number is not None:
-            answer = packets.build_packet(
-                key, 0, number + 1, length=REQUEST_BYTES
-            )
-            self._send_from_target(side, answer)
+        flow = side.flow_by_key.get(key)
+        if flow is None:
+            return
+        answer = packets.build_packet(
+            key,
+            0,
+            flow.first_sequence + 1 + flow.sent_bytes,
+            length=caller_flows.REQUEST_BYTES,
+        )
+        flow.sent_bytes += caller_flows.REQUEST_BYTES
+        self._send_from_target(side, answer)
 
     def _send_from_target(
         self, side: relay_processes.SideProcess, data: bytes
--- a/clementinelead/replays/simulations.py
+++ b/clementinelead/replays/simulations.py
@@ -9,6 +9,7 @@
 from clementinelead.replays import direct
 from clementinelead.replays import event_queues
 from clementinelead.replays import loads
+from clementinelead.replays import relay_processes
 from clementinelead.replays import relayed
 from clementinelead.replays import servers
 
@@ -30,15 +31,23 @@
         policy: Name of the policy.
         outcomes: Outcomes of its requests, in the order of arrival.
         served_by_target: Requests accepted for service, by target name.
+        elsewhere_share: Share of the flows placed at targets outside the zone
+            of their caller; NaN if none was placed.
     """
 
     load: loads.Load
     policy: str
     outcomes: tuple[calls.Outcome, ...]
     served_by_target: dict[str, int]
+    elsewhere_share: float
 
 
-def replay(load: loads.Load, policy: str, seed: int) -> Replay:
+def replay(
+    load: loads.Load,
+    policy: str,
+    seed: int,
+    options: relay_processes.Options = relay_processes.Options(),
+) -> Replay:
     """Returns the results of a load under a policy.
 
     It is deterministic: the same arguments give the same results.
@@ -47,18 +56,20 @@
         load: The load.
         policy: One of ``POLICIES``.
         seed: Seed of the random behaviour of targets.
+        options: Settings of the balancers.
 
     Raises:
-        ValueError: There is no such policy.
+        ValueError: There is no such policy, or the balancers have no such
+            option.
     """
     event_queue = event_queues.EventQueue()
     generator = np.random.default_rng(seed)
     all_servers = [servers.Server(target) for target in load.targets]
-    transport: calls.Transport
+    transport: relayed.RelayedTransport | direct.DirectTransport
     match policy:
         case "relayed":
             relayed_transport = relayed.RelayedTransport(
-                load, all_servers, event_queue, generator.random
+                load, all_servers, event_queue, generator.random, options
             )
             set_condition = relayed_transport.set_condition
             transport = relayed_transport
@@ -81,7 +92,14 @@
         )
     kinds = load.kind_by_name
     all_calls = [
-        calls.Call(number, arrival, kinds[arrival.kind], event_queue, transport)
+        calls.Call(
+            number,
+            arrival,
+            kinds[arrival.kind],
+            event_queue,
+            transport,
+            load.callers.retry_delay_s,
+        )
         for number, arrival in enumerate(load.arrivals)
     ]
     for call in all_calls:
@@ -98,6 +116,9 @@
         policy,
         tuple(call.outcome for call in all_calls if call.outcome is not None),
         {server.spec.name: server.served_requests for server in all_servers},
+        transport.placements_elsewhere / transport.placements
+        if transport.placements
+        else float("nan"),
     )
 
 
--- a/clementinelead/replays/summaries.py
+++ b/clementinelead/replays/summaries.py
@@ -12,9 +12,6 @@
 PLOT_STEP_S = 0.5
 """Time that outcome character of a plot stands for, seconds."""
 
-LATE_WORTH_SHARE = 0.5
-"""Worth of a late answer, as a share of one in time."""
-
 _BAR_CHARACTERS = " ▁▂▃▄▅▆▇█"
 
 
@@ -113,7 +110,7 @@
         owed += kind.worth
         if outcome.result is calls.Result.SERVED:
             late = outcome.duration_s > kind.objective_s
-            earned += kind.worth * (LATE_WORTH_SHARE if late else 1.0)
+            earned += kind.worth * (kind.late_worth if late else 1.0)
     return earned / owed if owed else float("nan")
 
 
