Add the load patterns of competing callers and uneven demand

orders-burst, kill-in-burst, walking-crest and half-speed have two kinds of requests with priorities, streams on long-lived flows, and callers that repeat data and retry after a pause.

--- a/clementinelead/replays/patterns.py
+++ b/clementinelead/replays/patterns.py
@@ -5,10 +5,12 @@
 
 import numpy as np
 
+from clementinelead.replays import competing_patterns
 from clementinelead.replays import loads
 from clementinelead.replays import mixed_patterns
 from clementinelead.replays import processors
 from clementinelead.replays import scales
+from clementinelead.replays import uneven_patterns
 
 __all__ = ["PATTERNS", "generate"]
 
@@ -301,6 +303,10 @@
     mixed_patterns.mixed_burst,
     mixed_patterns.evacuation,
     mixed_patterns.warm_up,
+    competing_patterns.orders_burst,
+    competing_patterns.kill_in_burst,
+    uneven_patterns.walking_crest,
+    uneven_patterns.half_speed,
 )
 
 
