--- a/clementinelead/replays/caller_flows.py
+++ b/clementinelead/replays/caller_flows.py
@@ -1,7 +1,6 @@
 """Model of the callers: the flows that they open and the packets they send."""
 
 import collections
-import dataclasses
 import functools
 import typing
 
@@ -11,9 +10,9 @@
 from clementinelead.replays import event_queues
 from clementinelead.replays import loads
 from clementinelead.replays import packets
-from clementinelead.replays import servers
+from clementinelead.replays import sessions
 
-__all__ = ["REQUEST_BYTES", "CallerFlow", "CallerFlows"]
+__all__ = ["REQUEST_BYTES", "CallerFlows"]
 
 REQUEST_BYTES = 10
 """Data of a request, and of an answer, bytes."""
@@ -21,65 +20,6 @@
 _ATTEMPTS = 1 + calls.MAX_RETRIES
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class CallerFlow:
-    """The caller's state of a flow.
-
-    Attributes:
-        key: Flow key.
-        zone: Availability zone of the caller.
-        session: Number of its session, None if it carries one request.
-        call: The call under way, None between the requests of a session.
-        attempt: Number of the call's attempt.
-        opened: Whether the caller has received a target's acceptance.
-        sequence: Sequence number of the next data.
-        acknowledgement: Sequence number of the next byte from the target.
-        acknowledged: Sequence number up to which the target has the data.
-        status: Answer of the target that executes its request.
-        target: Name of that target.
-    """
-
-    key: bytes
-    zone: str
-    session: int | None
-    call: calls.Call | None
-    attempt: int
-    opened: bool = False
-    sequence: int = 1
-    acknowledgement: int = 0
-    acknowledged: int = 1
-    status: servers.Status = servers.Status.OK
-    target: str = ""
-
-    def is_awaited(self) -> bool:
-        """Returns whether it has the present attempt of an unfinished call."""
-        call = self.call
-        return (
-            call is not None
-            and call.outcome is None
-            and call.attempts == self.attempt
-        )
-
-
-@dataclasses.dataclass(slots=True)
-class _Session:
-    """A caller that sends several requests on one flow, one at a time.
-
-    Attributes:
-        remaining: Requests that have not ended.
-        flow: Its present flow, None without one.
-        call: The call under way, with its retries; None between requests.
-        waiting: Calls that wait for the end of the present one.
-    """
-
-    remaining: int
-    flow: CallerFlow | None = None
-    call: calls.Call | None = None
-    waiting: collections.deque[calls.Call] = dataclasses.field(
-        default_factory=collections.deque
-    )
-
-
 class CallerFlows:
     """The flows of all callers.
 
@@ -103,7 +43,7 @@
             address_by_kind: Service address by name of the kind of request.
             send: Sends a packet to the balancer of a caller's zone.
         """
-        self.by_key: dict[bytes, CallerFlow] = {}
+        self.by_key: dict[bytes, sessions.CallerFlow] = {}
         self.zone_by_key: dict[bytes, str] = {}
         self._spec = load.callers
         self._event_queue = event_queue
@@ -115,7 +55,8 @@
             if arrival.session is not None
         )
         self._session_by_number = {
-            number: _Session(count) for number, count in requests.items()
+            number: sessions.Session(count)
+            for number, count in requests.items()
         }
         self._abandoned_keys: set[bytes] = set()
 
@@ -140,15 +81,13 @@
             call.deadline_s,
             functools.partial(self._on_session_deadline, session, call),
         )
-        if session.call is None:
+        if session.admit(call):
             self._begin(session, call)
-        else:
-            session.waiting.append(call)
 
     # Sessions.
 
-    def _begin(self, session: _Session, call: calls.Call) -> None:
-        session.call = call
+    def _begin(self, session: sessions.Session, call: calls.Call) -> None:
+        """Sends the request of a call that has become its session's present."""
         flow = session.flow
         if flow is None:
             session.flow = self._open(call)
@@ -156,32 +95,27 @@
             flow.call, flow.attempt = call, call.attempts
             self._send_request(flow)
 
-    def _reopen(self, session: _Session, call: calls.Call) -> None:
+    def _reopen(self, session: sessions.Session, call: calls.Call) -> None:
         """Opens a flow for a retry; closes that of the failed attempt."""
         if session.flow is not None:
             self._end(session.flow, packets.CLOSES)
         session.flow = self._open(call)
 
-    def _finish(self, session: _Session, call: calls.Call) -> None:
-        """Goes on to the next call of a session if the present one has ended.
+    def _finish(self, session: sessions.Session, call: calls.Call) -> None:
+        """Begins the next call of a session if the present one has ended.
 
         The flow is closed after the last call.
         """
-        if call.outcome is None or session.call is not call:
-            return
-        session.call = None
-        session.remaining -= 1
-        while session.waiting and session.call is None:
-            following = session.waiting.popleft()
-            if following.outcome is None:
-                self._begin(session, following)
-            else:
-                session.remaining -= 1
-        if not session.remaining and session.flow is not None:
+        following = session.finish(call)
+        if following is not None:
+            self._begin(session, following)
+        elif not session.remaining and session.flow is not None:
             self._end(session.flow, packets.CLOSES)
             session.flow = None
 
-    def _on_session_deadline(self, session: _Session, call: calls.Call) -> None:
+    def _on_session_deadline(
+        self, session: sessions.Session, call: calls.Call
+    ) -> None:
         """Resets the flow of a call without an answer.
 
         HTTP/1.1 can't skip an answer, so the flow is of no more use.
@@ -194,13 +128,13 @@
 
     # Opening.
 
-    def _open(self, call: calls.Call) -> CallerFlow:
+    def _open(self, call: calls.Call) -> sessions.CallerFlow:
         """Opens a flow, and schedules the copies of the opening packet."""
         number = call.number * _ATTEMPTS + call.attempts - 1
         address = self._address_by_kind[call.kind.name]
         key = packets.flow_key(number, address)
         arrival = call.arrival
-        flow = CallerFlow(
+        flow = sessions.CallerFlow(
             key, arrival.zone, arrival.session, call, call.attempts
         )
         self.by_key[key] = flow
@@ -225,14 +159,14 @@
             )
         return flow
 
-    def _send_opening(self, flow: CallerFlow, copies: int) -> None:
+    def _send_opening(self, flow: sessions.CallerFlow, copies: int) -> None:
         if flow.is_awaited() and not flow.opened:
             opening = packets.build_packet(
                 flow.key, packets.OPENS, acknowledgement=copies
             )
             self._send(flow.zone, opening)
 
-    def _abandon_opening(self, flow: CallerFlow) -> None:
+    def _abandon_opening(self, flow: sessions.CallerFlow) -> None:
         """Ends an attempt that no target has accepted in time."""
         if flow.opened or not flow.is_awaited():
             return
@@ -240,14 +174,14 @@
             self._end(flow, packets.RESETS)
             self._on_lost(flow, refused=True)
 
-    def _reset_if_opened(self, flow: CallerFlow) -> None:
+    def _reset_if_opened(self, flow: sessions.CallerFlow) -> None:
         """Resets a flow at its call's deadline, if it is still open."""
         if flow.opened and flow.key in self.by_key:
             self._send(
                 flow.zone, packets.build_packet(flow.key, packets.RESETS)
             )
 
-    def _end(self, flow: CallerFlow, flag: int) -> None:
+    def _end(self, flow: sessions.CallerFlow, flag: int) -> None:
         """Closes or resets a flow; one that is not open yet is abandoned."""
         if self.by_key.pop(flow.key, None) is None:
             return
@@ -258,7 +192,7 @@
 
     # Requests.
 
-    def _send_request(self, flow: CallerFlow) -> None:
+    def _send_request(self, flow: sessions.CallerFlow) -> None:
         """Sends a request, and schedules its copies."""
         request = packets.build_packet(
             flow.key,
@@ -273,7 +207,11 @@
             self._schedule_copy(flow, request, flow.sequence, first_s)
 
     def _schedule_copy(
-        self, flow: CallerFlow, request: bytes, end: int, delay_s: float
+        self,
+        flow: sessions.CallerFlow,
+        request: bytes,
+        end: int,
+        delay_s: float,
     ) -> None:
         self._event_queue.schedule(
             self._event_queue.now + delay_s,
@@ -281,7 +219,11 @@
         )
 
     def _send_copy(
-        self, flow: CallerFlow, request: bytes, end: int, delay_s: float
+        self,
+        flow: sessions.CallerFlow,
+        request: bytes,
+        end: int,
+        delay_s: float,
     ) -> None:
         """Sends data again that the target has not acknowledged.
 
@@ -328,14 +270,18 @@
             reset = packets.build_packet(segment.key, packets.RESETS)
             self._send(self.zone_by_key[segment.key], reset)
 
-    def _on_accepted(self, segment: formats.Segment, flow: CallerFlow) -> None:
+    def _on_accepted(
+        self, segment: formats.Segment, flow: sessions.CallerFlow
+    ) -> None:
         if flow.opened or not flow.is_awaited():
             return
         flow.opened = True
         flow.acknowledgement = segment.sequence + 1
         self._send_request(flow)
 
-    def _on_answer(self, segment: formats.Segment, flow: CallerFlow) -> None:
+    def _on_answer(
+        self, segment: formats.Segment, flow: sessions.CallerFlow
+    ) -> None:
         """Ends the call; closes the flow unless its session goes on."""
         call, attempt = flow.call, flow.attempt
         if call is None:
@@ -350,7 +296,7 @@
         call.on_answer(attempt, flow.status, flow.target)
         self._finish(self._session_by_number[flow.session], call)
 
-    def _on_lost(self, flow: CallerFlow, refused: bool) -> None:
+    def _on_lost(self, flow: sessions.CallerFlow, refused: bool) -> None:
         """Ends the attempt of a flow that was refused, reset or abandoned.
 
         Args:
--- a/clementinelead/replays/command.py
+++ b/clementinelead/replays/command.py
@@ -11,6 +11,7 @@
 from clementinelead import exceptions
 from clementinelead.replays import loads
 from clementinelead.replays import patterns
+from clementinelead.replays import relay_processes
 from clementinelead.replays import scales
 from clementinelead.replays import simulations
 from clementinelead.replays import summaries
@@ -21,6 +22,26 @@
     pattern.__name__.replace("_", "-") for pattern in patterns.PATTERNS
 ]
 
+_TABLE_WIDTH = 168
+"""Width of the table, characters."""
+
+_COLUMNS = (
+    "policy",
+    "kind",
+    "asked",
+    "in time",
+    "late",
+    "refused",
+    "no answer",
+    "p50 ms",
+    "p90 ms",
+    "p99 ms",
+    "worth",
+    "other zone",
+    "busiest/mean",
+    f"in time, each {summaries.PLOT_STEP_S} s",
+)
+
 _application = typer.Typer(add_completion=False)
 
 
@@ -40,6 +61,24 @@
     targets: typing.Annotated[int, typer.Option(min=1)] = 12,
     seconds: typing.Annotated[float, typer.Option(min=0.1)] = 8.0,
     utilisation: typing.Annotated[float, typer.Option(min=0.01)] = 0.5,
+    zone_spill_share: typing.Annotated[
+        float,
+        typer.Option(
+            min=0.0,
+            max=1.0,
+            help="share of the objective up to which flows stay in their zone",
+        ),
+    ] = 0.0,
+    extra_openings_share: typing.Annotated[
+        float,
+        typer.Option(min=0.0, max=1.0, help="largest share of second openings"),
+    ] = 0.0,
+    equal_priorities: typing.Annotated[
+        bool,
+        typer.Option(
+            "--equal-priorities", help="give all kinds the same priority"
+        ),
+    ] = False,
     save: typing.Annotated[
         pathlib.Path | None, typer.Option(help="write the load to a file")
     ] = None,
@@ -50,40 +89,44 @@
     if unknown:
         raise typer.BadParameter(f"no policy {', '.join(sorted(unknown))}")
     workload = _load(load, scales.Scale(targets, seconds, utilisation), seed)
+    if equal_priorities:
+        workload = loads.equal_priorities(workload)
     if save is not None:
         loads.write(save, workload)
+    options = relay_processes.Options(zone_spill_share, extra_openings_share)
     table = rich.table.Table(title=workload.name)
-    for column in (
-        "policy",
-        "kind",
-        "asked",
-        "in time",
-        "late",
-        "refused",
-        "failed",
-        "p50 ms",
-        "p99 ms",
-        "busiest/mean",
-        f"in time, each {summaries.PLOT_STEP_S} s",
-    ):
+    for column in _COLUMNS:
         table.add_column(column)
     for name in policies:
-        replayed = simulations.replay(workload, name, seed)
-        for row in summaries.summarize(replayed):
-            table.add_row(
-                name,
-                row.kind,
-                str(row.requests),
-                f"{row.within_objective:.3f}",
-                f"{row.late:.3f}",
-                f"{row.refused:.3f}",
-                f"{row.failed:.3f}",
-                f"{row.p50_ms:.1f}",
-                f"{row.p99_ms:.1f}",
-                f"{row.max_to_mean_load:.2f}",
-                summaries.plot(replayed),
-            )
-    rich.console.Console(width=132).print(table)
+        try:
+            replayed = simulations.replay(workload, name, seed, options)
+        except relay_processes.UnsupportedOptionError as error:
+            raise typer.BadParameter(str(error)) from error
+        _add_rows(table, name, replayed)
+    rich.console.Console(width=_TABLE_WIDTH).print(table)
+
+
+def _add_rows(
+    table: rich.table.Table, policy: str, replayed: simulations.Replay
+) -> None:
+    """Adds a row for each kind of request."""
+    for row in summaries.summarize(replayed):
+        table.add_row(
+            policy,
+            row.kind,
+            str(row.requests),
+            f"{row.within_objective:.3f}",
+            f"{row.late:.3f}",
+            f"{row.refused:.3f}",
+            f"{row.failed:.3f}",
+            f"{row.p50_ms:.1f}",
+            f"{row.p90_ms:.1f}",
+            f"{row.p99_ms:.1f}",
+            f"{row.worth:.3f}",
+            f"{replayed.elsewhere_share:.3f}",
+            f"{row.max_to_mean_load:.2f}",
+            summaries.plot(replayed),
+        )
 
 
 def _load(pattern_or_path: str, scale: scales.Scale, seed: int) -> loads.Load:
--- a/clementinelead/replays/loads.py
+++ b/clementinelead/replays/loads.py
@@ -20,6 +20,7 @@
     "Restart",
     "TargetSpec",
     "WarmupSpec",
+    "equal_priorities",
     "read",
     "write",
 ]
@@ -237,6 +238,19 @@
         return {kind.name: kind for kind in self.kinds}
 
 
+def equal_priorities(load: Load) -> Load:
+    """Returns a load whose kinds have the same priority.
+
+    Args:
+        load: The load.
+    """
+    kinds = tuple(
+        dataclasses.replace(kind, priority=routes.LOWEST_PRIORITY)
+        for kind in load.kinds
+    )
+    return dataclasses.replace(load, kinds=kinds)
+
+
 def read(path: pathlib.Path) -> Load:
     """Returns the load in a JSON file.
 
--- a/clementinelead/replays/relay_processes.py
+++ b/clementinelead/replays/relay_processes.py
@@ -24,6 +24,8 @@
     "Balancer",
     "Options",
     "SideProcess",
+    "TargetFlow",
+    "UnsupportedOptionError",
     "address_by_kind",
     "routing_table",
 ]
@@ -53,11 +55,15 @@
     extra_openings_share: float = 0.0
 
 
+class UnsupportedOptionError(ValueError):
+    """An option is set that the balancers do not have."""
+
+
 def _supported(options: Options) -> dict[str, typing.Any]:
     """Returns the options as keyword arguments of ``steering.Steering``.
 
     Raises:
-        ValueError: An option is set that ``steering.Steering`` does not have.
+        UnsupportedOptionError: An option is set that it does not have.
     """
     parameters = inspect.signature(steering.Steering).parameters
     keywords = {}
@@ -65,7 +71,7 @@
         if name in parameters:
             keywords[name] = share
         elif share:
-            raise ValueError(f"balancers have no option {name}")
+            raise UnsupportedOptionError(f"balancers have no option {name}")
     return keywords
 
 
@@ -156,6 +162,25 @@
         self.target_relay.startup.no_predecessor = True
         self.announce_incarnation(now)
 
+    def set_condition(self, condition: loads.Condition, now: float) -> None:
+        """Changes the condition of the target.
+
+        Its flows end if it goes down; if it comes up again, it announces a new
+        incarnation.
+
+        Args:
+            condition: Its condition from now on.
+            now: Present time, seconds.
+        """
+        was_up = self.server.condition.up
+        self.server.condition = condition
+        if not condition.up:
+            self.flow_by_key.clear()
+        elif not was_up:
+            self.announce_incarnation(now)
+        else:
+            self.set_warmup(now)
+
     def announce_incarnation(self, now: float) -> None:
         """Sends the first heartbeat of a new incarnation of the target.
 
--- a/clementinelead/replays/relayed.py
+++ b/clementinelead/replays/relayed.py
@@ -3,13 +3,12 @@
 import functools
 import typing
 
-from clementinelead.relays import candidates
 from clementinelead.relays import formats
 from clementinelead.relays import intake
 from clementinelead.relays import outcomes
-from clementinelead.relays import routes
 from clementinelead.replays import caller_flows
 from clementinelead.replays import calls
+from clementinelead.replays import control_plane
 from clementinelead.replays import event_queues
 from clementinelead.replays import latencies
 from clementinelead.replays import loads
@@ -35,6 +34,7 @@
     Attributes:
         placements: Flows accepted by a target.
         placements_elsewhere: Those accepted outside the zone of their caller.
+        set_condition: Changes the condition of a target.
     """
 
     def __init__(
@@ -80,97 +80,12 @@
         self._balancer_by_address = {
             balancer.address: balancer for balancer in balancers
         }
-        self._table = relay_processes.routing_table(load)
-        self._evacuated_zones: frozenset[str] = frozenset()
-        for balancer in balancers:
-            self._configure(balancer)
-        for evacuation in load.evacuations:
-            event_queue.schedule(
-                evacuation.at_s,
-                functools.partial(self._evacuate, {evacuation.zone}, set()),
-            )
-            event_queue.schedule(
-                evacuation.end_s,
-                functools.partial(self._evacuate, set(), {evacuation.zone}),
-            )
-        for restart in load.balancers.restarts:
-            event_queue.schedule(restart.at_s, self._kill_balancers)
-            event_queue.schedule(restart.listening_s, self._open_sockets)
-            event_queue.schedule(restart.serving_s, self._restart_balancers)
-        event_queue.schedule(event_queue.now + IDLE_TICK_S, self._idle_tick)
-        event_queue.schedule(event_queue.now, self._send_heartbeats)
-
-    def _evacuate(self, begun: set[str], ended: set[str]) -> None:
-        """Tells all processes at once which zones are evacuated from now on."""
-        self._evacuated_zones = self._evacuated_zones.union(begun) - ended
-        for balancer in self._balancer_by_address.values():
-            balancer.steering.set_evacuated_zones(self._evacuated_zones)
-        for side in self._side_by_address.values():
-            zone = side.server.spec.zone
-            side.target_relay.set_evacuated(zone in self._evacuated_zones)
-
-    def _send_heartbeats(self) -> None:
-        now = self._event_queue.now
-        for side in self._side_by_address.values():
-            if side.server.condition.up:
-                side.send_heartbeat(now)
-        self._event_queue.schedule(
-            now + relay_processes.HEARTBEAT_INTERVAL_S, self._send_heartbeats
-        )
-
-    def _kill_balancers(self) -> None:
-        for balancer in self._balancer_by_address.values():
-            balancer.kill()
-
-    def _open_sockets(self) -> None:
-        for balancer in self._balancer_by_address.values():
-            balancer.open_sockets()
-
-    def _restart_balancers(self) -> None:
-        """Restarts balancers, with routes and targets from peers."""
-        for balancer in self._balancer_by_address.values():
-            balancer.start(first_start=False)
-            self._configure(balancer)
-            balancer.processor.running = True
-            balancer.wake()
-
-    def _configure(self, balancer: relay_processes.Balancer) -> None:
-        now = self._event_queue.now
-        balancer.steering.set_evacuated_zones(self._evacuated_zones)
-        balancer.steering.former.record_change(routes.EMPTY, self._table, now)
-        balancer.steering.set_routes(self._table)
-        targets = tuple(
-            candidates.Target(
-                side.server.spec.name,
-                side.address,
-                side.server.spec.zone,
-                accepting=True,
-                starting=False,
-            )
-            for side in self._side_by_address.values()
+        self._control = control_plane.ControlPlane(
+            load, balancers, list(self._side_by_address.values()), event_queue
         )
-        balancer.steering.set_targets(relay_processes.SERVICE_NAME, targets)
-        balancer.steering.set_complete_from(now)
-
-    def set_condition(self, target: str, condition: loads.Condition) -> None:
-        """Changes the condition of a target.
-
-        Its flows end if it goes down; if it comes up again, it announces a new
-        incarnation.
-
-        Args:
-            target: Name of the target.
-            condition: Its condition from now on.
-        """
-        side = self._side_by_address[(target, 1)]
-        was_up = side.server.condition.up
-        side.server.condition = condition
-        if not condition.up:
-            side.flow_by_key.clear()
-        elif not was_up:
-            side.announce_incarnation(self._event_queue.now)
-        else:
-            side.set_warmup(self._event_queue.now)
+        self.set_condition = self._control.set_condition
+        event_queue.schedule(event_queue.now + IDLE_TICK_S, self._idle_tick)
+        self._control.start_heartbeats()
 
     # Callers.
 
--- a/clementinelead/replays/simulations.py
+++ b/clementinelead/replays/simulations.py
@@ -59,8 +59,9 @@
         options: Settings of the balancers.
 
     Raises:
-        ValueError: There is no such policy, or the balancers have no such
-            option.
+        ValueError: There is no such policy.
+        relay_processes.UnsupportedOptionError: An option is set that the
+            balancers do not have.
     """
     event_queue = event_queues.EventQueue()
     generator = np.random.default_rng(seed)
--- a/clementinelead/replays/summaries.py
+++ b/clementinelead/replays/summaries.py
@@ -27,9 +27,11 @@
         refused: Share refused, and not run.
         failed: Share that failed or was not answered before its timeout.
         p50_ms: Median latency of those served, milliseconds; NaN if none was.
+        p90_ms: 90th percentile of it, milliseconds.
         p99_ms: 99th percentile of it, milliseconds.
         p99_refusal_ms: 99th percentile of the time from arrival to refusal,
             milliseconds; NaN if none was refused.
+        worth: Mean worth of a request, as a share of an answer in time.
         max_to_mean_load: Requests accepted by the busiest target, over the mean
             of all targets; of all kinds together. NaN if there were none.
     """
@@ -41,8 +43,10 @@
     refused: float
     failed: float
     p50_ms: float
+    p90_ms: float
     p99_ms: float
     p99_refusal_ms: float
+    worth: float
     max_to_mean_load: float
 
 
@@ -89,8 +93,11 @@
                 refused=len(refused) / total,
                 failed=(len(ended) - len(served) - len(refused)) / total,
                 p50_ms=_percentile_ms(served, 50),
+                p90_ms=_percentile_ms(served, 90),
                 p99_ms=_percentile_ms(served, 99),
                 p99_refusal_ms=_percentile_ms(refused, 99),
+                worth=(timely + kind.late_worth * (len(served) - timely))
+                / total,
                 max_to_mean_load=max_to_mean_load,
             )
         )
