Give side processes their short timer in the new patterns

Replays tick side processes every 50 ms only, in service they ask for 10 ms while an acceptance, a probe or a held request is due. With the short timer everywhere the outcomes of flapping, backlog and warm-up change, so a load asks for it.

--- a/clementinelead/replays/competing_patterns.py
+++ b/clementinelead/replays/competing_patterns.py
@@ -105,7 +105,14 @@
         generator,
     )
     kinds = tuple(each.kind for each in KIND_LOADS)
-    return loads.Load(name, kinds, all_targets, arrivals, callers=CALLERS)
+    return loads.Load(
+        name,
+        kinds,
+        all_targets,
+        arrivals,
+        callers=CALLERS,
+        fast_side_ticks=True,
+    )
 
 
 def orders_burst(
--- a/clementinelead/replays/loads.py
+++ b/clementinelead/replays/loads.py
@@ -220,6 +220,8 @@
         evacuations: Evacuations of zones.
         warmup: Limit of flows at targets that warm up, None for no limit.
         callers: Behaviour of all callers.
+        fast_side_ticks: Whether side processes get the short timer that they
+            ask for, as in service; else only the one of idle processes.
     """
 
     name: str
@@ -231,6 +233,7 @@
     evacuations: tuple[Evacuation, ...] = ()
     warmup: WarmupSpec | None = None
     callers: CallerSpec = CallerSpec()
+    fast_side_ticks: bool = False
 
     @property
     def kind_by_name(self) -> dict[str, RequestKind]:
--- a/clementinelead/replays/relayed.py
+++ b/clementinelead/replays/relayed.py
@@ -22,6 +22,9 @@
 IDLE_TICK_S = 0.05
 """Interval of the processes' idle timer, seconds."""
 
+FAST_SIDE_TICK_S = 0.01
+"""Interval of the side processes' short timer, as in service, seconds."""
+
 _Address = tuple[str, int]
 
 
@@ -52,6 +55,8 @@
         self._acknowledges_data = (
             load.callers.first_retransmission_s is not None
         )
+        self._fast_side_ticks = load.fast_side_ticks
+        self._fast_ticking: set[_Address] = set()
         self._callers = caller_flows.CallerFlows(
             load,
             event_queue,
@@ -194,6 +199,24 @@
                     self._send_to_caller(zone, data)
                 case outcomes.ToTarget(data):
                     self._deliver_to_target(side, data)
+        self._schedule_fast_tick(side)
+
+    def _schedule_fast_tick(self, side: relay_processes.SideProcess) -> None:
+        if (
+            self._fast_side_ticks
+            and side.target_relay.needs_fast_ticks
+            and side.address not in self._fast_ticking
+        ):
+            self._fast_ticking.add(side.address)
+            self._event_queue.schedule(
+                self._event_queue.now + FAST_SIDE_TICK_S,
+                functools.partial(self._fast_tick, side),
+            )
+
+    def _fast_tick(self, side: relay_processes.SideProcess) -> None:
+        self._fast_ticking.discard(side.address)
+        now = self._event_queue.now
+        self._apply_side_outcomes(side, side.target_relay.on_tick(now))
 
     def _send_to_caller(self, zone: str, data: bytes) -> None:
         """Sends a target's packet to its caller, not through a balancer."""
--- a/clementinelead/replays/tests/test_caller_flows.py
+++ b/clementinelead/replays/tests/test_caller_flows.py
@@ -1,7 +1,5 @@
 """Behaviour of callers: sessions, retransmissions and retries."""
 
-import dataclasses
-
 import pytest
 
 from clementinelead.replays import caller_flows
@@ -158,7 +156,7 @@
     assert [at_s for at_s, _ in network.openings()] == [0.0, STREAM.timeout_s]
 
 
-def test_late_answers_have_the_worth_of_their_kind():
+def test_late_worth_and_priority_are_those_of_the_users():
     assert loads.RequestKind("x", 1.0, 2.0).late_worth == 0.5
     assert {STREAM.late_worth, ORDER.late_worth} == {0.3}
-    assert dataclasses.replace(STREAM).priority > ORDER.priority
+    assert STREAM.priority > ORDER.priority
--- a/clementinelead/replays/tests/test_competing_patterns.py
+++ b/clementinelead/replays/tests/test_competing_patterns.py
@@ -1,11 +1,13 @@
 """Loads whose callers compete: rates, bursts, flows and their replays."""
 
 import collections
+import dataclasses
 import functools
 import itertools
 
 import pytest
 
+from clementinelead.relays import target_relay
 from clementinelead.replays import caller_flows
 from clementinelead.replays import class_arrivals
 from clementinelead.replays import competing_patterns
@@ -175,3 +177,26 @@
     kinds = load.kind_by_name
     twice = [number for number, count in runs.items() if count > 1]
     assert all(kinds[load.arrivals[n].kind].idempotent for n in twice)
+
+
+@pytest.mark.parametrize(("fast", "expected"), [(True, 0.01), (False, 0.05)])
+def test_side_processes_get_their_short_timer_if_the_load_says_so(
+    fast, expected, monkeypatch
+):
+    """Guards against parts that miss their timer in a replay."""
+    ticks = collections.defaultdict(list)
+    on_tick = target_relay.TargetRelay.on_tick
+
+    def record(relay, now):
+        ticks[relay].append(now)
+        return on_tick(relay, now)
+
+    monkeypatch.setattr(target_relay.TargetRelay, "on_tick", record)
+    down = (loads.Change(0.0, "t0", loads.Condition(up=False)),)
+    load = patterns.generate("orders-burst", scales.Scale(1, 0.5), SEED)
+    load = dataclasses.replace(load, changes=down, fast_side_ticks=fast)
+    simulations.replay(load, "relayed", SEED)
+    (times,) = ticks.values()
+    shortest = min(b - a for a, b in itertools.pairwise(times))
+    assert shortest <= expected + 1e-9
+    assert fast or shortest == pytest.approx(expected)
--- a/clementinelead/replays/uneven_patterns.py
+++ b/clementinelead/replays/uneven_patterns.py
@@ -67,6 +67,7 @@
         arrivals,
         changes,
         callers=competing_patterns.CALLERS,
+        fast_side_ticks=True,
     )
 
 
