--- a/clementinelead/replays/tests/test_competing_patterns.py
+++ b/clementinelead/replays/tests/test_competing_patterns.py
@@ -62,7 +62,7 @@
         ("orders-burst", "status", 1.0, 4.0, 1.0),
         ("orders-burst", "order", 4.5, 7.5, 2.2),
         ("orders-burst", "status", 4.5, 7.5, 2.2),
-        ("orders-burst", "order", 7.5, 8.0, 1.0),
+        ("orders-burst", "status", 7.5, 8.0, 1.0),
         ("kill-in-burst", "order", 1.0, 5.0, 2.2),
         ("kill-in-burst", "status", 1.0, 5.0, 2.2),
         ("kill-in-burst", "status", 5.0, 8.0, 1.0),
@@ -150,6 +150,7 @@
 def test_rules_for_open_flows_hold(name, monkeypatch):
     """Guards against requests that run twice and against reset open flows."""
     runs = collections.Counter()
+    runs_of_data = collections.Counter()
     lost_open_flows = []
     execute = relayed.RelayedTransport._execute_request
     on_lost = caller_flows.CallerFlows._on_lost
@@ -160,6 +161,7 @@
         execute(transport, side, key)
         if side.server.served_requests > before:
             runs[flow.call.number] += 1
+            runs_of_data[key, flow.sequence] += 1
 
     def record_loss(callers, flow, refused):
         if flow.opened:
@@ -174,6 +176,7 @@
     replayed = simulations.replay(load, "relayed", SEED)
     assert len(replayed.outcomes) == len(load.arrivals)
     assert not lost_open_flows
+    assert max(runs_of_data.values()) == 1
     kinds = load.kind_by_name
     twice = [number for number, count in runs.items() if count > 1]
     assert all(kinds[load.arrivals[n].kind].idempotent for n in twice)
