Hold requests beside a target by priority

Cause: requests of several priorities on open flows reach a target faster than it serves them, and the target takes them in order of arrival. Change: a queue beside the target, in force if the routes of its service differ in priority. Held requests count as load, not as service time.

--- a/clementinelead/processes/relay_side.py
+++ b/clementinelead/processes/relay_side.py
@@ -135,6 +135,11 @@
             lambda: self.target_relay.work_under_way,
             "Requests at work",
         )
+        self.metrics.gauge(
+            "requests_held",
+            lambda: self.target_relay.held_request_count,
+            "Requests held until it is their turn",
+        )
         self.metrics.histogram(
             "answer_seconds",
             self.target_relay.latencies,
@@ -182,8 +187,12 @@
             self._scheduled_tick = None
 
     async def _drain(self) -> None:
-        """Refuses new flows and waits for the requests under way."""
+        """Refuses new flows and waits for the requests under way.
+
+        Requests that are held are forwarded at once.
+        """
         self.target_relay.stopping = True
+        self._send(self.target_relay.flush_requests(time.monotonic()))
         if self.target_relay.lifecycle.last_heartbeat is None:
             await self._wait_for_target_check()
         target_ended = self._has_target_ended(time.monotonic())
--- a/clementinelead/relays/held_flows.py
+++ b/clementinelead/relays/held_flows.py
@@ -6,7 +6,7 @@
 from clementinelead.relays import sequences
 from clementinelead.relays import workload
 
-__all__ = ["HeldFlow", "HeldFlows"]
+__all__ = ["HeldFlow", "HeldFlows", "RequestEnd"]
 
 FIRST_REQUEST_TIMEOUT_S = 0.04
 """Time for which a new flow counts as work without a request, seconds.
@@ -61,6 +61,8 @@
         min_completed: Completed requests at the target before it can have
             started on this flow's request.
         closing: Whether either end has closed or reset the flow.
+        held: Whether the data of its next request is held for a turn.
+        held_from: Value of ``request_end`` before the held data.
     """
 
     initial_sequence: int | None
@@ -74,6 +76,8 @@
     work_ahead: int = 0
     min_completed: int = 0
     closing: bool = False
+    held: bool = False
+    held_from: int | None = None
 
     @property
     def is_open(self) -> bool:
@@ -113,12 +117,26 @@
         return True
 
 
+class RequestEnd(msgspec.Struct, frozen=True):
+    """The end of a request that was in progress or held.
+
+    Attributes:
+        key: Flow key.
+        rejected: Whether the target has answered without serving it.
+    """
+
+    key: bytes
+    rejected: bool
+
+
 class HeldFlows:
     """Flows by key, with the target's workload counted from them.
 
     Attributes:
         by_key: The flows by flow key.
         workload: Workload of the target.
+        records_ends: Whether the ends of requests are added to ``ends``.
+        ends: Ends of requests that have not been handled yet.
     """
 
     def __init__(self, target_workload: workload.Workload):
@@ -129,11 +147,14 @@
         """
         self.by_key: dict[bytes, HeldFlow] = {}
         self.workload = target_workload
+        self.records_ends = False
+        self.ends: list[RequestEnd] = []
         # Both are in the order of their deadlines.
         self._request_deadline_by_key: dict[bytes, float] = {}
         self._accept_deadline_by_key: dict[bytes, float] = {}
         self._outstanding_requests = 0  # without an answer
         self._completed_requests = 0  # answered or abandoned since the start
+        self._held_requests = 0  # counted as work, not sent to the target
 
     @property
     def has_pending_accepts(self) -> bool:
@@ -177,7 +198,7 @@
             now: Present time, seconds.
         """
         flow = HeldFlow(initial_sequence, now, balancer)
-        flow.work_ahead = self.workload.add_flow(now)
+        flow.work_ahead = self.workload.add_flow(now) - self._held_requests
         flow.has_work = True
         self.by_key[key] = flow
         self._request_deadline_by_key[key] = now + FIRST_REQUEST_TIMEOUT_S
@@ -210,7 +231,7 @@
         """
         flow = self.by_key.pop(key)
         self._request_deadline_by_key.pop(key, None)
-        self._end_request(flow)
+        self._end_request(key, flow)
         if flow.has_work:
             self.workload.discard_request(now)
         self.workload.estimate.remove_flow()
@@ -227,7 +248,7 @@
         for key, flow in self.by_key.items():
             flow.confirmed_by_target = False
             self._request_deadline_by_key.pop(key, None)
-            self._release(flow, now)
+            self._release(key, flow, now)
 
     def begin_request(self, key: bytes, flow: HeldFlow, now: float) -> None:
         """Counts a request, or more data of the one under way.
@@ -238,7 +259,8 @@
             now: Present time, seconds.
         """
         if not flow.has_work:
-            flow.work_ahead = self.workload.add_request(now)
+            ahead = self.workload.add_request(now)
+            flow.work_ahead = ahead - self._held_requests
             flow.has_work = True
         self._request_deadline_by_key.pop(key, None)
         if flow.request_at is None:
@@ -248,6 +270,60 @@
             self._outstanding_requests += 1
         flow.request_at = now
 
+    def hold_request(
+        self, key: bytes, flow: HeldFlow, held_from: int | None, now: float
+    ) -> None:
+        """Counts a request as work that is not sent to the target yet.
+
+        Args:
+            key: Flow key.
+            flow: The flow, without a request under way.
+            held_from: Sequence number before its data, None for any.
+            now: Present time, seconds.
+        """
+        if not flow.has_work:
+            self.workload.add_request(now)
+            flow.has_work = True
+        self._request_deadline_by_key.pop(key, None)
+        flow.held = True
+        flow.held_from = held_from
+        self._held_requests += 1
+
+    def begin_held_request(
+        self, key: bytes, flow: HeldFlow, now: float
+    ) -> None:
+        """Counts a held request that is sent to the target now.
+
+        Its time at the target begins now, so that the time for which it was
+        held does not count as service time.
+
+        Args:
+            key: Flow key.
+            flow: The flow, with a held request.
+            now: Present time, seconds.
+        """
+        self._end_hold(flow)
+        flow.work_ahead = self._outstanding_requests
+        self.begin_request(key, flow, now)
+
+    def drop_held_request(self, flow: HeldFlow, now: float) -> None:
+        """Stops counting a held request that is dropped.
+
+        A copy of its data counts as a new request.
+
+        Args:
+            flow: The flow, with a held request.
+            now: Present time, seconds.
+        """
+        self._end_hold(flow)
+        flow.request_end = flow.held_from
+        flow.has_work = False
+        self.workload.discard_request(now)
+
+    def _end_hold(self, flow: HeldFlow) -> None:
+        flow.held = False
+        self._held_requests -= 1
+
     def complete_request(
         self, key: bytes, flow: HeldFlow, now: float
     ) -> float | None:
@@ -271,8 +347,9 @@
         # A target starts requests in order of arrival. An answer while all its
         # slots serve earlier requests means that it did no work on this one.
         in_order = self._completed_requests >= flow.min_completed
-        self._end_request(flow)
-        if duration < MIN_SERVICE_TIME_S or not in_order:
+        rejected = duration < MIN_SERVICE_TIME_S or not in_order
+        self._end_request(key, flow, rejected)
+        if rejected:
             self.workload.discard_request(now)
         else:
             self.workload.complete_request(duration, flow.work_ahead, now)
@@ -288,7 +365,7 @@
         """
         flow.closing = True
         self._request_deadline_by_key.pop(key, None)
-        self._release(flow, now)
+        self._release(key, flow, now)
 
     def on_tick(self, now: float) -> None:
         """Stops counting opening packets and first requests past deadline.
@@ -304,7 +381,7 @@
             if deadline > now:
                 return
             del self._request_deadline_by_key[key]
-            self._release(self.by_key[key], now)
+            self._release(key, self.by_key[key], now)
 
     def expire(self, now: float) -> None:
         """Removes closed and idle flows, and ends requests past timeout.
@@ -323,18 +400,25 @@
                 flow.request_at is not None
                 and now - flow.request_at > REQUEST_TIMEOUT_S
             ):
-                self._release(flow, now)
+                self._release(key, flow, now)
 
-    def _release(self, flow: HeldFlow, now: float) -> None:
-        """Ends a flow's request, whether under way or expected."""
-        self._end_request(flow)
+    def _release(self, key: bytes, flow: HeldFlow, now: float) -> None:
+        """Ends a flow's request, whether under way, held or expected."""
+        self._end_request(key, flow)
         if flow.has_work:
             flow.has_work = False
             self.workload.discard_request(now)
 
-    def _end_request(self, flow: HeldFlow) -> None:
+    def _end_request(
+        self, key: bytes, flow: HeldFlow, rejected: bool = False
+    ) -> None:
         """Counts a flow's request as completed if one is under way."""
+        if flow.held:
+            self._end_hold(flow)
+            self.ends.append(RequestEnd(key, False))
         if flow.request_at is not None:
             flow.request_at = None
             self._outstanding_requests -= 1
             self._completed_requests += 1
+            if self.records_ends:
+                self.ends.append(RequestEnd(key, rejected))
--- a/clementinelead/relays/target_packets.py
+++ b/clementinelead/relays/target_packets.py
@@ -145,7 +145,8 @@
         prober = self._outstanding.remove_probe(key)
         if prober is not None:
             sends.append(self._held_report(key, prober))
-        if segment.length and flow.has_work:
+        # Data while a request is held belongs to an earlier answer.
+        if segment.length and flow.has_work and not flow.held:
             self._complete_request(key, flow, now)
         if segment.closes or segment.resets:
             self._flows.mark_closing(key, flow, now)
--- a/clementinelead/relays/target_relay.py
+++ b/clementinelead/relays/target_relay.py
@@ -17,6 +17,8 @@
 from clementinelead.relays import outcomes
 from clementinelead.relays import outstanding_packets
 from clementinelead.relays import query_replies
+from clementinelead.relays import request_gate
+from clementinelead.relays import request_queue
 from clementinelead.relays import routes
 from clementinelead.relays import startup_recovery
 from clementinelead.relays import target_packets
@@ -105,6 +107,9 @@
             self.latencies,
             self._log,
         )
+        self._gate = request_gate.RequestGate(
+            self._flows, self.route_of, self.counts, self._log
+        )
         self._next_expiry_at = now
 
     @property
@@ -117,6 +122,11 @@
         """Number of requests under way or expected."""
         return self.workload.estimate.active_flows
 
+    @property
+    def held_request_count(self) -> int:
+        """Number of requests held beside the target."""
+        return self._gate.held_count
+
     @property
     def accepting(self) -> bool:
         """Whether the target accepts new flows through this process."""
@@ -147,11 +157,15 @@
     def set_routes(self, table: routes.RoutingTable) -> None:
         """Applies the routes in force: warm-up rate and priorities.
 
+        Requests are held only if routes of the service differ in priority.
+
         Args:
             table: The routes.
         """
         self.set_warmup_rate(table.warmup_flows_per_s(self._service))
         self._route_by_address = table.by_address
+        differing = len(table.priorities(self._service)) > 1
+        self._gate.set_active(differing and not self.stopping)
 
     def route_of(self, key: bytes) -> routes.Route | None:
         """Returns the route of a flow, None if no route in force has it.
@@ -208,7 +222,9 @@
             now: Present time, seconds.
         """
         self.workload.configure(heartbeat.slots, heartbeat.warmup_s, now)
+        self._gate.configure(self.workload.estimate.limits.slots)
         if replaced:
+            self._gate.on_new_incarnation(now)
             self._flows.on_new_incarnation(now)
 
     def on_target_absent(self, now: float) -> bool:
@@ -332,14 +348,17 @@
                 self._flows.remove(key, now)
                 self.counts.add("opened_elsewhere")
                 self._log("flow", "opened elsewhere", key, now)
-                return [
-                    query_replies.reply(
-                        _Kind.NOT_HELD, frame, source, frame.payload
-                    )
-                ]
+                reply = query_replies.reply(
+                    _Kind.NOT_HELD, frame, source, frame.payload
+                )
+                return [reply, *self._gate.on_ends(now)]
             flow.chosen_by_caller = True
         flow.balancer = source
         flow.last_packet_at = now
+        if self._gate.in_use:
+            is_probe = frame.kind is _Kind.PROBE
+            packet = request_queue.Packet(segment, frame.payload)
+            return self._gate.on_packet(packet, flow, is_probe, now)
         if segment.length and flow.record_new_data(segment):
             self._flows.begin_request(key, flow, now)
         if segment.closes or segment.resets:
@@ -383,14 +402,21 @@
         Returns:
             What to send.
         """
-        return self._target_packet_handler.on_packet(data, now)
+        sends = self._target_packet_handler.on_packet(data, now)
+        if self._flows.ends:
+            sends += self._gate.on_ends(now)
+        return sends
 
     # Timers.
 
     @property
     def needs_fast_ticks(self) -> bool:
         """Whether ``on_tick`` must be called every few milliseconds."""
-        return self._outstanding.has_probes or self._flows.has_pending_accepts
+        return (
+            self._outstanding.has_probes
+            or self._flows.has_pending_accepts
+            or self._gate.held_count > 0
+        )
 
     def on_tick(self, now: float) -> list[outcomes.Outcome]:
         """Applies the timeouts that have passed.
@@ -406,8 +432,22 @@
         if now >= self._next_expiry_at:
             self._next_expiry_at = now + EXPIRY_INTERVAL_S
             self._expire(now)
+        if self._gate.in_use:
+            sends += self._gate.on_tick(now)
         return sends
 
+    def flush_requests(self, now: float) -> list[outcomes.Outcome]:
+        """Forwards all held requests, for a planned stop of this process.
+
+        Args:
+            now: Present time, seconds.
+
+        Returns:
+            What to send.
+        """
+        self._gate.set_active(False)
+        return self._gate.on_tick(now)
+
     def _expire(self, now: float) -> None:
         """Removes expired flows and opening packets."""
         self._flows.expire(now)
