--- a/clementinelead/relays/request_gate.py
+++ b/clementinelead/relays/request_gate.py
@@ -20,6 +20,7 @@
 
 _COUNT_BY_CAUSE = {
     _Cause.AT_LIMIT: "request_passed_at_limit",
+    _Cause.OVERFLOW: "request_passed_overflow",
     _Cause.NO_SPACE: "request_passed_no_space",
     _Cause.OUT_OF_TURN: "request_passed_out_of_turn",
     _Cause.FLUSHED: "request_passed_flushed",
@@ -149,12 +150,12 @@
             route.timeout_ms / 1000,
             now,
         )
-        if releases:
+        if self._queue.is_held(key):
+            self._counts.add("request_held")
+            self._flows.hold_request(key, flow, start, now)
+        else:
             self._flows.begin_request(key, flow, now)
-            return self._apply(releases, now)
-        self._counts.add("request_held")
-        self._flows.hold_request(key, flow, start, now)
-        return []
+        return self._apply(releases, now)
 
     def on_ends(self, now: float) -> list[outcomes.Outcome]:
         """Forwards the next requests after the recorded ends of earlier ones.
@@ -189,8 +190,8 @@
         """
         sends = self.on_ends(now)
         if self._is_active:
-            service_s = self._flows.workload.estimate.service_s
-            return sends + self._apply(self._queue.on_tick(now, service_s), now)
+            self._queue.service_s = self._flows.workload.estimate.service_s
+            return sends + self._apply(self._queue.on_tick(now), now)
         sends += self._apply(self._queue.flush(now), now)
         self.in_use = self._flows.records_ends = False
         return sends
--- a/clementinelead/relays/request_queue.py
+++ b/clementinelead/relays/request_queue.py
@@ -36,7 +36,7 @@
 MAX_PACKETS = 4_096
 """Most packets held, about 5 MB."""
 
-MIN_HELD_SHARE = 0.1
+MIN_HELD_SHARE = 0.2
 """Share of its objective for which a request may be held at any target.
 
 At a slow target the expected time exceeds the objective, and no request would
@@ -76,6 +76,7 @@
 
     IN_TURN = "in turn"
     AT_LIMIT = "at limit"  # could not be answered in time if held longer
+    OVERFLOW = "overflow"  # the target is full, and it would come too late
     NO_SPACE = "no space"  # too many packets are held
     OUT_OF_TURN = "out of turn"  # another packet of the flow can't wait
     FLUSHED = "flushed"  # nothing is held from now on
@@ -136,13 +137,18 @@
     """Requests in progress at one target, and requests held for it.
 
     A request is held while ``limit`` requests are in progress. The limit is
-    ``slots`` + 1 until requests are forwarded at the limit of their time. Then
-    it follows the number of requests that the target takes: otherwise those
-    forwarded late would fill its queue, and no request would get there in
-    order of priority.
+    ``slots`` + 1 as long as all held requests can be answered in time.
+
+    Otherwise requests overflow into the target's own queue, which rejects what
+    it can't take. As long as it has space, the next request in turn goes
+    there, and the limit rises with it. Once it is full, the request that would
+    come too late goes there to be rejected at once. If held requests overflowed
+    only after their objective, the target would serve just those, all late.
 
     Attributes:
         limit: Requests in progress from which further ones are held.
+        service_s: Expected service time at the target, seconds, set by the
+            owner of the queue.
     """
 
     def __init__(self, slots: int = 1):
@@ -153,12 +159,15 @@
         """
         self._slots = slots
         self.limit = slots + SPARE_REQUESTS
+        self.service_s = 0.0
+        self._capacity: int | None = None  # in progress at a rejection
         self._deadline_by_key: dict[bytes, float] = {}  # in progress, by time
         self._held_by_key: dict[bytes, _HeldRequest] = {}
         self._heap_by_priority: dict[int, list[_Entry]] = {}
         self._consecutive_by_priority: collections.Counter[int] = (
             collections.Counter()
         )
+        self._held_by_priority: collections.Counter[int] = collections.Counter()
         self._packet_count = 0
         self._arrivals = 0
         self._outdated_entries = 0
@@ -189,6 +198,7 @@
         """
         self._slots = slots
         self.limit = slots + SPARE_REQUESTS
+        self._capacity = None
 
     def begin(self, key: bytes, now: float) -> None:
         """Counts a request that is forwarded without being held.
@@ -232,20 +242,52 @@
                 else ReleaseCause.NO_SPACE
             )
             return [Release(key, (packet.data,), cause)]
-        request = _HeldRequest(
-            key,
-            priority,
-            now,
-            objective_s,
-            timeout_s,
-            {packet.position: packet.data},
+        fits = self._expected_s(priority) <= objective_s - TICK_INTERVAL_S
+        if not fits and self._target_is_full():
+            self.begin(key, now)
+            return [Release(key, (packet.data,), ReleaseCause.OVERFLOW)]
+        self._hold(
+            _HeldRequest(
+                key,
+                priority,
+                now,
+                objective_s,
+                timeout_s,
+                {packet.position: packet.data},
+            )
         )
-        self._held_by_key[key] = request
+        if fits:
+            return []
+        self.limit = len(self._deadline_by_key) + 1
+        return self._forward_in_turn(now)
+
+    def _hold(self, request: _HeldRequest) -> None:
+        """Adds a request to those held."""
+        self._held_by_key[request.key] = request
+        self._held_by_priority[request.priority] += 1
         self._packet_count += 1
         self._arrivals += 1
-        heap = self._heap_by_priority.setdefault(priority, [])
-        heapq.heappush(heap, (now + objective_s, self._arrivals, request))
-        return []
+        deadline = request.arrived_at + request.objective_s
+        heap = self._heap_by_priority.setdefault(request.priority, [])
+        heapq.heappush(heap, (deadline, self._arrivals, request))
+
+    def _expected_s(self, priority: int) -> float:
+        """Returns the time to the answer of a new request, seconds."""
+        ahead = behind = 0
+        for other, count in self._held_by_priority.items():
+            if other <= priority:
+                ahead += count
+            else:
+                behind += count
+        if behind:
+            ahead += ahead // MAX_CONSECUTIVE
+        requests = len(self._deadline_by_key) + ahead + 1
+        return requests * self.service_s / self._slots
+
+    def _target_is_full(self) -> bool:
+        """Returns whether the target is expected to reject a request."""
+        in_progress = len(self._deadline_by_key)
+        return self._capacity is not None and in_progress >= self._capacity
 
     def append(self, key: bytes, packet: Packet, now: float) -> list[Release]:
         """Adds a packet to a held request; drops copies of held packets.
@@ -299,12 +341,17 @@
         releases = []
         if key in self._held_by_key:
             releases.append(self._discard(key, now))
+        in_progress = len(self._deadline_by_key)
         if self._deadline_by_key.pop(key, None) is None:
             return releases
+        if rejected:
+            self._capacity = max(self._min_limit, in_progress - 1)
+        elif self._capacity is not None and in_progress > self._capacity:
+            self._capacity = in_progress
         self._adapt_limit(rejected)
         return releases + self._forward_in_turn(now)
 
-    def on_tick(self, now: float, service_s: float) -> list[Release]:
+    def on_tick(self, now: float) -> list[Release]:
         """Applies the timeouts that have passed.
 
         A request is forwarded at the time from which it could no longer be
@@ -312,7 +359,6 @@
 
         Args:
             now: Present time, seconds.
-            service_s: Expected service time at the target, seconds.
 
         Returns:
             The requests to forward now, and those dropped.
@@ -320,7 +366,9 @@
         self._end_unanswered(now)
         if not self._held_by_key:
             return []
-        remaining_s = self.limit * service_s / self._slots + TICK_INTERVAL_S
+        in_progress = len(self._deadline_by_key)
+        remaining_s = (in_progress + 1) * self.service_s / self._slots
+        remaining_s += TICK_INTERVAL_S
         releases = []
         for priority in sorted(self._heap_by_priority):
             while (request := self._head(priority)) is not None:
@@ -364,10 +412,15 @@
         self._deadline_by_key.clear()
         self._held_by_key.clear()
         self._heap_by_priority.clear()
+        self._held_by_priority.clear()
         self._consecutive_by_priority.clear()
         self._packet_count = 0
         self._outdated_entries = 0
-        self.limit = self._slots + SPARE_REQUESTS
+        self.limit = self._min_limit
+
+    @property
+    def _min_limit(self) -> int:
+        return self._slots + SPARE_REQUESTS
 
     def _end_unanswered(self, now: float) -> None:
         """Ends the requests whose answer takes too long."""
@@ -384,10 +437,9 @@
         A rejection shows that the target's queue is full with the requests
         that are left. While nothing waits, the limit returns to its minimum.
         """
-        minimum = self._slots + SPARE_REQUESTS
-        in_progress = len(self._deadline_by_key)
         if rejected or not self._held_by_key:
-            self.limit = max(minimum, min(self.limit, in_progress))
+            in_progress = len(self._deadline_by_key)
+            self.limit = max(self._min_limit, min(self.limit, in_progress))
 
     def _forward_in_turn(self, now: float) -> list[Release]:
         """Begins held requests while there is room."""
@@ -458,6 +510,7 @@
     def _remove(self, request: _HeldRequest) -> None:
         """Removes a request that is held; its heap entry may remain."""
         del self._held_by_key[request.key]
+        self._held_by_priority[request.priority] -= 1
         self._packet_count -= len(request.data_by_position)
         if self._outdated_entries > MIN_COMPACTION + len(self._held_by_key):
             self._compact()
