Overflow held requests into the target's queue before they are late

Cause: requests held until their objective are all answered late, and fill the target's queue before those of higher priority. Change: a request overflows when it can't be answered in time. The next in turn takes the place in the target's queue; once that is full, the target rejects what would come too late.

--- a/clementinelead/relays/request_gate.py
+++ b/clementinelead/relays/request_gate.py
@@ -7,8 +7,10 @@
 import collections.abc
 
 from clementinelead.relays import held_flows
+from clementinelead.relays import held_requests
 from clementinelead.relays import outcomes
 from clementinelead.relays import request_queue
+from clementinelead.relays import request_releases
 from clementinelead.relays import routes
 from clementinelead.relays import sequences
 from clementinelead.relays import target_packets
@@ -16,7 +18,7 @@
 
 __all__ = ["RequestGate"]
 
-_Cause = request_queue.ReleaseCause
+_Cause = request_releases.Cause
 
 _COUNT_BY_CAUSE = {
     _Cause.AT_LIMIT: "request_passed_at_limit",
@@ -68,14 +70,19 @@
         """Number of held requests."""
         return self._queue.held_count
 
-    def set_active(self, active: bool) -> None:
-        """Sets whether requests are held; ``on_tick`` forwards those held.
+    def set_priorities(self, priorities: tuple[int, ...]) -> None:
+        """Sets which priorities compete for the target.
+
+        Requests are held from now on if there are several priorities. If not,
+        the next ``on_tick`` forwards those that are held.
 
         Args:
-            active: Whether requests are held from now on.
+            priorities: The priorities, ascending.
         """
-        self._is_active = active
-        self.in_use = self.in_use or active
+        self._is_active = len(priorities) > 1
+        if self._is_active:
+            self._queue.highest_priority = priorities[0]
+        self.in_use = self.in_use or self._is_active
         self._flows.records_ends = self.in_use
 
     def configure(self, slots: int) -> None:
@@ -84,11 +91,11 @@
         Args:
             slots: The number, at least 1.
         """
-        self._queue.configure(slots)
+        self._queue.in_progress.configure(slots)
 
     def on_packet(
         self,
-        packet: request_queue.Packet,
+        packet: held_requests.Packet,
         flow: held_flows.HeldFlow,
         is_probe: bool,
         now: float,
@@ -127,14 +134,14 @@
         elif is_new and flow.request_at is None:
             if may_hold and not is_probe and not segment.opens:
                 return self._offer(packet, flow, start, now)
-            self._queue.begin(segment.key, now)
+            self._queue.in_progress.begin(segment.key, now)
         if is_new:
             self._flows.begin_request(segment.key, flow, now)
         return [*sends, outcomes.ToTarget(packet.data)]
 
     def _offer(
         self,
-        packet: request_queue.Packet,
+        packet: held_requests.Packet,
         flow: held_flows.HeldFlow,
         start: int | None,
         now: float,
@@ -190,7 +197,8 @@
         """
         sends = self.on_ends(now)
         if self._is_active:
-            self._queue.service_s = self._flows.workload.estimate.service_s
+            service_s = self._flows.workload.estimate.service_s
+            self._queue.in_progress.service_s = service_s
             return sends + self._apply(self._queue.on_tick(now), now)
         sends += self._apply(self._queue.flush(now), now)
         self.in_use = self._flows.records_ends = False
@@ -206,7 +214,7 @@
         self._flows.ends.clear()
 
     def _apply(
-        self, releases: list[request_queue.Release], now: float
+        self, releases: list[request_releases.Release], now: float
     ) -> list[outcomes.Outcome]:
         """Updates the records of released requests; returns their packets."""
         sends: list[outcomes.Outcome] = []
@@ -222,7 +230,7 @@
             sends += [outcomes.ToTarget(data) for data in release.packets]
         return sends
 
-    def _report(self, release: request_queue.Release, now: float) -> None:
+    def _report(self, release: request_releases.Release, now: float) -> None:
         """Counts a request that left the queue early; logs most causes."""
         self._counts.add(_COUNT_BY_CAUSE[release.cause])
         if release.cause not in _LOGGED:
@@ -243,7 +251,7 @@
 
 
 def _belongs_to_held(
-    packet: request_queue.Packet, flow: held_flows.HeldFlow
+    packet: held_requests.Packet, flow: held_flows.HeldFlow
 ) -> bool:
     """Returns whether a packet must not overtake the held data of its flow.
 
--- a/clementinelead/relays/request_queue.py
+++ b/clementinelead/relays/request_queue.py
@@ -1,33 +1,30 @@
-"""Order in which requests reach a target that several priorities compete for.
+"""When a request that arrives beside a target is forwarded to it.
 
-Load pattern: requests reach one target faster than it serves them, most of
-them on flows that were opened long ago, which placement cannot influence. The
-target serves requests in order of arrival, and rejects them when its own queue
-is full. While it has enough to do, requests are held here and forwarded by
-priority.
+Load pattern: requests of several priorities reach one target faster than it
+serves them, most of them on flows that were opened long ago, which placement
+cannot influence. The target serves requests in order of arrival and rejects
+those that its own queue can't take. While it has enough to do, requests are
+held here and forwarded in turn.
 """
 
-import collections
-import enum
-import heapq
+from clementinelead.relays import held_requests
+from clementinelead.relays import request_releases
+from clementinelead.relays import requests_in_progress
 
-import msgspec
+__all__ = ["RequestQueue"]
 
-from clementinelead.relays import formats
+LOWER_PRIORITY_SHARE = 0.75
+"""Share of their objective in which lower priorities must be answered.
 
-__all__ = ["Packet", "Release", "ReleaseCause", "RequestQueue"]
-
-SPARE_REQUESTS = 1
-"""Requests in progress beyond the slots, so that no slot waits for the next.
-
-Without one, a slot would be idle from an answer to the arrival of the request
-that is forwarded upon it.
+The rest is left for requests of higher priorities that arrive later and are
+served before them.
 """
 
-MAX_CONSECUTIVE = 3
-"""Requests of a priority in succession while lower priorities wait.
+MIN_HELD_SHARE = 0.2
+"""Share of its objective for which a request may be held at any target.
 
-The next one is of a lower priority, so that none starves.
+At a slow target the expected time exceeds the objective, and no request would
+be held otherwise: priorities would have no effect.
 """
 
 MAX_PACKETS_PER_REQUEST = 64
@@ -36,119 +33,28 @@
 MAX_PACKETS = 4_096
 """Most packets held, about 5 MB."""
 
-MIN_HELD_SHARE = 0.2
-"""Share of its objective for which a request may be held at any target.
-
-At a slow target the expected time exceeds the objective, and no request would
-be held otherwise: priorities would have no effect.
-"""
-
 TICK_INTERVAL_S = 0.01
 """Longest interval of ``on_tick`` while requests are held, seconds."""
 
-IN_PROGRESS_TIMEOUT_S = 5.0
-"""Time after which an unanswered request is no longer in progress, seconds."""
-
-MIN_COMPACTION = 64
-"""Entries of discarded requests from which the heaps are rebuilt."""
-
-
-class Packet(msgspec.Struct, frozen=True):
-    """A packet of a caller.
-
-    Attributes:
-        segment: Its header.
-        data: The packet as it was received.
-    """
-
-    segment: formats.Segment
-    data: bytes
-
-    @property
-    def position(self) -> tuple[int, int, bool]:
-        """What the packet carries; equal for copies of a packet."""
-        segment = self.segment
-        return (segment.sequence, segment.length, segment.closes)
 
-
-class ReleaseCause(enum.Enum):
-    """Why a request is no longer held."""
-
-    IN_TURN = "in turn"
-    AT_LIMIT = "at limit"  # could not be answered in time if held longer
-    OVERFLOW = "overflow"  # the target is full, and it would come too late
-    NO_SPACE = "no space"  # too many packets are held
-    OUT_OF_TURN = "out of turn"  # another packet of the flow can't wait
-    FLUSHED = "flushed"  # nothing is held from now on
-    EXPIRED = "expired"  # dropped: its time budget has passed
-    DISCARDED = "discarded"  # dropped: its flow has ended
-
-
-class Release(msgspec.Struct, frozen=True):
-    """A request that is not, or no longer, held.
-
-    Attributes:
-        key: Flow key.
-        packets: Packets to forward now, in order; empty if it is dropped.
-        cause: Why it is released.
-        held_s: Time for which it was held, seconds.
-    """
-
-    key: bytes
-    packets: tuple[bytes, ...]
-    cause: ReleaseCause = ReleaseCause.IN_TURN
-    held_s: float = 0.0
-
-
-class _HeldRequest(msgspec.Struct, eq=False):
-    """A held request.
-
-    Attributes:
-        key: Flow key.
-        priority: Priority of its route.
-        arrived_at: Arrival of its first packet, seconds.
-        objective_s: Latency objective of its route, seconds.
-        timeout_s: Time after which its caller gives up, seconds.
-        data_by_position: Its packets in order of arrival.
-    """
-
-    key: bytes
-    priority: int
-    arrived_at: float
-    objective_s: float
-    timeout_s: float
-    data_by_position: dict[tuple[int, int, bool], bytes]
-
-    def release(self, cause: ReleaseCause, now: float) -> Release:
-        """Returns the release of all packets."""
-        packets = tuple(self.data_by_position.values())
-        return Release(self.key, packets, cause, now - self.arrived_at)
-
-    def drop(self, cause: ReleaseCause, now: float) -> Release:
-        """Returns the release without packets."""
-        return Release(self.key, (), cause, now - self.arrived_at)
-
-
-# Deadline, order of arrival, request.
-_Entry = tuple[float, int, _HeldRequest]
+_Cause = request_releases.Cause
+_Release = request_releases.Release
 
 
 class RequestQueue:
     """Requests in progress at one target, and requests held for it.
 
-    A request is held while ``limit`` requests are in progress. The limit is
-    ``slots`` + 1 as long as all held requests can be answered in time.
-
-    Otherwise requests overflow into the target's own queue, which rejects what
-    it can't take. As long as it has space, the next request in turn goes
-    there, and the limit rises with it. Once it is full, the request that would
-    come too late goes there to be rejected at once. If held requests overflowed
-    only after their objective, the target would serve just those, all late.
+    A request is held while ``slots`` + 1 requests are in progress and all held
+    requests can be answered in time. Otherwise requests overflow into the
+    target's own queue. As long as that has space, the next request in turn goes
+    there. Once it is full, the request that would come too late goes there to
+    be rejected at once. If requests overflowed only after their objective, the
+    target would serve just those, all of them late.
 
     Attributes:
-        limit: Requests in progress from which further ones are held.
-        service_s: Expected service time at the target, seconds, set by the
-            owner of the queue.
+        in_progress: Requests in progress at the target.
+        highest_priority: Highest priority of the routes of the target's
+            service, set by the owner of the queue.
     """
 
     def __init__(self, slots: int = 1):
@@ -157,30 +63,14 @@
         Args:
             slots: Requests that the target serves at once.
         """
-        self._slots = slots
-        self.limit = slots + SPARE_REQUESTS
-        self.service_s = 0.0
-        self._capacity: int | None = None  # in progress at a rejection
-        self._deadline_by_key: dict[bytes, float] = {}  # in progress, by time
-        self._held_by_key: dict[bytes, _HeldRequest] = {}
-        self._heap_by_priority: dict[int, list[_Entry]] = {}
-        self._consecutive_by_priority: collections.Counter[int] = (
-            collections.Counter()
-        )
-        self._held_by_priority: collections.Counter[int] = collections.Counter()
-        self._packet_count = 0
-        self._arrivals = 0
-        self._outdated_entries = 0
+        self.in_progress = requests_in_progress.RequestsInProgress(slots)
+        self.highest_priority = 0
+        self._held = held_requests.HeldRequests()
 
     @property
     def held_count(self) -> int:
         """Number of held requests."""
-        return len(self._held_by_key)
-
-    @property
-    def in_progress_count(self) -> int:
-        """Number of requests in progress at the target."""
-        return len(self._deadline_by_key)
+        return len(self._held.by_key)
 
     def is_held(self, key: bytes) -> bool:
         """Returns whether a request of a flow is held.
@@ -188,41 +78,21 @@
         Args:
             key: Flow key.
         """
-        return key in self._held_by_key
-
-    def configure(self, slots: int) -> None:
-        """Sets the number of requests that the target serves at once.
-
-        Args:
-            slots: The number, at least 1.
-        """
-        self._slots = slots
-        self.limit = slots + SPARE_REQUESTS
-        self._capacity = None
-
-    def begin(self, key: bytes, now: float) -> None:
-        """Counts a request that is forwarded without being held.
-
-        Args:
-            key: Flow key.
-            now: Present time, seconds.
-        """
-        self._deadline_by_key.pop(key, None)
-        self._deadline_by_key[key] = now + IN_PROGRESS_TIMEOUT_S
+        return key in self._held.by_key
 
     def offer(
         self,
         key: bytes,
-        packet: Packet,
+        packet: held_requests.Packet,
         priority: int,
         objective_s: float,
         timeout_s: float,
         now: float,
-    ) -> list[Release]:
+    ) -> list[_Release]:
         """Holds the first packet of a request, or begins the request.
 
         Args:
-            key: Flow key, with no request held.
+            key: Flow key, with no request held or in progress.
             packet: The packet.
             priority: Priority of its route, 0 is served first.
             objective_s: Latency objective of its route, seconds.
@@ -230,66 +100,32 @@
             now: Present time, seconds.
 
         Returns:
-            The request if it is to be forwarded now.
+            Requests to forward now: this one, or another one in its place.
         """
-        has_room = len(self._deadline_by_key) < self.limit
-        has_space = self._packet_count < MAX_PACKETS
-        if has_room or not has_space or objective_s <= TICK_INTERVAL_S:
-            self.begin(key, now)
-            cause = (
-                ReleaseCause.IN_TURN
-                if has_room or has_space
-                else ReleaseCause.NO_SPACE
-            )
-            return [Release(key, (packet.data,), cause)]
-        fits = self._expected_s(priority) <= objective_s - TICK_INTERVAL_S
-        if not fits and self._target_is_full():
-            self.begin(key, now)
-            return [Release(key, (packet.data,), ReleaseCause.OVERFLOW)]
-        self._hold(
-            _HeldRequest(
-                key,
-                priority,
-                now,
-                objective_s,
-                timeout_s,
-                {packet.position: packet.data},
-            )
+        if self.in_progress.has_room:
+            return [self._pass(key, packet, _Cause.IN_TURN, now)]
+        if objective_s <= TICK_INTERVAL_S:
+            return [self._pass(key, packet, _Cause.AT_LIMIT, now)]
+        if self._held.packet_count >= MAX_PACKETS:
+            return [self._pass(key, packet, _Cause.NO_SPACE, now)]
+        is_in_time = self._can_be_in_time(priority, objective_s)
+        if not is_in_time and self.in_progress.is_full:
+            return [self._pass(key, packet, _Cause.OVERFLOW, now)]
+        data_by_position = {packet.position: packet.data}
+        request = held_requests.HeldRequest(
+            key, priority, objective_s, timeout_s, now, data_by_position
         )
-        if fits:
+        self._held.add(request)
+        if is_in_time:
             return []
-        self.limit = len(self._deadline_by_key) + 1
+        if self.in_progress.has_rejected:
+            self._held.mark_overdue(request)
+        self.in_progress.make_room()
         return self._forward_in_turn(now)
 
-    def _hold(self, request: _HeldRequest) -> None:
-        """Adds a request to those held."""
-        self._held_by_key[request.key] = request
-        self._held_by_priority[request.priority] += 1
-        self._packet_count += 1
-        self._arrivals += 1
-        deadline = request.arrived_at + request.objective_s
-        heap = self._heap_by_priority.setdefault(request.priority, [])
-        heapq.heappush(heap, (deadline, self._arrivals, request))
-
-    def _expected_s(self, priority: int) -> float:
-        """Returns the time to the answer of a new request, seconds."""
-        ahead = behind = 0
-        for other, count in self._held_by_priority.items():
-            if other <= priority:
-                ahead += count
-            else:
-                behind += count
-        if behind:
-            ahead += ahead // MAX_CONSECUTIVE
-        requests = len(self._deadline_by_key) + ahead + 1
-        return requests * self.service_s / self._slots
-
-    def _target_is_full(self) -> bool:
-        """Returns whether the target is expected to reject a request."""
-        in_progress = len(self._deadline_by_key)
-        return self._capacity is not None and in_progress >= self._capacity
-
-    def append(self, key: bytes, packet: Packet, now: float) -> list[Release]:
+    def append(
+        self, key: bytes, packet: held_requests.Packet, now: float
+    ) -> list[_Release]:
         """Adds a packet to a held request; drops copies of held packets.
 
         Args:
@@ -300,35 +136,34 @@
         Returns:
             The whole request if there is no space for the packet.
         """
-        request = self._held_by_key[key]
+        request = self._held.by_key[key]
         if packet.position in request.data_by_position:
             return []
-        is_full = (
-            len(request.data_by_position) >= MAX_PACKETS_PER_REQUEST
-            or self._packet_count >= MAX_PACKETS
+        has_space = (
+            len(request.data_by_position) < MAX_PACKETS_PER_REQUEST
+            and self._held.packet_count < MAX_PACKETS
         )
-        request.data_by_position[packet.position] = packet.data
-        self._packet_count += 1
-        if not is_full:
+        self._held.add_packet(request, packet)
+        if has_space:
             return []
-        self._outdated_entries += 1
-        return [self._forward(request, ReleaseCause.NO_SPACE, now)]
+        self._held.remove(request)
+        return [self._forward(request, _Cause.NO_SPACE, now)]
 
-    def release(self, key: bytes, now: float) -> Release:
+    def release(self, key: bytes, now: float) -> _Release:
         """Begins a held request out of turn.
 
         Args:
             key: Flow key of a held request.
             now: Present time, seconds.
         """
-        self._outdated_entries += 1
-        request = self._held_by_key[key]
-        return self._forward(request, ReleaseCause.OUT_OF_TURN, now)
+        request = self._held.by_key[key]
+        self._held.remove(request)
+        return self._forward(request, _Cause.OUT_OF_TURN, now)
 
     def complete(
         self, key: bytes, now: float, rejected: bool = False
-    ) -> list[Release]:
-        """Ends the request of a flow, and drops it if it is held.
+    ) -> list[_Release]:
+        """Ends the request of a flow; drops it if it is held.
 
         Args:
             key: Flow key.
@@ -338,24 +173,20 @@
         Returns:
             The dropped request, and those to forward now.
         """
-        releases = []
-        if key in self._held_by_key:
-            releases.append(self._discard(key, now))
-        in_progress = len(self._deadline_by_key)
-        if self._deadline_by_key.pop(key, None) is None:
-            return releases
-        if rejected:
-            self._capacity = max(self._min_limit, in_progress - 1)
-        elif self._capacity is not None and in_progress > self._capacity:
-            self._capacity = in_progress
-        self._adapt_limit(rejected)
-        return releases + self._forward_in_turn(now)
+        request = self._held.by_key.get(key)
+        if request is not None:
+            self._held.remove(request)
+            return [request_releases.dropped(request, _Cause.DISCARDED, now)]
+        any_held = self.held_count > 0
+        if not self.in_progress.end(key, rejected, any_held):
+            return []
+        return self._forward_in_turn(now)
 
-    def on_tick(self, now: float) -> list[Release]:
+    def on_tick(self, now: float) -> list[_Release]:
         """Applies the timeouts that have passed.
 
-        A request is forwarded at the time from which it could no longer be
-        answered within its objective: the target's own queue decides then.
+        A request that would not be answered in time if it were held longer is
+        forwarded: the target's own queue decides on it.
 
         Args:
             now: Present time, seconds.
@@ -363,186 +194,138 @@
         Returns:
             The requests to forward now, and those dropped.
         """
-        self._end_unanswered(now)
-        if not self._held_by_key:
-            return []
-        in_progress = len(self._deadline_by_key)
-        remaining_s = (in_progress + 1) * self.service_s / self._slots
-        remaining_s += TICK_INTERVAL_S
+        self.in_progress.end_unanswered(now, self.held_count > 0)
+        remaining_s = self.in_progress.expected_s(0) + TICK_INTERVAL_S
         releases = []
-        for priority in sorted(self._heap_by_priority):
-            while (request := self._head(priority)) is not None:
+        for priority in self._held.priorities():
+            if priority == held_requests.OVERDUE:
+                remaining_s = 0.0
+            while (request := self._held.head(priority)) is not None:
                 if now < _forward_at(request, remaining_s):
                     break
-                heapq.heappop(self._heap_by_priority[priority])
-                releases.append(self._end_hold(request, now))
+                releases += self._end_wait(request, now)
         return releases + self._forward_in_turn(now)
 
-    def flush(self, now: float) -> list[Release]:
-        """Returns all held requests in order of priority; holds none.
+    def flush(self, now: float) -> list[_Release]:
+        """Removes all requests, and returns those held in order of priority.
 
         Args:
             now: Present time, seconds.
         """
         releases = []
-        for priority in sorted(self._heap_by_priority):
-            while (request := self._head(priority)) is not None:
-                heapq.heappop(self._heap_by_priority[priority])
-                releases.append(
-                    self._forward(request, ReleaseCause.FLUSHED, now)
-                )
-        self._clear()
+        for priority in self._held.priorities():
+            releases += self._forward_all(priority, _Cause.FLUSHED, now)
+        self.in_progress.clear()
         return releases
 
-    def drop_all(self, now: float) -> list[Release]:
-        """Returns all held requests as dropped, and ends those in progress.
+    def drop_all(self, now: float) -> list[_Release]:
+        """Removes all requests, and returns those held as dropped.
 
         Args:
             now: Present time, seconds.
         """
         releases = [
-            request.drop(ReleaseCause.DISCARDED, now)
-            for request in self._held_by_key.values()
+            request_releases.dropped(request, _Cause.DISCARDED, now)
+            for request in self._held.by_key.values()
         ]
-        self._clear()
+        self._held.clear()
+        self.in_progress.clear()
         return releases
 
-    def _clear(self) -> None:
-        """Removes all requests."""
-        self._deadline_by_key.clear()
-        self._held_by_key.clear()
-        self._heap_by_priority.clear()
-        self._held_by_priority.clear()
-        self._consecutive_by_priority.clear()
-        self._packet_count = 0
-        self._outdated_entries = 0
-        self.limit = self._min_limit
+    def _can_be_in_time(self, priority: int, objective_s: float) -> bool:
+        """Returns whether a new request can be held and answered in time."""
+        before = self._held.count_before(priority)
+        expected_s = self.in_progress.expected_s(before)
+        if priority <= self.highest_priority:
+            return expected_s <= objective_s - TICK_INTERVAL_S
+        return expected_s <= LOWER_PRIORITY_SHARE * objective_s
 
-    @property
-    def _min_limit(self) -> int:
-        return self._slots + SPARE_REQUESTS
-
-    def _end_unanswered(self, now: float) -> None:
-        """Ends the requests whose answer takes too long."""
-        while self._deadline_by_key:
-            key = next(iter(self._deadline_by_key))
-            if self._deadline_by_key[key] > now:
-                return
-            del self._deadline_by_key[key]
-            self._adapt_limit(rejected=False)
-
-    def _adapt_limit(self, rejected: bool) -> None:
-        """Sets the limit after the end of a request.
-
-        A rejection shows that the target's queue is full with the requests
-        that are left. While nothing waits, the limit returns to its minimum.
-        """
-        if rejected or not self._held_by_key:
-            in_progress = len(self._deadline_by_key)
-            self.limit = max(self._min_limit, min(self.limit, in_progress))
+    def _forward_in_turn(self, now: float) -> list[_Release]:
+        """Begins held requests while there is room; drops expired ones.
 
-    def _forward_in_turn(self, now: float) -> list[Release]:
-        """Begins held requests while there is room."""
+        If the target is full then, it gets the overdue ones to reject them.
+        """
         releases = []
-        while self._held_by_key and len(self._deadline_by_key) < self.limit:
-            heap = self._heap_by_priority[self._next_priority()]
-            _, _, request = heapq.heappop(heap)
-            if _has_expired(request, now):
-                releases.append(self._expire(request, now))
+        while self.in_progress.has_room:
+            request = self._held.take_turn()
+            if request is None:
+                break
+            if request.has_expired(now):
+                releases.append(
+                    request_releases.dropped(request, _Cause.EXPIRED, now)
+                )
             else:
-                release = self._forward(request, ReleaseCause.IN_TURN, now)
+                release = self._forward(request, _Cause.IN_TURN, now)
                 releases.append(release)
+        if self.in_progress.is_full:
+            releases += self._forward_all(
+                held_requests.OVERDUE, _Cause.OVERFLOW, now
+            )
         return releases
 
-    def _next_priority(self) -> int:
-        """Returns the priority whose turn it is; a request must be held."""
-        waiting = [
-            priority
-            for priority in sorted(self._heap_by_priority)
-            if self._head(priority) is not None
-        ]
-        for priority in waiting[:-1]:
-            if self._consecutive_by_priority[priority] < MAX_CONSECUTIVE:
-                self._consecutive_by_priority[priority] += 1
-                return priority
-            self._consecutive_by_priority[priority] = 0
-        return waiting[-1]
-
-    def _head(self, priority: int) -> _HeldRequest | None:
-        """Returns the request of a priority that is due first, if any."""
-        heap = self._heap_by_priority[priority]
-        while heap:
-            request = heap[0][2]
-            if self._held_by_key.get(request.key) is request:
-                return request
-            heapq.heappop(heap)
-            self._outdated_entries -= 1
-        return None
-
-    def _end_hold(self, request: _HeldRequest, now: float) -> Release:
-        """Forwards or drops a request that can't be held any longer."""
-        if _has_expired(request, now):
-            return self._expire(request, now)
-        release = self._forward(request, ReleaseCause.AT_LIMIT, now)
-        self.limit = max(self.limit, len(self._deadline_by_key))
-        return release
-
-    def _expire(self, request: _HeldRequest, now: float) -> Release:
-        """Drops a request whose time budget has passed."""
-        self._remove(request)
-        return request.drop(ReleaseCause.EXPIRED, now)
+    def _forward_all(
+        self, priority: int, cause: _Cause, now: float
+    ) -> list[_Release]:
+        """Begins all held requests of a priority."""
+        releases = []
+        while (request := self._held.head(priority)) is not None:
+            self._held.remove(request)
+            releases.append(self._forward(request, cause, now))
+        return releases
+
+    def _end_wait(
+        self, request: held_requests.HeldRequest, now: float
+    ) -> list[_Release]:
+        """Handles a request that can no longer be answered in time.
+
+        At a target that rejects requests it waits for the moment at which the
+        target rejects it: served late it would delay others.
+        """
+        is_overdue = request.priority == held_requests.OVERDUE
+        if self.in_progress.has_rejected and not is_overdue:
+            self._held.mark_overdue(request)
+            return []
+        self._held.remove(request)
+        if request.has_expired(now):
+            return [request_releases.dropped(request, _Cause.EXPIRED, now)]
+        self.in_progress.begin_beyond_limit(request.key, now)
+        return [request_releases.forwarded(request, _Cause.AT_LIMIT, now)]
+
+    def _pass(
+        self,
+        key: bytes,
+        packet: held_requests.Packet,
+        cause: _Cause,
+        now: float,
+    ) -> _Release:
+        """Begins a request that is not held."""
+        self.in_progress.begin(key, now)
+        return _Release(key, (packet.data,), cause)
 
     def _forward(
-        self, request: _HeldRequest, cause: ReleaseCause, now: float
-    ) -> Release:
-        """Begins a held request."""
-        self._remove(request)
-        self.begin(request.key, now)
-        return request.release(cause, now)
-
-    def _discard(self, key: bytes, now: float) -> Release:
-        """Drops a held request whose flow has ended."""
-        request = self._held_by_key[key]
-        self._outdated_entries += 1
-        self._remove(request)
-        return request.drop(ReleaseCause.DISCARDED, now)
-
-    def _remove(self, request: _HeldRequest) -> None:
-        """Removes a request that is held; its heap entry may remain."""
-        del self._held_by_key[request.key]
-        self._held_by_priority[request.priority] -= 1
-        self._packet_count -= len(request.data_by_position)
-        if self._outdated_entries > MIN_COMPACTION + len(self._held_by_key):
-            self._compact()
-
-    def _compact(self) -> None:
-        """Rebuilds the heaps without the entries of discarded requests."""
-        for priority, heap in list(self._heap_by_priority.items()):
-            kept = [
-                entry
-                for entry in heap
-                if self._held_by_key.get(entry[2].key) is entry[2]
-            ]
-            heapq.heapify(kept)
-            self._heap_by_priority[priority] = kept
-        self._outdated_entries = 0
-
-
-def _has_expired(request: _HeldRequest, now: float) -> bool:
-    """Returns whether the caller of a request has given up."""
-    return now - request.arrived_at >= request.timeout_s
-
-
-def _forward_at(request: _HeldRequest, remaining_s: float) -> float:
+        self,
+        request: held_requests.HeldRequest,
+        cause: _Cause,
+        now: float,
+    ) -> _Release:
+        """Begins a request that has been held."""
+        self.in_progress.begin(request.key, now)
+        return request_releases.forwarded(request, cause, now)
+
+
+def _forward_at(
+    request: held_requests.HeldRequest, remaining_s: float
+) -> float:
     """Returns the latest time at which a request is forwarded, seconds.
 
+    It is early enough for the next tick, and never after the objective.
+
     Args:
         request: The request.
-        remaining_s: Expected time from then to its answer, seconds.
+        remaining_s: Expected time from then to its answer, seconds, at least
+            the interval of ticks.
     """
     objective_s = request.objective_s
-    reserved_s = min(remaining_s, (1.0 - MIN_HELD_SHARE) * objective_s)
-    held_s = min(
-        objective_s - max(reserved_s, TICK_INTERVAL_S), request.timeout_s
-    )
-    return request.arrived_at + held_s
+    latest_s = max(objective_s - remaining_s, MIN_HELD_SHARE * objective_s)
+    latest_s = min(latest_s, objective_s - TICK_INTERVAL_S)
+    return request.arrived_at + min(latest_s, request.timeout_s)
--- a/clementinelead/relays/target_relay.py
+++ b/clementinelead/relays/target_relay.py
@@ -14,11 +14,11 @@
 from clementinelead.relays import formats
 from clementinelead.relays import frames
 from clementinelead.relays import held_flows
+from clementinelead.relays import held_requests
 from clementinelead.relays import outcomes
 from clementinelead.relays import outstanding_packets
 from clementinelead.relays import query_replies
 from clementinelead.relays import request_gate
-from clementinelead.relays import request_queue
 from clementinelead.relays import routes
 from clementinelead.relays import startup_recovery
 from clementinelead.relays import target_packets
@@ -164,8 +164,8 @@
         """
         self.set_warmup_rate(table.warmup_flows_per_s(self._service))
         self._route_by_address = table.by_address
-        differing = len(table.priorities(self._service)) > 1
-        self._gate.set_active(differing and not self.stopping)
+        if not self.stopping:
+            self._gate.set_priorities(table.priorities(self._service))
 
     def route_of(self, key: bytes) -> routes.Route | None:
         """Returns the route of a flow, None if no route in force has it.
@@ -357,7 +357,7 @@
         flow.last_packet_at = now
         if self._gate.in_use:
             is_probe = frame.kind is _Kind.PROBE
-            packet = request_queue.Packet(segment, frame.payload)
+            packet = held_requests.Packet(segment, frame.payload)
             return self._gate.on_packet(packet, flow, is_probe, now)
         if segment.length and flow.record_new_data(segment):
             self._flows.begin_request(key, flow, now)
@@ -445,7 +445,7 @@
         Returns:
             What to send.
         """
-        self._gate.set_active(False)
+        self._gate.set_priorities(())
         return self._gate.on_tick(now)
 
     def _expire(self, now: float) -> None:
