--- a/clementinelead/relays/request_gate.py
+++ b/clementinelead/relays/request_gate.py
@@ -31,7 +31,12 @@
 }
 """Counter of each cause that is not the usual one."""
 
-_LOGGED = (_Cause.AT_LIMIT, _Cause.EXPIRED, _Cause.DISCARDED)
+_LOGGED = (
+    _Cause.AT_LIMIT,
+    _Cause.OVERFLOW,
+    _Cause.EXPIRED,
+    _Cause.DISCARDED,
+)
 _DROPPED = (_Cause.EXPIRED, _Cause.DISCARDED)
 
 
@@ -102,6 +107,9 @@
     ) -> list[outcomes.Outcome]:
         """Forwards or holds a caller's packet of a recorded flow.
 
+        Must be called for each packet with data or a reset, and for each packet
+        of a flow with a held request.
+
         Packets without data pass held ones unless they close the flow: their
         acknowledgements keep the target from retransmitting earlier answers.
 
@@ -231,9 +239,9 @@
         return sends
 
     def _report(self, release: request_releases.Release, now: float) -> None:
-        """Counts a request that left the queue early; logs most causes."""
+        """Counts a request that left out of turn; logs it if it was held."""
         self._counts.add(_COUNT_BY_CAUSE[release.cause])
-        if release.cause not in _LOGGED:
+        if release.cause not in _LOGGED or not release.held_s:
             return
         dropped = release.cause in _DROPPED
         self._log(
--- a/clementinelead/relays/request_queue.py
+++ b/clementinelead/relays/request_queue.py
@@ -33,9 +33,11 @@
 MAX_PACKETS = 4_096
 """Most packets held, about 5 MB."""
 
-TICK_INTERVAL_S = 0.01
-"""Longest interval of ``on_tick`` while requests are held, seconds."""
+TICK_MARGIN_S = 0.02
+"""Longest interval of ``on_tick`` while requests are held, seconds.
 
+The side process ticks every 10 ms then, and may be late.
+"""
 
 _Cause = request_releases.Cause
 _Release = request_releases.Release
@@ -104,7 +106,7 @@
         """
         if self.in_progress.has_room:
             return [self._pass(key, packet, _Cause.IN_TURN, now)]
-        if objective_s <= TICK_INTERVAL_S:
+        if objective_s <= TICK_MARGIN_S:
             return [self._pass(key, packet, _Cause.AT_LIMIT, now)]
         if self._held.packet_count >= MAX_PACKETS:
             return [self._pass(key, packet, _Cause.NO_SPACE, now)]
@@ -195,7 +197,7 @@
             The requests to forward now, and those dropped.
         """
         self.in_progress.end_unanswered(now, self.held_count > 0)
-        remaining_s = self.in_progress.expected_s(0) + TICK_INTERVAL_S
+        remaining_s = self.in_progress.expected_s(0) + TICK_MARGIN_S
         releases = []
         for priority in self._held.priorities():
             if priority == held_requests.OVERDUE:
@@ -237,7 +239,7 @@
         before = self._held.count_before(priority)
         expected_s = self.in_progress.expected_s(before)
         if priority <= self.highest_priority:
-            return expected_s <= objective_s - TICK_INTERVAL_S
+            return expected_s <= objective_s - TICK_MARGIN_S
         return expected_s <= LOWER_PRIORITY_SHARE * objective_s
 
     def _forward_in_turn(self, now: float) -> list[_Release]:
@@ -327,5 +329,5 @@
     """
     objective_s = request.objective_s
     latest_s = max(objective_s - remaining_s, MIN_HELD_SHARE * objective_s)
-    latest_s = min(latest_s, objective_s - TICK_INTERVAL_S)
+    latest_s = min(latest_s, objective_s - TICK_MARGIN_S)
     return request.arrived_at + min(latest_s, request.timeout_s)
--- a/clementinelead/relays/target_relay.py
+++ b/clementinelead/relays/target_relay.py
@@ -355,7 +355,9 @@
             flow.chosen_by_caller = True
         flow.balancer = source
         flow.last_packet_at = now
-        if self._gate.in_use:
+        if self._gate.in_use and (
+            segment.length or segment.resets or flow.held
+        ):
             is_probe = frame.kind is _Kind.PROBE
             packet = held_requests.Packet(segment, frame.payload)
             return self._gate.on_packet(packet, flow, is_probe, now)
