--- a/clementinelead/relays/held_requests.py
+++ b/clementinelead/relays/held_requests.py
@@ -148,9 +148,7 @@
             request: A held request.
         """
         self.remove(request)
-        self.add(
-            msgspec.structs.replace(request, priority=OVERDUE),
-        )
+        self.add(msgspec.structs.replace(request, priority=OVERDUE))
 
     def clear(self) -> None:
         """Removes all requests."""
@@ -210,6 +208,23 @@
             self._consecutive_by_priority[priority] = 0
         return waiting[-1]
 
+    def is_last_in_line(self, priority: int, held: int) -> bool:
+        """Returns whether one request must wait for its priority's turn.
+
+        A priority of which no request waits gets no turn, and starves while
+        higher ones fill the target.
+
+        Args:
+            priority: Priority of the request.
+            held: 1 if the request is held already, else 0.
+        """
+        if self._count_by_priority.get(priority, 0) != held:
+            return False
+        return any(
+            count and other < priority
+            for other, count in self._count_by_priority.items()
+        )
+
     def count_before(self, priority: int) -> int:
         """Returns the number of requests whose turn is before a new one's.
 
--- a/clementinelead/relays/request_queue.py
+++ b/clementinelead/relays/request_queue.py
@@ -110,7 +110,9 @@
             return [self._pass(key, packet, _Cause.AT_LIMIT, now)]
         if self._held.packet_count >= MAX_PACKETS:
             return [self._pass(key, packet, _Cause.NO_SPACE, now)]
-        is_in_time = self._can_be_in_time(priority, objective_s)
+        is_in_time = self._can_be_in_time(
+            priority, objective_s
+        ) or self._held.is_last_in_line(priority, 0)
         if not is_in_time and self.in_progress.is_full:
             return [self._pass(key, packet, _Cause.OVERFLOW, now)]
         data_by_position = {packet.position: packet.data}
@@ -201,9 +203,9 @@
         releases = []
         for priority in self._held.priorities():
             if priority == held_requests.OVERDUE:
-                remaining_s = 0.0
+                remaining_s = 0.0  # late in any case
             while (request := self._held.head(priority)) is not None:
-                if now < _forward_at(request, remaining_s):
+                if now < self._forward_at(request, remaining_s):
                     break
                 releases += self._end_wait(request, now)
         return releases + self._forward_in_turn(now)
@@ -275,6 +277,24 @@
             releases.append(self._forward(request, cause, now))
         return releases
 
+    def _forward_at(
+        self, request: held_requests.HeldRequest, remaining_s: float
+    ) -> float:
+        """Returns the latest time at which a request is forwarded, seconds.
+
+        It is early enough for the next tick, and never after the objective.
+
+        Args:
+            request: The request.
+            remaining_s: Expected time from then to its answer, seconds.
+        """
+        objective_s = request.objective_s
+        held_s = min(objective_s - TICK_MARGIN_S, request.timeout_s)
+        if not self._held.is_last_in_line(request.priority, 1):
+            useful_s = objective_s - remaining_s
+            held_s = min(held_s, max(useful_s, MIN_HELD_SHARE * objective_s))
+        return request.arrived_at + held_s
+
     def _end_wait(
         self, request: held_requests.HeldRequest, now: float
     ) -> list[_Release]:
@@ -313,21 +333,3 @@
         """Begins a request that has been held."""
         self.in_progress.begin(request.key, now)
         return request_releases.forwarded(request, cause, now)
-
-
-def _forward_at(
-    request: held_requests.HeldRequest, remaining_s: float
-) -> float:
-    """Returns the latest time at which a request is forwarded, seconds.
-
-    It is early enough for the next tick, and never after the objective.
-
-    Args:
-        request: The request.
-        remaining_s: Expected time from then to its answer, seconds, at least
-            the interval of ticks.
-    """
-    objective_s = request.objective_s
-    latest_s = max(objective_s - remaining_s, MIN_HELD_SHARE * objective_s)
-    latest_s = min(latest_s, objective_s - TICK_MARGIN_S)
-    return request.arrived_at + min(latest_s, request.timeout_s)
--- /dev/null
+++ b/clementinelead/relays/tests/test_request_gate.py
@@ -0,0 +1,253 @@
+"""Requests held by a side process, packet by packet."""
+
+import dataclasses
+
+import pytest
+
+from clementinelead.relays import announcements
+from clementinelead.relays import frames
+from clementinelead.relays import held_flows
+from clementinelead.relays import outcomes
+from clementinelead.relays import routes
+from clementinelead.relays import target_relay
+from clementinelead.relays.tests import one_target
+from clementinelead.replays import packets
+
+STREAM, ORDER = one_target.STREAM, one_target.ORDER
+SERVICE_NUMBER = frames.service_number(one_target.SERVICE)
+BALANCER = one_target.BALANCER
+PACKET, PROBE = frames.Kind.PACKET, frames.Kind.PROBE
+
+
+class _Side:
+    """A side process whose target has one slot and enough to do."""
+
+    def __init__(self, priority_by_address=one_target.PRIORITY):
+        self.now = 0.0
+        self.decisions = []
+        self.relay = target_relay.TargetRelay(
+            packets.Format(),
+            one_target.SERVICE,
+            self.decisions.append,
+            0.0,
+            0,
+        )
+        self.relay.set_routes(one_target.table(priority_by_address))
+        self.relay.startup.no_predecessor = True
+        self.heartbeat = announcements.Heartbeat(
+            "t", 1, 1, one_target.SERVICE, 1, False, 0.0
+        )
+        self.relay.on_heartbeat(self.heartbeat, 0.0)
+        self.busy = [self.open(number) for number in (1, 2)]
+        for key in self.busy:
+            assert self.request(key)
+
+    def open(self, number, address=STREAM):
+        key = packets.flow_key(number, address)
+        self.send(key, packets.OPENS, 0, 0, kind=frames.Kind.PLACE)
+        self.answer(key, packets.ACCEPTS, sequence=500, length=0)
+        return key
+
+    def send(self, key, flags=0, sequence=1, length=10, kind=PACKET):
+        """Returns the packets that the target gets."""
+        acknowledgement = 0 if flags & packets.OPENS else 501
+        data = packets.build_packet(
+            key, flags, sequence, acknowledgement, length
+        )
+        frame = frames.encode(kind, SERVICE_NUMBER, key, data)
+        return _to_target(self.relay.on_frame(frame, BALANCER, self.now))
+
+    def request(self, key, sequence=1, kind=PACKET):
+        return self.send(key, sequence=sequence, kind=kind)
+
+    def answer(self, key, flags=0, sequence=501, length=20):
+        """Returns the packets that the target gets upon one of its own."""
+        data = packets.build_packet(key, flags, sequence, 11, length)
+        return _to_target(self.relay.on_target_packet(data, self.now))
+
+    def tick(self, now):
+        self.now = now
+        return _to_target(self.relay.on_tick(now))
+
+    def count(self, cause):
+        return self.relay.counts.by_cause[cause]
+
+
+def _to_target(sends):
+    """Returns key, flags, sequence of the packets for the target."""
+    segments = [
+        packets.Format().from_caller(outcome.data)
+        for outcome in sends
+        if isinstance(outcome, outcomes.ToTarget)
+    ]
+    return [(segment.key, segment.sequence) for segment in segments]
+
+
+def test_order_is_forwarded_before_a_stream_in_the_step_of_the_answer():
+    side = _Side()
+    stream, order = side.open(3), side.open(4, ORDER)
+    assert side.request(stream) == side.request(order) == []
+    assert side.relay.held_request_count == 2
+    assert side.answer(side.busy[0]) == [(order, 1)]
+    assert side.answer(side.busy[1]) == [(stream, 1)]
+
+
+def test_packets_of_a_held_request_follow_in_order_without_copies():
+    side = _Side()
+    key = side.open(3)
+    for sequence in (1, 11, 1, 21, 11):
+        assert side.request(key, sequence) == []
+    assert side.answer(side.busy[0]) == [(key, 1), (key, 11), (key, 21)]
+    assert side.request(key, 31) == [(key, 31)]
+
+
+def test_acknowledgement_passes_and_end_of_data_stays_behind_held_data():
+    side = _Side()
+    key = side.open(3)
+    side.request(key)
+    assert side.send(key, 0, 11, length=0) == [(key, 11)]
+    assert side.send(key, packets.CLOSES, 11, length=0) == []
+    assert side.answer(side.busy[0]) == [(key, 1), (key, 11)]
+
+
+def test_reset_of_the_caller_drops_held_data_and_is_forwarded():
+    side = _Side()
+    key = side.open(3)
+    side.request(key)
+    before = side.relay.work_under_way
+    assert side.send(key, packets.RESETS, 11, length=0) == [(key, 11)]
+    assert side.relay.work_under_way == before - 1
+    assert side.answer(side.busy[0]) == []
+    assert side.count("request_dropped_flow_ended") == 1
+
+
+# Guards against a queue that is stuck until the timeout because callers have
+# given up on the requests in progress.
+def test_reset_of_a_request_in_progress_makes_room():
+    side = _Side()
+    key = side.open(3)
+    side.request(key)
+    sent = side.send(side.busy[0], packets.RESETS, 11, length=0)
+    assert sent == [(side.busy[0], 11), (key, 1)]
+
+
+def test_retransmission_of_an_earlier_request_is_not_held():
+    side = _Side()
+    key = side.busy[0]
+    side.answer(key)
+    side.request(side.open(3))
+    assert side.request(key, 11) == []
+    assert side.request(key, 1) == [(key, 1)]
+
+
+# Guards against the loss of a request to a late copy of the answer before it.
+def test_copy_of_an_earlier_answer_does_not_end_a_held_request():
+    side = _Side()
+    key = side.busy[0]
+    side.answer(key)
+    side.request(side.open(3))
+    side.request(key, 11)
+    assert side.answer(key) == []
+    assert side.relay.held_request_count == 1
+    assert side.answer(side.busy[1]) == [(key, 11)]
+
+
+def test_probe_is_not_held_and_takes_held_data_along():
+    side = _Side()
+    key, other = side.open(3), side.open(4)
+    assert side.request(other, kind=PROBE) == [(other, 1)]
+    side.request(key)
+    assert side.request(key, 11, kind=PROBE) == [(key, 1), (key, 11)]
+
+
+def test_packet_of_an_unconfirmed_flow_is_not_held():
+    side = _Side()
+    side.relay.startup.no_predecessor = False  # flows may be unrecorded
+    key = packets.flow_key(9, STREAM)
+    assert side.request(key) == [(key, 1)]
+    assert side.request(key, 11) == [(key, 11)]
+
+
+def test_restart_of_the_target_drops_held_requests():
+    side = _Side()
+    key = side.open(3)
+    side.request(key)
+    restarted = dataclasses.replace(side.heartbeat, started_ms=9)
+    side.relay.on_heartbeat(restarted, 0.0)
+    assert side.relay.held_request_count == side.relay.work_under_way == 0
+    assert side.tick(0.01) == []
+    # A retransmission goes to the target, which tells who holds the flow.
+    assert side.request(key) == [(key, 1)]
+
+
+def test_held_request_of_a_flow_that_the_target_closes_is_forwarded():
+    side = _Side()
+    key = side.open(3)
+    side.request(key)
+    assert side.answer(key, packets.CLOSES, length=0) == [(key, 1)]
+
+
+def test_planned_stop_forwards_held_requests_and_holds_no_more():
+    side = _Side()
+    key, order = side.open(3), side.open(4, ORDER)
+    side.request(key)
+    side.relay.stopping = True
+    assert _to_target(side.relay.flush_requests(0.0)) == [(key, 1)]
+    side.relay.set_routes(one_target.table(one_target.PRIORITY))
+    assert side.request(order) == [(order, 1)]
+
+
+def test_equal_priorities_forward_what_is_held_at_the_next_tick():
+    side = _Side()
+    key = side.open(3)
+    side.request(key)
+    assert side.relay.needs_fast_ticks
+    side.relay.set_routes(one_target.table({STREAM: 2, ORDER: 2}))
+    assert side.request(key, 11) == []
+    assert side.tick(0.01) == [(key, 1), (key, 11)]
+    assert side.request(side.open(4)) != []
+
+
+def test_request_held_to_its_limit_is_forwarded_counted_and_logged():
+    side = _Side()
+    key = side.open(3)
+    side.request(key)
+    held_until = next(
+        tick / 100 for tick in range(1, 100) if side.tick(tick / 100)
+    )
+    assert held_until <= one_target.OBJECTIVE_S[STREAM]
+    assert side.count("request_passed_at_limit") == 1
+    [decision] = [d for d in side.decisions if d.event == "request"]
+    assert (decision.outcome, decision.key) == ("passed", key)
+
+
+def test_held_request_counts_as_load_but_not_as_service_time():
+    side = _Side()
+    key = side.open(3)
+    assert side.relay.work_under_way == 3
+    side.request(key)
+    side.tick(held_flows.FIRST_REQUEST_TIMEOUT_S)  # it is no longer expected
+    assert side.relay.held_request_count == 1
+    assert side.relay.work_under_way == 3
+    side.now = 0.0
+    for number, answered in enumerate((*side.busy, key), start=1):
+        side.now = 0.02 * number
+        side.answer(answered)
+    assert side.relay.workload.estimate.service_s == pytest.approx(0.02)
+
+
+def _all_sends(routing_table):
+    replay = one_target.Replay(routing_table)
+    replay.run(orders_per_s=20, streams_per_s=40, seed=3)
+    return replay
+
+
+# Guards against changes of what is sent where no priorities are set.
+@pytest.mark.parametrize("priority", [0, 2, routes.LOWEST_PRIORITY])
+def test_equal_priorities_change_no_packet(priority):
+    without = _all_sends(routes.EMPTY)
+    equal = _all_sends(one_target.table({STREAM: priority, ORDER: priority}))
+    assert equal.sends == without.sends
+    assert equal.side.counts.by_cause == without.side.counts.by_cause
+    differing = _all_sends(one_target.table(one_target.PRIORITY))
+    assert differing.sends != without.sends
