Give refused lower priorities the fourth turn

Cause: while orders fill the target, all streams would be late, are refused and get no turn. Change: a refused request counts as waiting; the next one of its priority is held for the turn.

--- a/clementinelead/processes/tests/test_relay_side.py
+++ b/clementinelead/processes/tests/test_relay_side.py
@@ -9,6 +9,7 @@
 from clementinelead.processes import target_presence
 from clementinelead.processes.tests import samples
 from clementinelead.relays import announcements
+from clementinelead.relays import outcomes
 from clementinelead.relays.tests import network
 
 
@@ -116,3 +117,16 @@
     monkeypatch.setattr(target_presence, "is_absent", slow_check)
     asyncio.run(stopped())
     assert _state(side) is state
+
+
+# Guards against requests that are lost with a process that is replaced.
+def test_planned_stop_sends_held_requests_to_the_target(side, monkeypatch):
+    packet = outcomes.ToTarget(b"held")
+    sent = []
+    monkeypatch.setattr(
+        side.target_relay, "flush_requests", lambda now: [packet]
+    )
+    monkeypatch.setattr(side, "_send", sent.extend)
+    _send_heartbeat(side, 1)
+    asyncio.run(side._drain())
+    assert sent == [packet]
--- a/clementinelead/relays/held_requests.py
+++ b/clementinelead/relays/held_requests.py
@@ -96,10 +96,12 @@
         self.packet_count = 0
         self._heap_by_priority: dict[int, list[_Entry]] = {}
         self._count_by_priority: dict[int, int] = {}
-        self._consecutive_by_priority: collections.Counter[int] = (
+        # Turns since one of a lower priority.
+        self._turns_by_priority: collections.Counter[int] = (
             collections.Counter()
         )
         self._arrivals = 0
+        self._lowest_refused = -1
         self._outdated_entries = 0
 
     def add(self, request: HeldRequest) -> None:
@@ -147,6 +149,7 @@
         Args:
             request: A held request.
         """
+        self.note_refused(request.priority)
         self.remove(request)
         self.add(msgspec.structs.replace(request, priority=OVERDUE))
 
@@ -201,28 +204,50 @@
         """
         if waiting[-1] == OVERDUE and len(waiting) > 1:
             waiting = waiting[:-1]
-        for priority in waiting[:-1]:
-            if self._consecutive_by_priority[priority] < MAX_CONSECUTIVE:
-                self._consecutive_by_priority[priority] += 1
+        for priority in waiting:
+            lower_wants = priority < max(waiting[-1], self._lowest_refused)
+            if not lower_wants:
+                return priority
+            if self._turns_by_priority[priority] < MAX_CONSECUTIVE:
+                self._turns_by_priority[priority] += 1
                 return priority
-            self._consecutive_by_priority[priority] = 0
         return waiting[-1]
 
-    def is_last_in_line(self, priority: int, held: int) -> bool:
-        """Returns whether one request must wait for its priority's turn.
+    def note_refused(self, priority: int) -> None:
+        """Records that a request found no place, as if it waited for a turn.
+
+        Args:
+            priority: Its priority.
+        """
+        self._lowest_refused = max(self._lowest_refused, priority)
+
+    def note_forwarded(self, priority: int) -> None:
+        """Counts a request as a turn of its priority.
+
+        Args:
+            priority: Its priority.
+        """
+        if priority >= self._lowest_refused:
+            self._lowest_refused = -1
+        turns = self._turns_by_priority
+        for higher in [other for other in turns if other < priority]:
+            del turns[higher]
+
+    def is_due(self, priority: int) -> bool:
+        """Returns whether a new request has the next turn.
 
-        A priority of which no request waits gets no turn, and starves while
-        higher ones fill the target.
+        So it is if a higher priority has had its turns in succession and no
+        other request waits for this one. A priority whose requests are refused
+        because higher ones fill the target would starve otherwise.
 
         Args:
             priority: Priority of the request.
-            held: 1 if the request is held already, else 0.
         """
-        if self._count_by_priority.get(priority, 0) != held:
+        if self._count_by_priority.get(priority):
             return False
         return any(
-            count and other < priority
-            for other, count in self._count_by_priority.items()
+            turns >= MAX_CONSECUTIVE and other < priority
+            for other, turns in self._turns_by_priority.items()
         )
 
     def count_before(self, priority: int) -> int:
--- a/clementinelead/relays/request_queue.py
+++ b/clementinelead/relays/request_queue.py
@@ -105,15 +105,17 @@
             Requests to forward now: this one, or another one in its place.
         """
         if self.in_progress.has_room:
+            self._held.note_forwarded(priority)
             return [self._pass(key, packet, _Cause.IN_TURN, now)]
         if objective_s <= TICK_MARGIN_S:
             return [self._pass(key, packet, _Cause.AT_LIMIT, now)]
         if self._held.packet_count >= MAX_PACKETS:
             return [self._pass(key, packet, _Cause.NO_SPACE, now)]
-        is_in_time = self._can_be_in_time(
-            priority, objective_s
-        ) or self._held.is_last_in_line(priority, 0)
+        is_in_time = self._can_be_in_time(priority, objective_s)
+        if not is_in_time and self._held.is_due(priority):
+            is_in_time = True
         if not is_in_time and self.in_progress.is_full:
+            self._held.note_refused(priority)
             return [self._pass(key, packet, _Cause.OVERFLOW, now)]
         data_by_position = {packet.position: packet.data}
         request = held_requests.HeldRequest(
@@ -205,7 +207,7 @@
             if priority == held_requests.OVERDUE:
                 remaining_s = 0.0  # late in any case
             while (request := self._held.head(priority)) is not None:
-                if now < self._forward_at(request, remaining_s):
+                if now < _forward_at(request, remaining_s):
                     break
                 releases += self._end_wait(request, now)
         return releases + self._forward_in_turn(now)
@@ -259,6 +261,7 @@
                     request_releases.dropped(request, _Cause.EXPIRED, now)
                 )
             else:
+                self._held.note_forwarded(request.priority)
                 release = self._forward(request, _Cause.IN_TURN, now)
                 releases.append(release)
         if self.in_progress.is_full:
@@ -277,24 +280,6 @@
             releases.append(self._forward(request, cause, now))
         return releases
 
-    def _forward_at(
-        self, request: held_requests.HeldRequest, remaining_s: float
-    ) -> float:
-        """Returns the latest time at which a request is forwarded, seconds.
-
-        It is early enough for the next tick, and never after the objective.
-
-        Args:
-            request: The request.
-            remaining_s: Expected time from then to its answer, seconds.
-        """
-        objective_s = request.objective_s
-        held_s = min(objective_s - TICK_MARGIN_S, request.timeout_s)
-        if not self._held.is_last_in_line(request.priority, 1):
-            useful_s = objective_s - remaining_s
-            held_s = min(held_s, max(useful_s, MIN_HELD_SHARE * objective_s))
-        return request.arrived_at + held_s
-
     def _end_wait(
         self, request: held_requests.HeldRequest, now: float
     ) -> list[_Release]:
@@ -310,6 +295,7 @@
         self._held.remove(request)
         if request.has_expired(now):
             return [request_releases.dropped(request, _Cause.EXPIRED, now)]
+        self._held.note_forwarded(request.priority)
         self.in_progress.begin_beyond_limit(request.key, now)
         return [request_releases.forwarded(request, _Cause.AT_LIMIT, now)]
 
@@ -333,3 +319,21 @@
         """Begins a request that has been held."""
         self.in_progress.begin(request.key, now)
         return request_releases.forwarded(request, cause, now)
+
+
+def _forward_at(
+    request: held_requests.HeldRequest, remaining_s: float
+) -> float:
+    """Returns the latest time at which a request is forwarded, seconds.
+
+    It is early enough for the next tick, and never after the objective.
+
+    Args:
+        request: The request.
+        remaining_s: Expected time from then to its answer, seconds.
+    """
+    objective_s = request.objective_s
+    useful_s = objective_s - remaining_s
+    held_s = max(useful_s, MIN_HELD_SHARE * objective_s)
+    held_s = min(held_s, objective_s - TICK_MARGIN_S, request.timeout_s)
+    return request.arrived_at + held_s
--- a/clementinelead/relays/tests/test_request_queue.py
+++ b/clementinelead/relays/tests/test_request_queue.py
@@ -193,6 +193,26 @@
     assert queue.complete(b"busy0", 0.03)[0].key == b"order"
 
 
+# Guards against starvation of a priority whose requests never fit.
+def test_refused_lower_priority_gets_the_fourth_turn():
+    queue = _busy_queue()
+    keys = _fill(queue, capacity=9)
+    forwarded = []
+    for number in range(40):
+        now = 0.1 + number * 0.02
+        for key, priority in ((b"high", 1), (b"low", 2)):
+            _offer(queue, b"%s%d" % (key, number), priority, 0.25, now)
+        while len(queue.in_progress) > 9:  # the target rejects the newest
+            newest = list(queue.in_progress._deadline_by_key)[-1]
+            queue.complete(newest, now, rejected=True)
+        for release in queue.complete(keys.pop(0), now):
+            keys.append(release.key)
+            forwarded.append(release.key.startswith(b"high"))
+    assert len(forwarded) >= 40
+    for start in range(len(forwarded) - 3):
+        assert not all(forwarded[start : start + 4])
+
+
 def _check(queue, held, forwarded, releases, now):
     for release in releases:
         arrived_at, objective_s, sent = held.pop(release.key, (now, 0.0, None))
