Shorten the path of requests that are not held

Cause: with differing priorities a request and its answer took 1.7 times the processor time of before. Change: a request for which there is room is not offered to the queue.

--- a/clementinelead/relays/held_requests.py
+++ b/clementinelead/relays/held_requests.py
@@ -213,6 +213,11 @@
                 return priority
         return waiting[-1]
 
+    @property
+    def counts_turns(self) -> bool:
+        """Whether a priority has had turns that lower ones waited for."""
+        return bool(self._turns_by_priority)
+
     def note_refused(self, priority: int) -> None:
         """Records that a request found no place, as if it waited for a turn.
 
--- a/clementinelead/relays/request_gate.py
+++ b/clementinelead/relays/request_gate.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 
+from clementinelead.relays import formats
 from clementinelead.relays import held_flows
 from clementinelead.relays import held_requests
 from clementinelead.relays import outcomes
@@ -100,7 +101,8 @@
 
     def on_packet(
         self,
-        packet: held_requests.Packet,
+        segment: formats.Segment,
+        data: bytes,
         flow: held_flows.HeldFlow,
         is_probe: bool,
         now: float,
@@ -114,7 +116,8 @@
         acknowledgements keep the target from retransmitting earlier answers.
 
         Args:
-            packet: The packet.
+            segment: Header of the packet.
+            data: The packet.
             flow: Its flow.
             is_probe: Whether the balancer expects it to be returned if the
                 target does not hold the flow; it is never held.
@@ -123,29 +126,45 @@
         Returns:
             What to send.
         """
-        segment = packet.segment
-        sends: list[outcomes.Outcome] = []
+        key = segment.key
         start = flow.request_end
         is_new = segment.length > 0 and flow.record_new_data(segment)
         may_hold = self._is_active and flow.is_open
+        may_hold = may_hold and not is_probe and not segment.opens
         if segment.closes or segment.resets:
             flow.closing = True
         if segment.resets:
-            sends = self._apply(self._queue.complete(segment.key, now), now)
-            return [outcomes.ToTarget(packet.data), *sends]
-        if flow.held and _belongs_to_held(packet, flow):
-            if not is_probe and not segment.opens:
-                appended = self._queue.append(segment.key, packet, now)
-                return self._apply(appended, now)
-            released = self._queue.release(segment.key, now)
-            sends = self._apply([released], now)
-        elif is_new and flow.request_at is None:
-            if may_hold and not is_probe and not segment.opens:
-                return self._offer(packet, flow, start, now)
-            self._queue.in_progress.begin(segment.key, now)
+            sends = self._apply(self._queue.complete(key, now), now)
+            return [outcomes.ToTarget(data), *sends]
+        if flow.held and _belongs_to_held(segment, flow):
+            return self._follow(segment, data, flow, is_probe, now)
         if is_new:
-            self._flows.begin_request(segment.key, flow, now)
-        return [*sends, outcomes.ToTarget(packet.data)]
+            begins = flow.request_at is None
+            if begins and not self._queue.begin_if_idle(key, now):
+                if may_hold:
+                    packet = held_requests.Packet(segment, data)
+                    return self._offer(packet, flow, start, now)
+                self._queue.in_progress.begin(key, now)
+            self._flows.begin_request(key, flow, now)
+        return [outcomes.ToTarget(data)]
+
+    def _follow(
+        self,
+        segment: formats.Segment,
+        data: bytes,
+        flow: held_flows.HeldFlow,
+        is_probe: bool,
+        now: float,
+    ) -> list[outcomes.Outcome]:
+        """Holds a packet behind held ones, or forwards all if it can't wait."""
+        if not is_probe and not segment.opens:
+            packet = held_requests.Packet(segment, data)
+            appended = self._queue.append(segment.key, packet, now)
+            return self._apply(appended, now)
+        released = self._queue.release(segment.key, now)
+        sends = self._apply([released], now)
+        self._flows.begin_request(segment.key, flow, now)
+        return [*sends, outcomes.ToTarget(data)]
 
     def _offer(
         self,
@@ -185,6 +204,9 @@
         ends = self._flows.ends
         self._flows.ends = []
         for end in ends:
+            if not self._queue.held_count:
+                self._queue.in_progress.end(end.key, end.rejected, False)
+                continue
             is_recorded = end.key in self._flows.by_key
             if is_recorded and self._queue.is_held(end.key):
                 # The target has closed the flow: it decides on the rest.
@@ -259,15 +281,14 @@
 
 
 def _belongs_to_held(
-    packet: held_requests.Packet, flow: held_flows.HeldFlow
+    segment: formats.Segment, flow: held_flows.HeldFlow
 ) -> bool:
     """Returns whether a packet must not overtake the held data of its flow.
 
     Args:
-        packet: The packet.
+        segment: Header of the packet.
         flow: Its flow, with a held request.
     """
-    segment = packet.segment
     if segment.closes:
         return True
     if not segment.length:
--- a/clementinelead/relays/request_queue.py
+++ b/clementinelead/relays/request_queue.py
@@ -82,6 +82,21 @@
         """
         return key in self._held.by_key
 
+    def begin_if_idle(self, key: bytes, now: float) -> bool:
+        """Begins a request if there is room and no turn to count.
+
+        Args:
+            key: Flow key.
+            now: Present time, seconds.
+
+        Returns:
+            Whether the request is to be forwarded now; otherwise it is offered.
+        """
+        if not self.in_progress.has_room or self._held.counts_turns:
+            return False
+        self.in_progress.begin(key, now)
+        return True
+
     def offer(
         self,
         key: bytes,
--- a/clementinelead/relays/target_relay.py
+++ b/clementinelead/relays/target_relay.py
@@ -14,7 +14,6 @@
 from clementinelead.relays import formats
 from clementinelead.relays import frames
 from clementinelead.relays import held_flows
-from clementinelead.relays import held_requests
 from clementinelead.relays import outcomes
 from clementinelead.relays import outstanding_packets
 from clementinelead.relays import query_replies
@@ -359,8 +358,9 @@
             segment.length or segment.resets or flow.held
         ):
             is_probe = frame.kind is _Kind.PROBE
-            packet = held_requests.Packet(segment, frame.payload)
-            return self._gate.on_packet(packet, flow, is_probe, now)
+            return self._gate.on_packet(
+                segment, frame.payload, flow, is_probe, now
+            )
         if segment.length and flow.record_new_data(segment):
             self._flows.begin_request(key, flow, now)
         if segment.closes or segment.resets:
--- a/clementinelead/relays/tests/test_request_gate.py
+++ b/clementinelead/relays/tests/test_request_gate.py
@@ -147,8 +147,9 @@
     side.answer(key)
     side.request(side.open(3))
     side.request(key, 11)
+    before = side.relay.work_under_way
     assert side.answer(key) == []
-    assert side.relay.held_request_count == 1
+    assert side.relay.work_under_way == before
     assert side.answer(side.busy[1]) == [(key, 11)]
 
 
