--- a/clementinelead/relays/tests/test_request_queue.py
+++ b/clementinelead/relays/tests/test_request_queue.py
@@ -193,6 +193,24 @@
     assert queue.complete(b"busy0", 0.03)[0].key == b"order"
 
 
+# Guards against late answers to all: the earliest deadlines are those that can
+# no longer be met.
+def test_overdue_request_waits_behind_one_that_can_be_in_time():
+    queue = _busy_queue()
+    _fill(queue, capacity=6)
+    queue.flush(0.02)
+    for key in (b"a", b"b"):
+        _offer(queue, key, now=0.02)
+    _offer(queue, b"in time", objective_s=0.9, now=0.02)
+    _offer(queue, b"other", objective_s=0.9, now=0.02)
+    [release] = _offer(queue, b"overdue", objective_s=0.05, now=0.02)
+    assert release.key == b"in time"
+    assert queue.is_held(b"overdue")
+    queue.complete(b"a", 0.03)
+    queue.complete(b"b", 0.03)
+    assert queue.is_held(b"overdue") is queue.is_held(b"other") is False
+
+
 # Guards against starvation of a priority whose requests never fit.
 def test_refused_lower_priority_gets_the_fourth_turn():
     queue = _busy_queue()
