--- a/clementinelead/relays/request_queue.py
+++ b/clementinelead/relays/request_queue.py
@@ -126,10 +126,9 @@
             return [self._pass(key, packet, _Cause.AT_LIMIT, now)]
         if self._held.packet_count >= MAX_PACKETS:
             return [self._pass(key, packet, _Cause.NO_SPACE, now)]
-        is_in_time = self._can_be_in_time(priority, objective_s)
-        if not is_in_time and self._held.is_due(priority):
-            is_in_time = True
-        if not is_in_time and self.in_progress.is_full:
+        may_wait = self._held.is_due(priority)
+        may_wait = may_wait or self._can_be_in_time(priority, objective_s)
+        if not may_wait and self.in_progress.is_full:
             self._held.note_refused(priority)
             return [self._pass(key, packet, _Cause.OVERFLOW, now)]
         data_by_position = {packet.position: packet.data}
@@ -137,7 +136,7 @@
             key, priority, objective_s, timeout_s, now, data_by_position
         )
         self._held.add(request)
-        if is_in_time:
+        if may_wait:
             return []
         if self.in_progress.has_rejected:
             self._held.mark_overdue(request)
@@ -198,8 +197,7 @@
         if request is not None:
             self._held.remove(request)
             return [request_releases.dropped(request, _Cause.DISCARDED, now)]
-        any_held = self.held_count > 0
-        if not self.in_progress.end(key, rejected, any_held):
+        if not self.in_progress.end(key, rejected, self.held_count > 0):
             return []
         return self._forward_in_turn(now)
 
@@ -272,13 +270,11 @@
             if request is None:
                 break
             if request.has_expired(now):
-                releases.append(
-                    request_releases.dropped(request, _Cause.EXPIRED, now)
-                )
-            else:
-                self._held.note_forwarded(request.priority)
-                release = self._forward(request, _Cause.IN_TURN, now)
-                releases.append(release)
+                expired = request_releases.dropped(request, _Cause.EXPIRED, now)
+                releases.append(expired)
+                continue
+            self._held.note_forwarded(request.priority)
+            releases.append(self._forward(request, _Cause.IN_TURN, now))
         if self.in_progress.is_full:
             releases += self._forward_all(
                 held_requests.OVERDUE, _Cause.OVERFLOW, now
--- a/clementinelead/relays/tests/test_competing_requests.py
+++ b/clementinelead/relays/tests/test_competing_requests.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from clementinelead.relays.tests import one_target
+from clementinelead.replays import one_target
 
 STREAM, ORDER = one_target.STREAM, one_target.ORDER
 ON = one_target.PRIORITY
--- a/clementinelead/relays/tests/test_request_gate.py
+++ b/clementinelead/relays/tests/test_request_gate.py
@@ -10,7 +10,7 @@
 from clementinelead.relays import outcomes
 from clementinelead.relays import routes
 from clementinelead.relays import target_relay
-from clementinelead.relays.tests import one_target
+from clementinelead.replays import one_target
 from clementinelead.replays import packets
 
 STREAM, ORDER = one_target.STREAM, one_target.ORDER
