Hold no request before the target's slots are known

Cause: after a restart of the side process the queue assumed one slot until the target's first heartbeat, up to a heartbeat interval (1 s) later. A target with eight slots was sent two requests at a time meanwhile.

Change: requests are held only once a heartbeat has told the number of slots.

Result: test_nothing_is_held_before_the_slots_are_known failed (2 of 8 requests forwarded) and passes.

--- a/clementinelead/relays/request_gate.py
+++ b/clementinelead/relays/request_gate.py
@@ -65,6 +65,7 @@
         """
         self.in_use = False
         self._is_active = False
+        self._is_configured = False
         self._flows = flows
         self._route_of = route_of
         self._counts = counts
@@ -94,9 +95,12 @@
     def configure(self, slots: int) -> None:
         """Sets the number of requests that the target serves at once.
 
+        No request is held before: with too small a number, slots would idle.
+
         Args:
             slots: The number, at least 1.
         """
+        self._is_configured = True
         self._queue.in_progress.configure(slots)
 
     def on_packet(
@@ -129,7 +133,7 @@
         key = segment.key
         start = flow.request_end
         is_new = segment.length > 0 and flow.record_new_data(segment)
-        may_hold = self._is_active and flow.is_open
+        may_hold = self._is_active and self._is_configured and flow.is_open
         may_hold = may_hold and not is_probe and not segment.opens
         if segment.closes or segment.resets:
             flow.closing = True
--- a/clementinelead/relays/tests/test_request_gate.py
+++ b/clementinelead/relays/tests/test_request_gate.py
@@ -169,6 +169,20 @@
     assert side.request(key, 11) == [(key, 11)]
 
 
+# Guards against idle slots after a restart of the side process: until the first
+# heartbeat it does not know how many the target has.
+def test_nothing_is_held_before_the_slots_are_known():
+    side = _Side()
+    side.relay = target_relay.TargetRelay(
+        packets.Format(), one_target.SERVICE, side.decisions.append, 0.0, 0
+    )
+    side.relay.set_routes(one_target.table(one_target.PRIORITY))
+    for number in range(8):
+        key = packets.flow_key(number, STREAM)
+        side.answer(key)  # to a request before the restart
+        assert side.request(key, 11) == [(key, 11)]
+
+
 def test_restart_of_the_target_drops_held_requests():
     side = _Side()
     key = side.open(3)
