Keep the schedule of a search that late replies resume

Cause: each late reply resumed the last search of a flow, and its end counted as another failure. The delay before the next search grew by 1.5 each time: ten late denials in a second moved it from 0.35 s to 15 s, past the retry age. A side process that restarts meanwhile has lost the query, so the open flow that it holds was not found, and packets of the caller were dropped as unknown.

Change: the end of a resumed search leaves the next search where it is. A due search begins in the tick in which a resumed one ends, before another late reply resumes that again.

Result: test_late_replies_do_not_postpone_the_next_search failed (no query in 0.36 s, the next search was due at 0.35 s) and passes.

--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -430,7 +430,6 @@
         Returns:
             The datagrams and packets to send.
         """
-        self._retry(now)
         sends, queried = self._rounds.take_due(now)
         for key in queried & self._search_by_key.keys():
             self._search_by_key[key].deadline = (
@@ -439,6 +438,9 @@
         for key, search in list(self._search_by_key.items()):
             if now >= search.deadline:
                 sends.extend(self._on_deadline(key, search, now))
+        # Last, so that a due search begins before another late reply resumes
+        # the one that has just ended.
+        self._retry(now)
         return sends
 
     def _on_deadline(
--- a/clementinelead/relays/tests/test_searching.py
+++ b/clementinelead/relays/tests/test_searching.py
@@ -131,6 +131,28 @@
         assert targets.is_abandoned(address, BEGIN + late) is abandoned
 
 
+# Guards against an open flow that is not searched for again while its owner
+# restarts, since each late reply of another process postponed the next search.
+def test_late_replies_do_not_postpone_the_next_search():
+    balancer = network.Network(targets=12).new_balancer()
+    key = _search(balancer, 1, BEGIN)
+    queried = _queried_sides(balancer, BEGIN + 0.004)
+    timeout_s = query_rounds.QUERY_REPLY_TIMEOUT_S
+    now = BEGIN + 0.004 + timeout_s
+    assert not _queried_sides(balancer, now)  # ends without the replies
+    due_at = now + unresolved_flows.FIRST_RETRY_DELAY_S
+    searched_at = []
+    for address in queried[:6]:
+        _deny(balancer, key, address, now)
+        now += timeout_s
+        _queried_sides(balancer, now)
+        if _queried_sides(balancer, now + query_rounds.QUERY_BATCH_DELAY_S):
+            searched_at.append(now)
+    # The search that the last reply has resumed ends first.
+    assert searched_at
+    assert due_at <= searched_at[0] <= due_at + 2 * timeout_s
+
+
 def test_process_that_has_served_is_not_abandoned(balancer):
     unresponsive = ("side1", 1)
     assert not _is_reset_without(balancer, unresponsive, BEGIN)
--- a/clementinelead/relays/unresolved_flows.py
+++ b/clementinelead/relays/unresolved_flows.py
@@ -61,6 +61,9 @@
     def schedule_retry(self, search: searches.Search, now: float) -> bool:
         """Schedules the next search for a flow, with exponential backoff.
 
+        A search that late replies have resumed has sent no further queries, so
+        its end does not postpone the next one.
+
         Args:
             search: The search that found no owner.
             now: Present time, seconds.
@@ -72,6 +75,9 @@
         last = self._flow_by_key.get(key)
         if last is None and len(self._flow_by_key) >= MAX_FLOWS:
             return False
+        if last is not None and last.last_search is search:
+            self._next_due_at = min(self._next_due_at, last.due_at)
+            return True
         began_at = search.began_at if last is None else last.began_at
         delay_s = (
             FIRST_RETRY_DELAY_S
