Record the data of the packet that finds an unrecorded flow

Cause: the first data packet of a flow that a restarted side process does not know was forwarded without a record of its end. The caller's copy 0.2 s later counted as a new request, was held, and after the target's answer was forwarded as one. The target does not answer it, so it stayed in progress for 5 s. Two of these block a target with one slot.

Change: while the request queue is in use, the end of that data is recorded. With equal priorities nothing changes.

Result: test_copy_of_the_data_that_found_the_flow_is_no_new_request failed (the copy was held) and passes.

--- a/clementinelead/relays/target_relay.py
+++ b/clementinelead/relays/target_relay.py
@@ -385,7 +385,11 @@
                     _Kind.NOT_HELD, frame, source, frame.payload
                 )
             ]
-        self._flows.add_unconfirmed(frame.key, source, now)
+        flow = self._flows.add_unconfirmed(frame.key, source, now)
+        if self._gate.in_use and segment.length:
+            # A copy of the data must not be held as a new request: the target
+            # would not answer it again.
+            flow.record_new_data(segment)
         self._outstanding.add_probe(frame.key, source, now)
         self.counts.add("probed")
         return [outcomes.ToTarget(frame.payload)]
--- a/clementinelead/relays/tests/test_request_gate.py
+++ b/clementinelead/relays/tests/test_request_gate.py
@@ -8,6 +8,7 @@
 from clementinelead.relays import frames
 from clementinelead.relays import held_flows
 from clementinelead.relays import outcomes
+from clementinelead.relays import outstanding_packets
 from clementinelead.relays import routes
 from clementinelead.relays import target_relay
 from clementinelead.replays import one_target
@@ -183,6 +184,19 @@
         assert side.request(key, 11) == [(key, 11)]
 
 
+# Guards against a request that stays in progress until the timeout because a
+# copy of answered data was forwarded as a new request.
+def test_copy_of_the_data_that_found_the_flow_is_no_new_request():
+    side = _Side()
+    side.relay.startup.no_predecessor = False  # flows may be unrecorded
+    key = packets.flow_key(9, STREAM)
+    assert side.request(key, kind=PROBE) == [(key, 1)]
+    side.tick(outstanding_packets.RETURN_TIMEOUT_S)  # the target keeps it
+    assert side.request(key) == [(key, 1)]
+    assert side.relay.held_request_count == 0
+    assert side.request(key, 11) == []
+
+
 def test_restart_of_the_target_drops_held_requests():
     side = _Side()
     key = side.open(3)
