--- a/clementinelead/platform/packets.py
+++ b/clementinelead/platform/packets.py
@@ -9,7 +9,7 @@
 
 from clementinelead.relays import formats
 
-__all__ = ["HEADER_BYTES", "PlatformFormat"]
+__all__ = ["HEADER_BYTES", "PlatformFormat", "address_bytes", "service_text"]
 
 HEADER_BYTES = 36
 MAX_DATA_BYTES = 1_200
@@ -55,6 +55,20 @@
         raise ValueError(f"port {port} is out of range") from error
 
 
+def service_text(address: bytes) -> str:
+    """Returns an address of ``address_bytes`` as text.
+
+    Args:
+        address: Port and IPv4 address as they are in flow keys.
+
+    Examples:
+        >>> service_text(address_bytes("198.18.0.1", 443))
+        '198.18.0.1:443'
+    """
+    port = int.from_bytes(address[:2], "little")
+    return f"{_address_text(address[2:])}:{port}"
+
+
 def _address_text(address: bytes) -> str:
     """Returns an address of a header in dotted form."""
     return f"{address[3]}.{address[2]}.{address[1]}.{address[0]}"
