--- /dev/null
+++ b/clementinelead/memberships/capacities.py
@@ -0,0 +1,66 @@
+"""Relative capacities of the balancers of an availability zone.
+
+The fabric uses all balancers of a zone if fewer than half of them are in its
+rotation. An overloaded one may therefore leave only if it belongs to the half
+with the smallest links, and only if others have much larger ones: among equals
+the rest would be overloaded next.
+"""
+
+import collections.abc
+
+from clementinelead.memberships import records
+
+__all__ = ["may_leave_rotation", "weight"]
+
+MAX_WEIGHT = 655.0
+"""Largest weight that a control message can carry."""
+
+MAX_RELATIVE_CAPACITY = 0.5
+"""Capacity up to which a balancer may leave, as a share of the largest one."""
+
+_ENDING = (records.State.DRAINING, records.State.LEAVING)
+
+
+def weight(role: records.Role, link_mbps: float) -> float:
+    """Returns the weight in the membership record of a process.
+
+    Args:
+        role: Kind of the process.
+        link_mbps: Bandwidth of the instance's link, Mbit/s; 0 if not known.
+
+    Examples:
+        >>> weight(records.Role.BALANCER, 5.0)
+        5.0
+        >>> weight(records.Role.SIDE, 1000.0)
+        1.0
+    """
+    if role is not records.Role.BALANCER or link_mbps <= 0.0:
+        return 1.0
+    return min(MAX_WEIGHT, link_mbps)
+
+
+def may_leave_rotation(
+    own: records.Record, others: collections.abc.Iterable[records.Record]
+) -> bool:
+    """Returns whether a balancer may leave the rotation while it is overloaded.
+
+    Args:
+        own: Its own record.
+        others: Records of all processes; its own may be among them.
+    """
+    balancers = {
+        record.id: record
+        for record in others
+        if record.role is records.Role.BALANCER
+        and record.zone == own.zone
+        and record.health is records.Health.ALIVE
+        and record.state not in _ENDING
+    }
+    balancers[own.id] = own
+    ordered = sorted(
+        balancers.values(), key=lambda record: (record.weight, record.id)
+    )
+    largest = ordered[-1].weight
+    if own.weight > MAX_RELATIVE_CAPACITY * largest:
+        return False
+    return own in ordered[: len(ordered) // 2]
--- a/clementinelead/memberships/records.py
+++ b/clementinelead/memberships/records.py
@@ -49,7 +49,8 @@
         control_port: UDP port of control messages.
         http_port: TCP port for peers, metrics and the administration API.
         services: Services that its target serves; empty for a balancer.
-        weight: Relative share of new flows.
+        weight: Relative share of new flows; of a relaying balancer the
+            bandwidth of its link, Mbit/s.
         store_lost: Whether the store does not answer the process.
     """
 
--- /dev/null
+++ b/clementinelead/memberships/tests/test_capacities.py
@@ -0,0 +1,75 @@
+"""Which balancers of a zone may leave the fabric's rotation."""
+
+import dataclasses
+
+import pytest
+
+from clementinelead.memberships import capacities
+from clementinelead.memberships import records
+
+RECORD = records.Record(
+    id="b",
+    incarnation=1,
+    sequence=1,
+    role=records.Role.BALANCER,
+    state=records.State.READY,
+    region="r",
+    zone="z",
+    address="10.0.0.1",
+    data_port=1,
+    control_port=2,
+    http_port=3,
+)
+
+
+def _zone(*weights, **changes):
+    return [
+        dataclasses.replace(RECORD, id=f"b{n}", weight=weight, **changes)
+        for n, weight in enumerate(weights)
+    ]
+
+
+def _leaving(balancers, others=()):
+    return [
+        record.weight
+        for record in balancers
+        if capacities.may_leave_rotation(record, [*balancers, *others])
+    ]
+
+
+# Guards against a zone with fewer than half of its balancers in the rotation,
+# whereupon the fabric would use all of them again.
+@pytest.mark.parametrize(
+    ("weights", "leaving"),
+    [
+        ((100, 100, 8.5, 5, 5), [5, 5]),
+        ((100, 100, 8.5, 5, 5, 5), [5, 5, 5]),
+        ((100, 5, 5, 5, 5), [5, 5]),
+        ((100, 100), []),
+        ((100, 5), [5]),
+        ((5,), []),
+        ((10, 8, 6), []),
+    ],
+)
+def test_at_most_the_smaller_half_may_leave(weights, leaving):
+    assert _leaving(_zone(*weights)) == leaving
+
+
+def test_balancers_of_other_zones_and_side_processes_do_not_count():
+    others = [
+        *_zone(500.0, zone="y"),
+        *_zone(500.0, role=records.Role.SIDE),
+        *_zone(500.0, state=records.State.LEAVING),
+        *_zone(500.0, health=records.Health.DEAD),
+    ]
+    others = [
+        dataclasses.replace(record, id=f"o{n}")
+        for n, record in enumerate(others)
+    ]
+    assert _leaving(_zone(5, 5, 5), others) == []
+
+
+# Guards against a wrong choice beside balancers of the version before, whose
+# records have the weight 1.
+def test_balancer_stays_beside_peers_of_unknown_capacity():
+    assert _leaving(_zone(5, 1, 1))[:1] != [5]
--- a/clementinelead/platform/settings.py
+++ b/clementinelead/platform/settings.py
@@ -55,6 +55,10 @@
     evacuate_ms: float | None = None
 
 
+class _Limits(msgspec.Struct):
+    link_mbps: float = 0.0
+
+
 class _File(msgspec.Struct):
     node_name: str
     ip: str
@@ -65,6 +69,7 @@
     platform: _Store
     seeds: list[str] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     app: str = ""  # UDP and TCP; the target of this side process
     service: str = ""
     zones: dict[str, str] = {}  # region by availability zone
@@ -169,6 +174,7 @@
         heartbeat_s=file.heartbeat_ms / _MS_PER_S,
         first_start=file.bootstrap,
         warmup_bound=_warmup_bound(file.bounds),
+        link_mbps=max(0.0, file.limits.link_mbps),
     )
     return NodeSettings(
         relay=relay,
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -6,6 +6,7 @@
 
 import loguru
 
+from clementinelead.memberships import capacities
 from clementinelead.memberships import members
 from clementinelead.memberships import records
 from clementinelead.processes import contact_keys
@@ -107,6 +108,7 @@
         self._scheduled_batch: asyncio.Handle | None = None
         self._batch_due_at = 0.0
         self._was_behind = False
+        self._was_overloaded = False
         self._backlog_log_limit = logs.RateLimiter(MAX_BACKLOG_LINES_PER_S)
         self._known_targets = known_targets.KnownTargets(
             self.node.gossiper.table
@@ -131,6 +133,16 @@
             lambda: self.node.routes.table.version,
             "Routes in force",
         )
+        self.metrics.gauge(
+            "lossy_share",
+            lambda: self.steering.overload.lossy_share,
+            "Share of the responding side processes that missed replies, too",
+        )
+        self.metrics.gauge(
+            "overload_leaves",
+            lambda: self.steering.overload.leave_count,
+            "Times that this process left the rotation because of overload",
+        )
         contact = self._route_watch.contact
         self.metrics.count(
             "store_watch_calls", contact.counts, "Calls of the watch by outcome"
@@ -146,6 +158,7 @@
         """Whether the fabric should send packets to this process."""
         if (
             self._stopping
+            or self.steering.overload.is_overloaded(time.monotonic())
             or not self.node.joining.joined
             or self.node.is_isolated
         ):
@@ -267,6 +280,7 @@
                 break
             self._send(results)
         self._log_backlog()
+        self._log_overload()
         if not idle:
             self._schedule_batch(0.0)
         elif self.steering.busy:
@@ -303,6 +317,18 @@
             "behind with packets" if self._was_behind else "no longer behind"
         )
 
+    def _log_overload(self) -> None:
+        """Logs when this process leaves the rotation, and when it returns."""
+        overload = self.steering.overload
+        overloaded = overload.is_overloaded(time.monotonic())
+        if overloaded is self._was_overloaded:
+            return
+        self._was_overloaded = overloaded
+        loguru.logger.bind(
+            lossy_share=round(overload.lossy_share, 2),
+            times=overload.leave_count,
+        ).info("overloaded" if overloaded else "no longer overloaded")
+
     def _send(self, results: list[outcomes.Outcome]) -> None:
         for outcome in results:
             match outcome:
@@ -372,6 +398,12 @@
         """
         self.steering.set_evacuated_zones(zones)
 
+    def _update_may_leave(self) -> None:
+        """Updates whether this process may leave the rotation if overloaded."""
+        self.steering.overload.may_leave = capacities.may_leave_rotation(
+            self.node.gossiper.own, self.node.gossiper.table.by_id.values()
+        )
+
     def on_members(self, changes: list[members.Change], now: float) -> None:
         """Updates the targets of services whose side processes have changed.
 
@@ -379,6 +411,8 @@
             changes: Changes of membership records of any role.
             now: Present time, seconds.
         """
+        if any(change.new.role is records.Role.BALANCER for change in changes):
+            self._update_may_leave()
         for change in changes:
             record = change.new
             if record.role is not records.Role.SIDE:
--- a/clementinelead/processes/relay_node.py
+++ b/clementinelead/processes/relay_node.py
@@ -11,6 +11,7 @@
 
 from clementinelead.memberships import anti_entropy
 from clementinelead.memberships import authentication
+from clementinelead.memberships import capacities
 from clementinelead.memberships import gossip
 from clementinelead.memberships import members
 from clementinelead.memberships import options
@@ -126,6 +127,7 @@
             control_port=settings.control_port,
             http_port=settings.http_port,
             services=services,
+            weight=capacities.weight(role, settings.link_mbps),
         )
         self.random = random.Random(f"{own.id}/{own.incarnation}")
         seeds = [seed for seed in settings.seeds if seed != settings.address]
--- a/clementinelead/processes/relay_settings.py
+++ b/clementinelead/processes/relay_settings.py
@@ -26,6 +26,7 @@
         first_start: Whether the whole system starts for the first time.
         warmup_bound: Bound on new flows at targets that warm up, None if their
             number is not limited.
+        link_mbps: Bandwidth of the instance's link, Mbit/s; 0 if not known.
         zone_spill_share: Share of a route's latency objective up to which a
             balancer prefers targets in its availability zone, 0 if not at all.
         extra_openings_share: Share of the openings of a service that a
@@ -46,5 +47,6 @@
     heartbeat_s: float
     first_start: bool = False
     warmup_bound: warmup_limit.WarmupBound | None = None
+    link_mbps: float = 0.0
     zone_spill_share: float = 0.0
     extra_openings_share: float = 0.0
--- a/clementinelead/relays/directory.py
+++ b/clementinelead/relays/directory.py
@@ -1,6 +1,7 @@
 """Directory of the targets of all services, and which of them respond."""
 
 from clementinelead.relays import candidates
+from clementinelead.relays import overload
 from clementinelead.relays import responsiveness
 
 __all__ = ["Directory"]
@@ -26,6 +27,7 @@
         zone: Availability zone of this balancer.
         by_service: Targets whose side processes are alive, by service.
         responsiveness: Which side processes reply to queries.
+        overload: Whether most of them miss replies now and then.
         complete_from: Time from which no side process is missing here, seconds.
         denials_conclusive_from: Time from which a flow is lost if all side
             processes listed here reply that they don't hold it, seconds.
@@ -36,6 +38,7 @@
         self.by_service: dict[str, tuple[candidates.Target, ...]] = {}
         self._evacuated_zones: frozenset[str] = frozenset()
         self.responsiveness = responsiveness.Responsiveness()
+        self.overload = overload.Overload()
         self.complete_from = float("inf")
         self.denials_conclusive_from = float("inf")
         self._same_zone: frozenset[tuple[str, int]] | None = None
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -311,9 +311,12 @@
             return self._give_up(key, placement, now)
         if placement.chosen is not None:
             self._counts.add("accept_overdue")
+            self._directory.overload.record_timeout(placement.chosen, now)
             self._report_decision(key, placement, "not answered", now)
             placement.chosen = None
         # Missing replies are still accepted, but no longer delay the choice.
+        for address in placement.awaiting_reply:
+            self._directory.overload.record_timeout(address, now)
         placement.timed_out |= placement.awaiting_reply
         placement.awaiting_reply.clear()
         return self._send_to_best(key, placement, now)
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -449,6 +449,8 @@
             search.not_returned |= search.awaiting_return
             search.awaiting_return.clear()
             return self._probe_next(key, search, now)
+        for address in search.awaiting_reply:
+            self._directory.overload.record_timeout(address, now)
         search.timed_out |= search.awaiting_reply
         search.awaiting_reply.clear()
         return self._begin_probes(key, search, now)
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -17,6 +17,7 @@
 from clementinelead.relays import frames
 from clementinelead.relays import opening_retransmissions
 from clementinelead.relays import outcomes
+from clementinelead.relays import overload
 from clementinelead.relays import placing
 from clementinelead.relays import routes
 from clementinelead.relays import searching
@@ -143,6 +144,11 @@
         """
         self._placer.set_backlogged(backlogged)
 
+    @property
+    def overload(self) -> overload.Overload:
+        """Whether this balancer should leave the fabric's rotation."""
+        return self._directory.overload
+
     @property
     def cached_flow_count(self) -> int:
         """Number of flows with a cache entry."""
@@ -284,6 +290,7 @@
         if frame is None:
             self.counts.add("malformed_frame")
             return []
+        self._directory.overload.record_reply(source, now)
         if self._directory.responsiveness.record_reply(source):
             self.counts.add("suspect_answered")
         match frame.kind:
