Test that late replies do not make a balancer leave (fails)

With a round trip of 70 ms every query times out after 60 ms and is answered 10 ms later. All side processes count as lossy, and the balancer leaves.

--- a/clementinelead/relays/tests/test_overload.py
+++ b/clementinelead/relays/tests/test_overload.py
@@ -104,7 +104,11 @@
 
 # Guards against balancers that leave because targets are slow: an opening packet
 # is answered by the target, so its delay says nothing about the link.
-@pytest.mark.parametrize(("delay_s", "target_delay_s"), [(0.001, 0.1)])
+# With a round trip of 70 ms, as on a busy machine after a restart of all
+# processes, all replies are late but none is lost.
+@pytest.mark.parametrize(
+    ("delay_s", "target_delay_s"), [(0.001, 0.1), (0.035, 0.0)]
+)
 def test_late_answers_do_not_make_a_balancer_leave(delay_s, target_delay_s):
     net = network.Network(
         targets=20, delay_s=delay_s, target_delay_s=target_delay_s
