--- a/clementinelead/memberships/capacities.py
+++ b/clementinelead/memberships/capacities.py
@@ -51,16 +51,21 @@
     balancers = {
         record.id: record
         for record in others
-        if record.role is records.Role.BALANCER
-        and record.zone == own.zone
-        and record.health is records.Health.ALIVE
-        and record.state not in _ENDING
+        if record.role is records.Role.BALANCER and record.zone == own.zone
     }
     balancers[own.id] = own
-    ordered = sorted(
-        balancers.values(), key=lambda record: (record.weight, record.id)
+    serving = sorted(
+        (record for record in balancers.values() if _serves(record)),
+        key=lambda record: (record.weight, record.id),
     )
-    largest = ordered[-1].weight
-    if own.weight > MAX_RELATIVE_CAPACITY * largest:
+    if own.weight > MAX_RELATIVE_CAPACITY * serving[-1].weight:
         return False
-    return own in ordered[: len(ordered) // 2]
+    # The fabric may still count balancers that have stopped or died.
+    absent = len(balancers) - len(serving)
+    return own in serving[: max(0, len(balancers) // 2 - absent)]
+
+
+def _serves(record: records.Record) -> bool:
+    """Returns whether a balancer is alive and does not stop."""
+    alive = record.health is records.Health.ALIVE
+    return alive and record.state not in _ENDING
--- a/clementinelead/memberships/tests/test_capacities.py
+++ b/clementinelead/memberships/tests/test_capacities.py
@@ -59,8 +59,6 @@
     others = [
         *_zone(500.0, zone="y"),
         *_zone(500.0, role=records.Role.SIDE),
-        *_zone(500.0, state=records.State.LEAVING),
-        *_zone(500.0, health=records.Health.DEAD),
     ]
     others = [
         dataclasses.replace(record, id=f"o{n}")
@@ -73,3 +71,17 @@
 # records have the weight 1.
 def test_balancer_stays_beside_peers_of_unknown_capacity():
     assert _leaving(_zone(5, 1, 1))[:1] != [5]
+
+
+# Guards against too few balancers in the rotation while some of the zone stop.
+@pytest.mark.parametrize(
+    "ending",
+    [
+        {"state": records.State.LEAVING},
+        {"state": records.State.DRAINING},
+        {"health": records.Health.DEAD},
+    ],
+)
+def test_balancers_that_end_count_among_those_out_of_the_rotation(ending):
+    stopped = dataclasses.replace(RECORD, id="stopped", weight=100, **ending)
+    assert _leaving(_zone(100, 5, 5, 5), [stopped]) == [5]
--- a/clementinelead/relays/overload.py
+++ b/clementinelead/relays/overload.py
@@ -8,6 +8,8 @@
 passes its flows on to them; their owners are found by queries.
 """
 
+import collections
+
 __all__ = ["Overload"]
 
 MIN_LOSSY_SHARE = 0.5
@@ -57,7 +59,7 @@
         self.may_leave = False
         self._window_began_at = float("-inf")
         self._responding: set[_Address] = set()
-        self._missing: set[_Address] = set()
+        self._missing: collections.Counter[_Address] = collections.Counter()
         self._was_lossy = False
         self._leave_s = FIRST_LEAVE_S
         self._away_until = float("-inf")
@@ -80,7 +82,19 @@
             now: Present time, seconds.
         """
         self._update(now)
-        self._missing.add(address)
+        self._missing[address] += 1
+
+    def record_late_reply(self, address: _Address) -> None:
+        """Records that a reply has arrived after its timeout: it is not lost.
+
+        Late replies have other causes than a link that drops packets, such as
+        many processes that start at the same time.
+
+        Args:
+            address: Address of the side process.
+        """
+        if self._missing[address] > 0:
+            self._missing[address] -= 1
 
     def is_overloaded(self, now: float) -> bool:
         """Returns whether this balancer should be out of the rotation.
@@ -96,7 +110,7 @@
             return
         contiguous = now - self._window_began_at < 2 * WINDOW_S
         enough = len(self._responding) >= MIN_RESPONDING
-        lossy = len(self._responding & self._missing)
+        lossy = sum(self._missing[address] > 0 for address in self._responding)
         self.lossy_share = lossy / len(self._responding) if enough else 0.0
         is_lossy = contiguous and self.lossy_share >= MIN_LOSSY_SHARE
         away = now < self._away_until
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -269,7 +269,11 @@
         sends: list[outcomes.Outcome] = []
         for key in _keys(frame):
             search = self._last_search(key)
-            if search is None or not search.take_reply(source):
+            if search is None:
+                continue
+            if source in search.timed_out:
+                self._directory.overload.record_late_reply(source)
+            if not search.take_reply(source):
                 continue
             self._resume(key, search, now)
             unsure = frame.kind is _Kind.UNSURE
