--- a/clementinelead/memberships/capacities.py
+++ b/clementinelead/memberships/capacities.py
@@ -58,6 +58,8 @@
         (record for record in balancers.values() if _serves(record)),
         key=lambda record: (record.weight, record.id),
     )
+    if own not in serving:
+        return False
     if own.weight > MAX_RELATIVE_CAPACITY * serving[-1].weight:
         return False
     # The fabric may still count balancers that have stopped or died.
--- a/clementinelead/relays/overload.py
+++ b/clementinelead/relays/overload.py
@@ -8,8 +8,6 @@
 passes its flows on to them; their owners are found by queries.
 """
 
-import collections
-
 __all__ = ["Overload"]
 
 MIN_LOSSY_SHARE = 0.5
@@ -19,6 +17,9 @@
 processor of this instance affects most of them.
 """
 
+MAX_LATE_SHARE = 0.5
+"""Share of the missing replies that may arrive late in an overload."""
+
 MIN_RESPONDING = 8
 """Fewest responding side processes that say something about this instance."""
 
@@ -59,7 +60,9 @@
         self.may_leave = False
         self._window_began_at = float("-inf")
         self._responding: set[_Address] = set()
-        self._missing: collections.Counter[_Address] = collections.Counter()
+        self._missing: set[_Address] = set()
+        self._timeout_count = 0
+        self._late_count = 0
         self._was_lossy = False
         self._leave_s = FIRST_LEAVE_S
         self._away_until = float("-inf")
@@ -82,19 +85,16 @@
             now: Present time, seconds.
         """
         self._update(now)
-        self._missing[address] += 1
+        self._missing.add(address)
+        self._timeout_count += 1
 
-    def record_late_reply(self, address: _Address) -> None:
+    def record_late_reply(self) -> None:
         """Records that a reply has arrived after its timeout: it is not lost.
 
         Late replies have other causes than a link that drops packets, such as
         many processes that start at the same time.
-
-        Args:
-            address: Address of the side process.
         """
-        if self._missing[address] > 0:
-            self._missing[address] -= 1
+        self._late_count += 1
 
     def is_overloaded(self, now: float) -> bool:
         """Returns whether this balancer should be out of the rotation.
@@ -110,7 +110,9 @@
             return
         contiguous = now - self._window_began_at < 2 * WINDOW_S
         enough = len(self._responding) >= MIN_RESPONDING
-        lossy = sum(self._missing[address] > 0 for address in self._responding)
+        lossy = len(self._responding & self._missing)
+        if self._late_count > MAX_LATE_SHARE * self._timeout_count:
+            lossy = 0
         self.lossy_share = lossy / len(self._responding) if enough else 0.0
         is_lossy = contiguous and self.lossy_share >= MIN_LOSSY_SHARE
         away = now < self._away_until
@@ -120,6 +122,8 @@
         self._window_began_at = now
         self._responding.clear()
         self._missing.clear()
+        self._timeout_count = 0
+        self._late_count = 0
 
     def _leave(self, now: float) -> None:
         relapsed = now - self._away_until < RELAPSE_WINDOW_S
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -152,7 +152,7 @@
         self._queries.record_reply(frame, source, now)
         placement = self._placement_by_key.get(frame.key)
         if placement is None or source not in placement.awaiting_reply:
-            self._directory.overload.record_late_reply(source)
+            self._directory.overload.record_late_reply()
         if placement is None or placement.chosen is not None:
             return []
         if source not in placement.queried:
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -272,7 +272,7 @@
             if search is None:
                 continue
             if source in search.timed_out:
-                self._directory.overload.record_late_reply(source)
+                self._directory.overload.record_late_reply()
             if not search.take_reply(source):
                 continue
             self._resume(key, search, now)
