Recover faster after a loss of power of all machines

(2) A side process that was stopped before its target had announced itself was declared dead after 8 s; until then no lost flow was reset (unanswered: one address, absent 38 of 39).

Change: at most six targets are probed in the first 0.4 s of a search; by then most targets have announced themselves and their side processes deny the flow. A process that goes from cold to draining is abandoned after 2 s without a reply.

--- a/clementinelead/processes/known_targets.py
+++ b/clementinelead/processes/known_targets.py
@@ -22,6 +22,7 @@
         Args:
             table: Member table with the predecessors of restarted processes.
         """
+        self._never_ready_ids: set[str] = set()
         self._table = table
         self._by_service: dict[str, dict[str, candidates.Target]] = {}
 
@@ -42,6 +43,7 @@
             record = change.new
             if record.role is not records.Role.SIDE:
                 continue
+            self._update_never_ready(change)
             old_services = change.old.services if change.old is not None else ()
             for service in old_services:
                 self._targets(service).pop(record.id, None)
@@ -68,4 +70,15 @@
             starting=record.state is records.State.COLD,
             is_successor=predecessor is not None
             and not members.has_ended(predecessor),
+            never_ready=record.id in self._never_ready_ids,
         )
+
+    def _update_never_ready(self, change: members.Change) -> None:
+        """Updates which processes stop before their targets are ready."""
+        record, old = change.new, change.old
+        goes_on = old is not None and old.incarnation == record.incarnation
+        draining = record.state is records.State.DRAINING
+        if not draining or not goes_on or members.has_ended(record):
+            self._never_ready_ids.discard(record.id)
+        elif old is not None and old.state is records.State.COLD:
+            self._never_ready_ids.add(record.id)
--- a/clementinelead/processes/tests/test_known_targets.py
+++ b/clementinelead/processes/tests/test_known_targets.py
@@ -51,6 +51,27 @@
     assert target.is_successor
 
 
+# Guards against a balancer that waits for the replies of a process which was
+# stopped before its target announced itself.
+def test_process_that_stops_before_its_target_is_ready_is_marked():
+    side = _side(id="a", sequence=1)
+    cold = dataclasses.replace(side, state=records.State.COLD)
+    ready = dataclasses.replace(cold, sequence=2, state=records.State.READY)
+    draining = dataclasses.replace(
+        cold, sequence=3, state=records.State.DRAINING
+    )
+    dead = dataclasses.replace(draining, health=records.Health.DEAD)
+    back = dataclasses.replace(cold, incarnation=cold.incarnation + 1)
+    [target] = _targets_after(cold, draining)["s"]
+    assert target.never_ready
+    [target] = _targets_after(cold, ready, draining)["s"]
+    assert not target.never_ready
+    [target] = _targets_after(draining)["s"]
+    assert not target.never_ready
+    [target] = _targets_after(cold, draining, dead, back)["s"]
+    assert not target.never_ready
+
+
 def test_balancers_add_no_targets():
     balancer = dataclasses.replace(samples.SIDE, role=records.Role.BALANCER)
     assert _targets_after(balancer) == {}
--- a/clementinelead/relays/candidates.py
+++ b/clementinelead/relays/candidates.py
@@ -32,6 +32,8 @@
         starting: Whether its membership record does not say so yet.
         is_successor: Whether its side process has just replaced another one
             whose flows may still be open.
+        never_ready: Whether it has begun to stop before its target announced
+            itself, so most likely there is none.
     """
 
     id: str
@@ -40,6 +42,7 @@
     accepting: bool
     starting: bool
     is_successor: bool = False
+    never_ready: bool = False
 
 
 def ranked(
--- a/clementinelead/relays/directory.py
+++ b/clementinelead/relays/directory.py
@@ -13,6 +13,13 @@
 flow is unreachable for longer.
 """
 
+STOPPED_ABANDON_AFTER_S = 2.0
+"""The same for one that stopped before its target announced itself, seconds.
+
+It may be restarted beside a running target. Peers take seconds to declare it
+dead, and no lost flow can be reset while its reply is awaited.
+"""
+
 SURPLUS_ABANDON_AFTER_S = 0.25
 """The same while all side processes of before are in service, seconds.
 
@@ -43,6 +50,7 @@
         self.denials_conclusive_from = float("inf")
         self._same_zone: frozenset[tuple[str, int]] | None = None
         self._starting: frozenset[tuple[str, int]] | None = None
+        self._never_ready: frozenset[tuple[str, int]] | None = None
         self._evacuated: frozenset[tuple[str, int]] | None = None
 
     def set_targets(
@@ -61,6 +69,7 @@
         self.by_service[service] = targets
         self._same_zone = None
         self._starting = None
+        self._never_ready = None
         self._evacuated = None
 
     def set_evacuated_zones(self, zones: frozenset[str]) -> None:
@@ -108,6 +117,18 @@
             )
         return self._starting
 
+    @property
+    def never_ready(self) -> frozenset[tuple[str, int]]:
+        """Addresses of side processes that stopped without a target."""
+        if self._never_ready is None:
+            self._never_ready = frozenset(
+                target.address
+                for targets in self.by_service.values()
+                for target in targets
+                if target.never_ready and not target.is_successor
+            )
+        return self._never_ready
+
     def is_abandoned(self, address: tuple[str, int], now: float) -> bool:
         """Returns whether the replies of a side process are not waited for.
 
@@ -119,13 +140,14 @@
             address: Address of the side process.
             now: Present time, seconds.
         """
-        if address not in self.starting:
+        if address in self.never_ready:
+            limit_s = STOPPED_ABANDON_AFTER_S
+        elif address not in self.starting:
             return False
-        limit_s = (
-            SURPLUS_ABANDON_AFTER_S
-            if self.absence_decidable(now)
-            else ABANDON_AFTER_S
-        )
+        elif self.absence_decidable(now):
+            limit_s = SURPLUS_ABANDON_AFTER_S
+        else:
+            limit_s = ABANDON_AFTER_S
         return self.responsiveness.unanswered_s(address, now) >= limit_s
 
     def absence_decidable(self, now: float) -> bool:
--- a/clementinelead/relays/returned_packets.py
+++ b/clementinelead/relays/returned_packets.py
@@ -19,6 +19,7 @@
 
 class _Returns(msgspec.Struct):
     sources: set[_Address]
+    first_at: float
     last_at: float
 
 
@@ -41,7 +42,8 @@
             source: Address of the side process.
             now: Present time, seconds.
         """
-        returns = self._returns_by_key.pop(key, None) or _Returns(set(), now)
+        returns = self._returns_by_key.pop(key, None)
+        returns = returns or _Returns(set(), now, now)
         self._returns_by_key[key] = returns  # moves the flow to the end
         returns.last_at = now
         if source not in returns.sources:
@@ -59,6 +61,15 @@
         returns = self._returns_by_key.get(key)
         return frozenset(returns.sources) if returns else frozenset()
 
+    def first_at(self, key: bytes) -> float:
+        """Returns the time of the first return, seconds; infinite without one.
+
+        Args:
+            key: Flow key.
+        """
+        returns = self._returns_by_key.get(key)
+        return returns.first_at if returns else float("inf")
+
     def discard(self, key: bytes) -> None:
         """Drops the returns of a flow that may have been opened anew."""
         returns = self._returns_by_key.pop(key, None)
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -32,6 +32,20 @@
 owner, within the time for which packets may be reordered.
 """
 
+MAX_FIRST_PROBES = 6
+"""Most targets that are probed before ``PROBE_ALL_AFTER_S``.
+
+They are likely to have been queried when the flow was opened.
+"""
+
+PROBE_ALL_AFTER_S = 0.4
+"""Time from the first search for a flow until all targets are probed, seconds.
+
+After a loss of power of all machines every target is unsure until its first
+heartbeat shows that it has just started. Probes of all targets with every
+packet would fill the links of small instances for seconds meanwhile.
+"""
+
 RESTART_TIME_S = 1.0
 """Time in which a side process that is restarted replies again, seconds.
 
@@ -314,10 +328,24 @@
         """Returns how many more targets may be probed now."""
         if search.opening:
             return 0
-        if not self._owner_may_return(search, now):
+        if self._owner_may_return(search, now):
+            limit = MAX_EARLY_PROBES
+        elif now - self._first_search_at(key, search) < PROBE_ALL_AFTER_S:
+            limit = MAX_FIRST_PROBES
+        else:
             return len(search.unsure_owners)
         reached = search.probed | self._returned.sources(key)
-        return max(0, MAX_EARLY_PROBES - len(reached))
+        return max(0, limit - len(reached))
+
+    def _first_search_at(self, key: bytes, search: searches.Search) -> float:
+        """Returns since when a flow has been searched for, seconds.
+
+        A target that returns packets late ends a search, as it seems to hold
+        the flow for a moment. Its return tells when that was.
+        """
+        last = self._unresolved.get(key)
+        began_at = search.began_at if last is None else last.began_at
+        return min(began_at, self._returned.first_at(key))
 
     def _owner_may_return(self, search: searches.Search, now: float) -> bool:
         """Returns whether a process that does not reply may soon do so."""
--- a/clementinelead/relays/tests/network.py
+++ b/clementinelead/relays/tests/network.py
@@ -5,6 +5,7 @@
 real targets do.
 """
 
+import collections.abc
 import dataclasses
 import heapq
 
@@ -253,11 +254,17 @@
         balancer.former.record_change(balancer.table, table, self.now)
         balancer.set_routes(table)
 
-    def update_targets(self, balancer: steering.Steering) -> None:
+    def update_targets(
+        self,
+        balancer: steering.Steering,
+        never_ready: collections.abc.Collection[tuple[str, int]] = (),
+    ) -> None:
         """Sets a balancer's targets to the present state of all targets.
 
         Args:
             balancer: The balancer.
+            never_ready: Addresses of side processes that stopped before their
+                targets announced themselves.
         """
         balancer.set_targets(
             SERVICE,
@@ -266,8 +273,9 @@
                     address[0],
                     address,
                     self.zone_by_address[address],
-                    side.accepting,
+                    side.accepting and address not in never_ready,
                     False,
+                    never_ready=address in never_ready,
                 )
                 for address, side in self.side_by_address.items()
             ),
