Prefer targets of the own zone below a share of the objective

Cause: demand peaks move through the zones and traffic between zones is expensive per byte, but a target elsewhere costs only 3 ms more.

Change: with zone_spill_share S a flow stays in its balancer's zone while the lowest load reported there is below S times the objective; a service that spills stops at 0.8 of that bound. Three targets of the own zone and one other are queried instead of two and two. Searches use the same order.

--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -92,6 +92,7 @@
             log.report,
             settings.zone,
             self.node.routes.former_services,
+            settings.zone_spill_share,
         )
         self._route_watch = route_watch.RouteWatch(self.node, source)
         generator = self.node.random
--- a/clementinelead/relays/candidates.py
+++ b/clementinelead/relays/candidates.py
@@ -67,7 +67,9 @@
 
 
 def select(
-    ordered: collections.abc.Iterable[Target], zone: str
+    ordered: collections.abc.Iterable[Target],
+    zone: str,
+    max_in_zone: int | None = None,
 ) -> list[Target]:
     """Returns the targets to query, those in the balancer's zone first.
 
@@ -78,6 +80,8 @@
     Args:
         ordered: Targets in the rendezvous order of a flow.
         zone: Availability zone of the balancer.
+        max_in_zone: Number of targets to query in it if other zones have
+            the rest, None for ``MAX_QUERIED_IN_ZONE``.
 
     Examples:
         >>> order = [
@@ -89,20 +93,25 @@
     """
     same_zone: list[Target] = []
     other_zones: list[Target] = []
-    max_other = MAX_QUERIED - MAX_QUERIED_IN_ZONE
+    if max_in_zone is None:
+        max_in_zone = MAX_QUERIED_IN_ZONE
+    max_other = MAX_QUERIED - max_in_zone
     for target in ordered:
         (same_zone if target.zone == zone else other_zones).append(target)
         count = len(same_zone) + len(other_zones)
-        if len(same_zone) >= MAX_QUERIED_IN_ZONE and count >= MAX_QUERIED:
+        if len(same_zone) >= max_in_zone and count >= MAX_QUERIED:
             if len(other_zones) >= max_other:
                 break
-    first = same_zone[:MAX_QUERIED_IN_ZONE] + other_zones[:max_other]
-    spare = same_zone[MAX_QUERIED_IN_ZONE:] + other_zones[max_other:]
+    first = same_zone[:max_in_zone] + other_zones[:max_other]
+    spare = same_zone[max_in_zone:] + other_zones[max_other:]
     return first + spare[: MAX_QUERIED - len(first)]
 
 
 def placement_order(
-    key: bytes, targets: collections.abc.Iterable[Target], zone: str
+    key: bytes,
+    targets: collections.abc.Iterable[Target],
+    zone: str,
+    max_in_zone: int | None = None,
 ) -> list[Target]:
     """Returns targets in the order in which a balancer queries them for a flow.
 
@@ -110,6 +119,7 @@
         key: Flow key.
         targets: The targets to order.
         zone: Availability zone of the balancer.
+        max_in_zone: As in ``select``.
 
     Examples:
         >>> targets = [
@@ -131,7 +141,7 @@
     while same_zone or other_zones:
         head = [*itertools.islice(same_zone, MAX_QUERIED)]
         head += itertools.islice(other_zones, MAX_QUERIED)
-        for target in select(head, zone):
+        for target in select(head, zone, max_in_zone):
             (same_zone if target.zone == zone else other_zones).popleft()
             order.append(target)
     return order
--- a/clementinelead/relays/directory.py
+++ b/clementinelead/relays/directory.py
@@ -32,6 +32,8 @@
 
     Attributes:
         zone: Availability zone of this balancer.
+        queried_in_zone: Number of targets in it that are queried for a flow,
+            None for the usual one.
         by_service: Targets whose side processes are alive, by service.
         responsiveness: Which side processes reply to queries.
         overload: Whether most of them miss replies now and then.
@@ -40,8 +42,9 @@
             processes listed here reply that they don't hold it, seconds.
     """
 
-    def __init__(self, zone: str):
+    def __init__(self, zone: str, queried_in_zone: int | None = None):
         self.zone = zone
+        self.queried_in_zone = queried_in_zone
         self.by_service: dict[str, tuple[candidates.Target, ...]] = {}
         self._evacuated_zones: frozenset[str] = frozenset()
         self.responsiveness = responsiveness.Responsiveness()
--- a/clementinelead/relays/load_queries.py
+++ b/clementinelead/relays/load_queries.py
@@ -55,6 +55,14 @@
             (suspects if suspect else responsive).append(target)
         return responsive, suspects
 
+    def _select(
+        self, ordered: list[candidates.Target]
+    ) -> list[candidates.Target]:
+        """Returns the targets to query, see ``candidates.select``."""
+        return candidates.select(
+            ordered, self._directory.zone, self._directory.queried_in_zone
+        )
+
     def use_recent(
         self, key: bytes, placement: pending_flows.Placement, now: float
     ) -> bool:
@@ -71,7 +79,7 @@
         """
         responsive, _ = self._unqueried(key, placement, now)
         load_by_address = {}
-        for target in candidates.select(responsive, self._directory.zone):
+        for target in self._select(responsive):
             load = self.recent.load_ms(target.address, now)
             if load is None:
                 return False
@@ -97,7 +105,7 @@
             now: Present time, seconds.
         """
         responsive, suspects = self._unqueried(key, placement, now)
-        chosen = candidates.select(responsive, self._directory.zone)
+        chosen = self._select(responsive)
         due = [
             target
             for target in suspects
--- a/clementinelead/relays/pending_flows.py
+++ b/clementinelead/relays/pending_flows.py
@@ -5,7 +5,7 @@
 from clementinelead.relays import frames
 from clementinelead.relays import routes
 
-__all__ = ["Placement", "best_target"]
+__all__ = ["Placement", "best_target", "first_of_lowest", "usable_costs"]
 
 FIRST_HOLD_DELAY_S = 0.03
 """Delay before a held flow queries the targets again, seconds."""
@@ -132,7 +132,22 @@
     Returns:
         Address of the target, or None if no untried target accepts the flow.
     """
-    cost_by_address = {
+    cost_by_address = usable_costs(placement, same_zone, evacuated)
+    if not cost_by_address:
+        return None
+    return first_of_lowest(placement, cost_by_address)
+
+
+def usable_costs(
+    placement: Placement,
+    same_zone: frozenset[tuple[str, int]],
+    evacuated: frozenset[tuple[str, int]],
+) -> dict[tuple[str, int], int]:
+    """Returns the costs of the targets that may get a flow, by address.
+
+    Milliseconds. See ``best_target`` for the arguments.
+    """
+    return {
         address: load + (0 if address in same_zone else CROSS_ZONE_COST_MS)
         for address, load in placement.load_by_address.items()
         if load != frames.NOT_ACCEPTING
@@ -140,8 +155,17 @@
         and address not in placement.tried
         and address not in evacuated
     }
-    if not cost_by_address:
-        return None
+
+
+def first_of_lowest(
+    placement: Placement, cost_by_address: dict[tuple[str, int], int]
+) -> tuple[str, int]:
+    """Returns the first of the targets of about the lowest cost.
+
+    Args:
+        placement: The pending flow; its queried targets give the order.
+        cost_by_address: Costs of the targets that may get it, at least one.
+    """
     limit = min(cost_by_address.values()) * (1 + EQUIVALENT_LOAD_SHARE)
     for address in placement.queried:
         if cost_by_address.get(address, limit + 1) <= limit:
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -14,6 +14,7 @@
 from clementinelead.relays import outcomes
 from clementinelead.relays import pending_flows
 from clementinelead.relays import routes
+from clementinelead.relays import zone_spill
 from clementinelead.telemetry import counters
 
 __all__ = ["Placer"]
@@ -55,6 +56,7 @@
         counts: counters.CounterSet,
         report: collections.abc.Callable[[outcomes.Decision], None],
         search: _Search,
+        zone_spill_share: float = 0.0,
     ):
         """Creates a placer without pending flows.
 
@@ -65,8 +67,11 @@
             report: Called with each decision, for the log.
             search: Searches for a flow that may be open, as
                 ``searching.Searcher.search`` does.
+            zone_spill_share: Share of a route's objective up to which flows
+                stay in the balancer's zone, 0 for no preference.
         """
         self.version = 0
+        self._zone = zone_spill.ZonePreference(zone_spill_share)
         self._format = packet_format
         self._directory = targets
         self._counts = counts
@@ -170,11 +175,15 @@
         self, key: bytes, placement: pending_flows.Placement, now: float
     ) -> list[outcomes.Outcome]:
         """Sends the opening packet to the best target that has replied."""
-        address = pending_flows.best_target(
-            placement, self._directory.same_zone, self._directory.evacuated
+        same_zone = self._directory.same_zone
+        address = self._zone.choose(
+            placement, same_zone, self._directory.evacuated, now
         )
         if address is None:
             return self._query_or_hold(key, placement, now)
+        zone_outcome = self._zone.outcome(placement, address, same_zone)
+        if zone_outcome is not None:
+            self._counts.add(zone_outcome)
         placement.chosen = address
         placement.tried.append(address)
         placement.delivered_to.add(address)
--- a/clementinelead/relays/possible_owners.py
+++ b/clementinelead/relays/possible_owners.py
@@ -121,7 +121,12 @@
             for service, targets in self._directory.by_service.items()
             if frames.service_number(service) in numbers
             for position, target in enumerate(
-                candidates.placement_order(key, targets, self._directory.zone)
+                candidates.placement_order(
+                    key,
+                    targets,
+                    self._directory.zone,
+                    self._directory.queried_in_zone,
+                )
             )
         }
         last = len(position_by_address)
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -21,6 +21,7 @@
 from clementinelead.relays import placing
 from clementinelead.relays import routes
 from clementinelead.relays import searching
+from clementinelead.relays import zone_spill
 from clementinelead.telemetry import counters
 
 __all__ = ["Steering"]
@@ -52,6 +53,7 @@
         report: collections.abc.Callable[[outcomes.Decision], None],
         zone: str,
         former: former_services.FormerServices,
+        zone_spill_share: float = 0.0,
     ):
         """Creates a balancer without routes and targets.
 
@@ -60,13 +62,17 @@
             report: Called with each decision, for the log.
             zone: Availability zone of this balancer.
             former: Services that routes no longer name.
+            zone_spill_share: Share of a route's objective up to which flows
+                stay in the balancer's zone, 0 for no preference.
         """
         self.table = routes.EMPTY
         self.former = former
         self.counts = counters.CounterSet()
         self._format = packet_format
         self._by_address: dict[bytes, routes.Route] = {}
-        self._directory = directory.Directory(zone)
+        self._directory = directory.Directory(
+            zone, zone_spill.queried_in_zone(zone_spill_share)
+        )
         self._cache = flow_cache.FlowCache()
         self._searcher = searching.Searcher(
             packet_format, self._directory, former, self.counts, report
@@ -77,6 +83,7 @@
             self.counts,
             report,
             self._searcher.search,
+            zone_spill_share,
         )
         # The start counts as a pause: packets that queued in the socket
         # meanwhile may be stale retransmissions.
