--- a/clementinelead/relays/pending_flows.py
+++ b/clementinelead/relays/pending_flows.py
@@ -52,6 +52,11 @@
         timed_out: Queried targets whose reply was not in time.
         delivered_to: Targets that have received the opening packet and may
             have answered it.
+        sent_at: Time when the chosen target got the opening packet, seconds.
+        accept_by: Time by which it must answer, seconds.
+        second: Second target whose answer is awaited too.
+        second_considered: Whether a second opening was considered once.
+        asked_further: Whether further targets were considered once.
     """
 
     route: routes.Route
@@ -70,6 +75,11 @@
     retry_delay_s: float = FIRST_HOLD_DELAY_S
     timed_out: set[tuple[str, int]] = msgspec.field(default_factory=set)
     delivered_to: set[tuple[str, int]] = msgspec.field(default_factory=set)
+    sent_at: float = 0.0
+    accept_by: float = 0.0
+    second: tuple[str, int] | None = None
+    second_considered: bool = False
+    asked_further: bool = False
 
     def remaining_ms(self, now: float) -> int:
         """Returns what is left of the latency objective, milliseconds.
--- a/clementinelead/replays/loads.py
+++ b/clementinelead/replays/loads.py
@@ -33,12 +33,14 @@
         timeout_s: Time from arrival until its callers give up, seconds.
         worth: Worth of an answer within the objective; a late one is worth
             half of it.
+        idempotent: Whether its requests may be executed more than once.
     """
 
     name: str
     objective_s: float
     timeout_s: float
     worth: float = 1.0
+    idempotent: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -163,10 +165,15 @@
     Attributes:
         share: Its share of a processor, None if its work takes no time.
         restarts: Its restarts, in the order of time.
+        extra_openings_share: Limit of extra openings, 0 for none.
+        extra_openings: Their policy, a key of
+            ``second_openings.POLICY_BY_NAME``.
     """
 
     share: float | None = None
     restarts: tuple[Restart, ...] = ()
+    extra_openings_share: float = 0.0
+    extra_openings: str = "more-targets"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/clementinelead/replays/patterns.py
+++ b/clementinelead/replays/patterns.py
@@ -9,6 +9,7 @@
 from clementinelead.replays import mixed_patterns
 from clementinelead.replays import processors
 from clementinelead.replays import scales
+from clementinelead.replays import tail_patterns
 
 __all__ = ["PATTERNS", "generate"]
 
@@ -301,6 +302,7 @@
     mixed_patterns.mixed_burst,
     mixed_patterns.evacuation,
     mixed_patterns.warm_up,
+    tail_patterns.heavy_tail,
 )
 
 
--- a/clementinelead/replays/relay_processes.py
+++ b/clementinelead/replays/relay_processes.py
@@ -6,6 +6,7 @@
 from clementinelead.relays import former_services
 from clementinelead.relays import intake
 from clementinelead.relays import outcomes
+from clementinelead.relays import second_openings
 from clementinelead.relays import steering
 from clementinelead.relays import target_relay
 from clementinelead.relays import warmup_limit
@@ -116,16 +117,17 @@
         self,
         zone: str,
         event_queue: event_queues.EventQueue,
-        share: float | None,
+        spec: loads.BalancerSpec,
         send: typing.Callable[["Balancer", list[outcomes.Outcome]], None],
     ):
         self.zone = zone
+        self._spec = spec
         self.address = (f"balancer-{zone}", 1)
         self.caller_socket = processors.SocketBuffer()
         self.peer_socket = processors.SocketBuffer()
         self.processor = processors.Processor(
             event_queue,
-            share,
+            spec.share,
             lambda now: self._intake.process_next(now),
             lambda outcome_batch: send(self, outcome_batch),
         )
@@ -138,8 +140,15 @@
             first_start: Whether no process ran here before.
         """
         former = former_services.FormerServices(first_start)
+        share = self._spec.extra_openings_share
+        policy = second_openings.POLICY_BY_NAME[self._spec.extra_openings]
         self.steering = steering.Steering(
-            packets.Format(), self._count_log_line, self.zone, former
+            packets.Format(),
+            self._count_log_line,
+            self.zone,
+            former,
+            share,
+            policy(share),
         )
         self._intake = intake.Intake(
             self.steering,
--- a/clementinelead/replays/relayed.py
+++ b/clementinelead/replays/relayed.py
@@ -1,5 +1,6 @@
 """A transport that simulates the product's decisions packet by packet."""
 
+import collections
 import dataclasses
 import functools
 import typing
@@ -75,10 +76,9 @@
             )
         }
         zones = sorted({arrival.zone for arrival in load.arrivals})
-        share = load.balancers.share
         balancers = [
             relay_processes.Balancer(
-                zone, event_queue, share, self._apply_balancer_outcomes
+                zone, event_queue, load.balancers, self._apply_balancer_outcomes
             )
             for zone in zones
         ]
@@ -109,6 +109,13 @@
         event_queue.schedule(event_queue.now + IDLE_TICK_S, self._idle_tick)
         event_queue.schedule(event_queue.now, self._send_heartbeats)
 
+    def decision_counts(self) -> collections.Counter[str]:
+        """Returns the decisions of all balancers by cause."""
+        counts: collections.Counter[str] = collections.Counter()
+        for balancer in self._balancer_by_address.values():
+            counts += balancer.steering.counts.by_cause
+        return counts
+
     def _evacuate(self, begun: set[str], ended: set[str]) -> None:
         """Tells all processes at once which zones are evacuated from now on."""
         self._evacuated_zones = self._evacuated_zones.union(begun) - ended
@@ -153,6 +160,7 @@
                 (share,),
                 int(kind.objective_s * 1000),
                 int(kind.timeout_s * 1000),
+                idempotent=kind.idempotent,
             )
             for kind in self._kinds
         )
--- a/clementinelead/replays/simulations.py
+++ b/clementinelead/replays/simulations.py
@@ -1,5 +1,6 @@
 """Simulates a load under a policy."""
 
+import collections.abc
 import dataclasses
 import functools
 
@@ -30,12 +31,15 @@
         policy: Name of the policy.
         outcomes: Outcomes of its requests, in the order of arrival.
         served_by_target: Requests accepted for service, by target name.
+        count_by_decision: Decisions of all balancers by cause, empty for the
+            baselines.
     """
 
     load: loads.Load
     policy: str
     outcomes: tuple[calls.Outcome, ...]
     served_by_target: dict[str, int]
+    count_by_decision: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def replay(load: loads.Load, policy: str, seed: int) -> Replay:
@@ -55,12 +59,14 @@
     generator = np.random.default_rng(seed)
     all_servers = [servers.Server(target) for target in load.targets]
     transport: calls.Transport
+    decision_counts: collections.abc.Callable[[], dict[str, int]] = dict
     match policy:
         case "relayed":
             relayed_transport = relayed.RelayedTransport(
                 load, all_servers, event_queue, generator.random
             )
             set_condition = relayed_transport.set_condition
+            decision_counts = relayed_transport.decision_counts
             transport = relayed_transport
         case "plain-hash" | "shortest-queue":
             set_condition = functools.partial(_set_condition, all_servers)
@@ -98,6 +104,7 @@
         policy,
         tuple(call.outcome for call in all_calls if call.outcome is not None),
         {server.spec.name: server.served_requests for server in all_servers},
+        decision_counts(),
     )
 
 
