--- a/clementinelead/relays/flow_cache.py
+++ b/clementinelead/relays/flow_cache.py
@@ -59,7 +59,11 @@
         ]
         if not matching:
             return False
-        self.owners = matching[:1]
+        # The numbers of two targets may be so close that both match.
+        closest = min(
+            matching, key=lambda owner: _distance(acknowledgement, owner[1])
+        )
+        self.owners = [closest]
         self.owner_confirmed = True
         return True
 
@@ -74,6 +78,13 @@
             self.owners.append((address, sequence))
 
 
+def _distance(acknowledgement: int, sequence: int | None) -> int:
+    """Returns the distance from a sequence number, the largest if unknown."""
+    if sequence is None:
+        return sequences.MASK
+    return sequences.distance(acknowledgement, sequence)
+
+
 class FlowCache:
     """Cached flows by key, the oldest first."""
 
--- a/clementinelead/relays/held_flows.py
+++ b/clementinelead/relays/held_flows.py
@@ -81,7 +81,7 @@
         return self.confirmed_by_target and not self.closing
 
     def is_acknowledged_by(self, segment: formats.Segment) -> bool:
-        """Returns whether a caller's packet acknowledges this target's answer.
+        """Returns whether a caller's first packet acknowledges the acceptance.
 
         Args:
             segment: Header of a packet that does not open the flow.
@@ -92,7 +92,9 @@
         if self.initial_sequence is None:
             return True
         return sequences.acknowledges(
-            segment.acknowledgement, self.initial_sequence
+            segment.acknowledgement,
+            self.initial_sequence,
+            sequences.FIRST_ACKNOWLEDGED_BYTES,
         )
 
     def record_new_data(self, segment: formats.Segment) -> bool:
--- a/clementinelead/relays/pending_flows.py
+++ b/clementinelead/relays/pending_flows.py
@@ -110,7 +110,9 @@
             now: Present time, seconds.
         """
         unanswered = self.awaiting_reply | self.timed_out
+        second = {"second": self.second[0]} if self.second else {}
         return {
+            **second,
             "service": self.service,
             "target": self.chosen[0] if self.chosen else None,
             "loads_ms": {
