Replay heavy requests, slow and mute targets with and without extra effort

heavy-tail is the pattern, tail_comparison prints the quantiles of the time to the answer, executed requests, openings and datagrams a request by policy.

--- a/clementinelead/processes/relay_settings.py
+++ b/clementinelead/processes/relay_settings.py
@@ -28,8 +28,9 @@
             number is not limited.
         zone_spill_share: Share of a route's latency objective up to which a
             balancer prefers targets in its availability zone, 0 if not at all.
-        extra_openings_share: Share of the openings of a service that a
-            balancer may repeat at a second target, 0 for none.
+        extra_openings_share: Share of the openings of a service for which a
+            balancer may make the extra effort of ``second_openings``, 0 for
+            none.
     """
 
     id: str
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -178,11 +178,13 @@
         )
         if address is None:
             return self._query_or_hold(key, placement, now)
-        if self._extra.asks_further(placement, address, now):
-            queries = self._queries.query_targets(key, placement, now)
-            if queries:
-                self._report_decision(key, placement, "asked further", now)
-                return queries
+        # A backlogged balancer spares its processor time.
+        if not self._queries.recent.backlogged:
+            if self._extra.asks_further(placement, address, now):
+                queries = self._queries.query_targets(key, placement, now)
+                if queries:
+                    self._report_decision(key, placement, "asked further", now)
+                    return queries
         placement.chosen = address
         placement.sent_at = now
         placement.accept_by = now + ACCEPT_TIMEOUT_S
--- a/clementinelead/replays/command.py
+++ b/clementinelead/replays/command.py
@@ -14,6 +14,7 @@
 from clementinelead.replays import scales
 from clementinelead.replays import simulations
 from clementinelead.replays import summaries
+from clementinelead.replays import tail_patterns
 
 __all__ = ["main"]
 
@@ -40,6 +41,9 @@
     targets: typing.Annotated[int, typer.Option(min=1)] = 12,
     seconds: typing.Annotated[float, typer.Option(min=0.1)] = 8.0,
     utilisation: typing.Annotated[float, typer.Option(min=0.01)] = 0.5,
+    extra_openings: typing.Annotated[
+        float, typer.Option(min=0.0, max=1.0, help="share, 0 for none")
+    ] = 0.0,
     save: typing.Annotated[
         pathlib.Path | None, typer.Option(help="write the load to a file")
     ] = None,
@@ -50,6 +54,9 @@
     if unknown:
         raise typer.BadParameter(f"no policy {', '.join(sorted(unknown))}")
     workload = _load(load, scales.Scale(targets, seconds, utilisation), seed)
+    workload = tail_patterns.with_extra(
+        workload, workload.balancers.extra_openings, extra_openings
+    )
     if save is not None:
         loads.write(save, workload)
     table = rich.table.Table(title=workload.name)
--- a/clementinelead/replays/relayed.py
+++ b/clementinelead/replays/relayed.py
@@ -65,6 +65,7 @@
     ):
         self._event_queue = event_queue
         self._draw = draw
+        self._sent_datagrams = 0  # from balancers to side processes
         self._flow_by_key: dict[bytes, _Flow] = {}
         self._side_by_address = {
             side.address: side
@@ -110,8 +111,8 @@
         event_queue.schedule(event_queue.now, self._send_heartbeats)
 
     def decision_counts(self) -> collections.Counter[str]:
-        """Returns the decisions of all balancers by cause."""
-        counts: collections.Counter[str] = collections.Counter()
+        """Returns the decisions and datagrams of all balancers by cause."""
+        counts = collections.Counter({"datagrams": self._sent_datagrams})
         for balancer in self._balancer_by_address.values():
             counts += balancer.steering.counts.by_cause
         return counts
@@ -303,6 +304,7 @@
         for outcome in outcome_batch:
             match outcome:
                 case outcomes.ToPeer(address, data):
+                    self._sent_datagrams += 1
                     side = self._side_by_address[address]
                     delay_s = latencies.one_way_s(
                         balancer.zone, side.server.spec.zone
--- a/clementinelead/replays/simulations.py
+++ b/clementinelead/replays/simulations.py
@@ -31,8 +31,8 @@
         policy: Name of the policy.
         outcomes: Outcomes of its requests, in the order of arrival.
         served_by_target: Requests accepted for service, by target name.
-        count_by_decision: Decisions of all balancers by cause, empty for the
-            baselines.
+        count_by_decision: Decisions of all balancers by cause, and the
+            datagrams that they sent; empty for the baselines.
     """
 
     load: loads.Load
--- /dev/null
+++ b/clementinelead/replays/tests/test_tail_patterns.py
@@ -0,0 +1,88 @@
+"""Extra effort for a few flows while some requests and targets are slow."""
+
+import functools
+
+import numpy as np
+import pytest
+
+from clementinelead.relays import opening_budgets
+from clementinelead.replays import latencies
+from clementinelead.replays import scales
+from clementinelead.replays import simulations
+from clementinelead.replays import tail_comparison
+from clementinelead.replays import tail_patterns
+
+SCALE = scales.Scale(targets=40, seconds=6.0, utilisation=0.5)
+SHARE = 0.2
+SEEDS = (1, 2, 3)
+
+MAX_MEDIAN_COST_MS = 2 * 1000 * latencies.CROSS_ZONE_S
+"""A further load query may cost a round trip between zones."""
+
+
+@functools.cache
+def _compare(policy, share):
+    return tail_comparison.compare(policy, share, SCALE, SEEDS)
+
+
+def test_further_queries_cut_the_slow_answers_without_extra_work():
+    # Guards against extra effort that costs targets work or most callers time.
+    off, on = _compare("never", 0.0), _compare("more-targets", SHARE)
+    median, p90, p99, _ = off.quantiles_ms["all"]
+    assert on.quantiles_ms["all"][0] <= median + MAX_MEDIAN_COST_MS
+    assert on.quantiles_ms["all"][1] < p90
+    assert on.quantiles_ms["all"][2] < p99
+    assert on.count_by_decision["placed"] == on.requests
+    assert on.executed <= on.requests
+    asked = on.count_by_decision["asked_further"]
+    assert 0 < asked <= SHARE * on.requests
+
+
+def test_share_of_zero_replays_as_without_the_part():
+    load = tail_patterns.heavy_tail(
+        scales.Scale(20, 2.0, 0.5), np.random.default_rng(1)
+    )
+    runs = [
+        simulations.replay(variant, "relayed", 1)
+        for variant in (
+            load,
+            tail_patterns.with_extra(load, "at-once", 0.0),
+            tail_patterns.with_extra(load, "never", 0.5),
+        )
+    ]
+    assert runs[0].outcomes == runs[1].outcomes == runs[2].outcomes
+    assert runs[0].count_by_decision == runs[1].count_by_decision
+
+
+@pytest.mark.parametrize("policy", ["at-once", "more-targets"])
+def test_budget_holds_in_the_burst(policy, monkeypatch):
+    # Guards against a limit that is spent at the rate before the burst.
+    opened_at, spent_at = {}, {}
+    share = 0.1
+
+    class Budgets(opening_budgets.Budgets):
+        def add_opening(self, service, now):
+            opened_at.setdefault(self, []).append(now)
+            super().add_opening(service, now)
+
+        def spend(self, service, now):
+            allowed = super().spend(service, now)
+            if allowed:
+                spent_at.setdefault(self, []).append(now)
+            return allowed
+
+    monkeypatch.setattr(opening_budgets, "Budgets", Budgets)
+    load = tail_patterns.heavy_tail(
+        scales.Scale(12, 16.0, 0.5), np.random.default_rng(1)
+    )
+    load = tail_patterns.with_extra(load, policy, share)
+    simulations.replay(load, "relayed", 1)
+    assert any(at > 12.0 for times in spent_at.values() for at in times)
+    for budgets, times in spent_at.items():
+        opened = np.array(opened_at[budgets])
+        spent = np.array(times)
+        for at in times:
+            since = at - opening_budgets.WINDOW_S
+            in_window = np.sum((spent > since) & (spent <= at))
+            openings = np.sum((opened > since) & (opened <= at))
+            assert in_window <= share * openings
