--- a/clementinelead/relays/tests/test_second_openings.py
+++ b/clementinelead/relays/tests/test_second_openings.py
@@ -7,6 +7,7 @@
 from clementinelead.relays import flow_cache
 from clementinelead.relays import former_services
 from clementinelead.relays import held_flows
+from clementinelead.relays import load_queries
 from clementinelead.relays import routes
 from clementinelead.relays import second_openings
 from clementinelead.relays import steering
@@ -47,7 +48,7 @@
         share=1.0,
         idempotent=True,
         bound=None,
-        sequences=(10_000, 90_000_000, 3_000_000_000, 5, 6),
+        sequences=range(5, 1 << 32, 1 << 28),
         **fields,
     ):
         self.policy, self.share, self.bound = policy, share, bound
@@ -397,11 +398,42 @@
     assert net.openings == first + 5
 
 
-def test_replies_of_load_queries_stay_within_the_share():
+def _load_all(net, requests):
+    for side in net.side_by_address.values():
+        side.workload.estimate.active_flows += requests
+
+
+def test_backlogged_balancer_asks_no_further_targets():
+    net = _Network("more-targets", share=1.0, targets=5)
+    net.warm_up_policy()
+    _load_all(net, 3)
+    asked = net.counts["asked_further"]
+    net.balancer_by_address[("balancer0", 1)].set_backlogged(True)
+    for number in range(10):
+        net.open(number)
+        net.run(0.05)
+    assert net.counts["asked_further"] == asked
+
+
+def test_silent_further_targets_delay_a_flow_by_one_reply_timeout():
+    net = _Network("more-targets", share=1.0, targets=9)
+    net.warm_up_policy()
+    _load_all(net, 3)
+    key = net.open(1)
+    asked = net.counts["asked_further"]
+    while net.counts["asked_further"] == asked:
+        net.run(network.STEP_S)
+    net.unreachable.update(net.side_by_address)
+    net.run(load_queries.LOAD_REPLY_TIMEOUT_S - 0.01)
+    net.unreachable.clear()
+    net.run(0.02)
+    assert net.owners(key)
+
+
+def test_further_load_queries_stay_within_the_share():
     net = _Network("more-targets", share=0.1, targets=5)
     net.warm_up_policy()
-    for side in net.side_by_address.values():
-        side.workload.estimate.active_flows += 3
+    _load_all(net, 3)
     for number in range(100):
         net.open(number)
         net.run(0.05)
