--- a/clementinelead/relays/tests/test_second_openings.py
+++ b/clementinelead/relays/tests/test_second_openings.py
@@ -79,7 +79,8 @@
             "z",
             former_services.FormerServices(first_start=True),
             self.share,
-            second_openings.POLICY_BY_NAME[self.policy](self.share),
+            self.policy
+            and second_openings.POLICY_BY_NAME[self.policy](self.share),
         )
         route = routes.Route(
             "r",
@@ -268,6 +269,36 @@
     assert net.openings == 10
 
 
+def test_setting_alone_opens_each_flow_at_one_target():
+    # A half-open flow at a second target would not return the packets that
+    # restarted side processes probe with, and seem to be the owner.
+    net = _Network(policy=None, targets=5)
+    net.warm_up_policy()
+    keys = [net.open(number) for number in range(10)]
+    net.run(0.1)
+    sequence_by_key = {key: net.answers(key)[0] for key in keys}
+    for key, sequence in sequence_by_key.items():
+        net.request(key, sequence)
+    net.run(0.1)
+    assert net.counts["asked_further"] > 0
+    assert net.openings == WARM_FLOWS + 10
+    net.target_delay_s = 0.03
+    for number in range(5):
+        net.restart_side(number)
+        net.send_heartbeat(number, sequence=9)
+    net.restart_balancer(0)
+    for key, sequence in sequence_by_key.items():
+        for _ in range(2):
+            net.request(key, sequence)
+            net.run(0.2)
+        [owner] = net.owners(key)
+        delivered = map(
+            network.Format().from_caller,
+            net.target_by_address[owner].delivered,
+        )
+        assert sum(s.key == key and s.length > 0 for s in delivered) >= 3
+
+
 def test_budget_limits_second_openings():
     net = _Network(share=0.2)
     for number in range(100):
