--- a/clementinelead/replays/loads.py
+++ b/clementinelead/replays/loads.py
@@ -6,10 +6,12 @@
 import msgspec
 
 from clementinelead import exceptions
+from clementinelead.relays import routes
 
 __all__ = [
     "Arrival",
     "BalancerSpec",
+    "CallerSpec",
     "Change",
     "Condition",
     "Evacuation",
@@ -18,6 +20,7 @@
     "Restart",
     "TargetSpec",
     "WarmupSpec",
+    "equal_priorities",
     "read",
     "write",
 ]
@@ -31,8 +34,10 @@
         name: Its name.
         objective_s: Latency objective, seconds.
         timeout_s: Time from arrival until its callers give up, seconds.
-        worth: Worth of an answer within the objective; a late one is worth
-            half of it.
+        worth: Worth of an answer within the objective.
+        late_worth: Worth of a late answer, as a share of ``worth``.
+        priority: Rank among the kinds that compete for targets; 0 is served
+            first.
         idempotent: Whether its requests may be executed more than once.
     """
 
@@ -40,9 +45,35 @@
     objective_s: float
     timeout_s: float
     worth: float = 1.0
+    late_worth: float = 0.5
+    priority: int = routes.LOWEST_PRIORITY
     idempotent: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class CallerSpec:
+    """How callers proceed without an answer.
+
+    Attributes:
+        first_retransmission_s: Time after which data that no target has
+            acknowledged is sent again, seconds; it doubles with each copy.
+            None if data is sent once.
+        max_retransmission_s: Longest time between two copies, seconds.
+        opening_timeout_s: Time after which the opening of a flow is abandoned,
+            seconds; None if it ends with the request only.
+        retry_delay_s: Pause before a retry, seconds.
+        reset_is_refusal: Whether a reset of an open flow counts as a refusal;
+            else it is a failure, after which only idempotent requests are
+            retried.
+    """
+
+    first_retransmission_s: float | None = None
+    max_retransmission_s: float = 1.6
+    opening_timeout_s: float | None = None
+    retry_delay_s: float = 0.0
+    reset_is_refusal: bool = True
+
+
 @dataclasses.dataclass(frozen=True)
 class TargetSpec:
     """Fixed properties of a target.
@@ -71,12 +102,16 @@
         zone: Availability zone of its caller.
         kind: Name of its kind.
         work_s: Service time at a target of slowness 1, seconds.
+        session: Number of the long-lived flow on which it is sent, None for a
+            flow of its own. The requests of a session are sent one at a time;
+            one that arrives before the previous answer waits at its caller.
     """
 
     at_s: float
     zone: str
     kind: str
     work_s: float
+    session: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -165,15 +200,10 @@
     Attributes:
         share: Its share of a processor, None if its work takes no time.
         restarts: Its restarts, in the order of time.
-        extra_openings_share: Limit of extra openings, 0 for none.
-        extra_openings: Their policy, a key of
-            ``second_openings.POLICY_BY_NAME``.
     """
 
     share: float | None = None
     restarts: tuple[Restart, ...] = ()
-    extra_openings_share: float = 0.0
-    extra_openings: str = "more-targets"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -189,6 +219,9 @@
         balancers: Properties of every balancer.
         evacuations: Evacuations of zones.
         warmup: Limit of flows at targets that warm up, None for no limit.
+        callers: Behaviour of all callers.
+        fast_side_ticks: Whether side processes get the short timer that they
+            ask for, as in service; else only the one of idle processes.
     """
 
     name: str
@@ -199,6 +232,8 @@
     balancers: BalancerSpec = BalancerSpec()
     evacuations: tuple[Evacuation, ...] = ()
     warmup: WarmupSpec | None = None
+    callers: CallerSpec = CallerSpec()
+    fast_side_ticks: bool = False
 
     @property
     def kind_by_name(self) -> dict[str, RequestKind]:
@@ -206,6 +241,19 @@
         return {kind.name: kind for kind in self.kinds}
 
 
+def equal_priorities(load: Load) -> Load:
+    """Returns a load whose kinds have the same priority.
+
+    Args:
+        load: The load.
+    """
+    kinds = tuple(
+        dataclasses.replace(kind, priority=routes.LOWEST_PRIORITY)
+        for kind in load.kinds
+    )
+    return dataclasses.replace(load, kinds=kinds)
+
+
 def read(path: pathlib.Path) -> Load:
     """Returns the load in a JSON file.
 
--- a/clementinelead/replays/simulations.py
+++ b/clementinelead/replays/simulations.py
@@ -10,6 +10,7 @@
 from clementinelead.replays import direct
 from clementinelead.replays import event_queues
 from clementinelead.replays import loads
+from clementinelead.replays import relay_processes
 from clementinelead.replays import relayed
 from clementinelead.replays import servers
 
@@ -31,6 +32,8 @@
         policy: Name of the policy.
         outcomes: Outcomes of its requests, in the order of arrival.
         served_by_target: Requests accepted for service, by target name.
+        elsewhere_share: Share of the flows placed at targets outside the zone
+            of their caller; NaN if none was placed.
         count_by_decision: Decisions of all balancers by cause, and the
             datagrams that they sent; empty for the baselines.
     """
@@ -39,10 +42,16 @@
     policy: str
     outcomes: tuple[calls.Outcome, ...]
     served_by_target: dict[str, int]
-    count_by_decision: dict[str, int] = dataclasses.field(default_factory=dict)
+    elsewhere_share: float
+    count_by_decision: dict[str, int]
 
 
-def replay(load: loads.Load, policy: str, seed: int) -> Replay:
+def replay(
+    load: loads.Load,
+    policy: str,
+    seed: int,
+    options: relay_processes.Options = relay_processes.Options(),
+) -> Replay:
     """Returns the results of a load under a policy.
 
     It is deterministic: the same arguments give the same results.
@@ -51,19 +60,22 @@
         load: The load.
         policy: One of ``POLICIES``.
         seed: Seed of the random behaviour of targets.
+        options: Settings of the balancers.
 
     Raises:
         ValueError: There is no such policy.
+        relay_processes.UnsupportedOptionError: An option is set that the
+            balancers do not have.
     """
     event_queue = event_queues.EventQueue()
     generator = np.random.default_rng(seed)
     all_servers = [servers.Server(target) for target in load.targets]
-    transport: calls.Transport
+    transport: relayed.RelayedTransport | direct.DirectTransport
     decision_counts: collections.abc.Callable[[], dict[str, int]] = dict
     match policy:
         case "relayed":
             relayed_transport = relayed.RelayedTransport(
-                load, all_servers, event_queue, generator.random
+                load, all_servers, event_queue, generator.random, options
             )
             set_condition = relayed_transport.set_condition
             decision_counts = relayed_transport.decision_counts
@@ -87,7 +99,14 @@
         )
     kinds = load.kind_by_name
     all_calls = [
-        calls.Call(number, arrival, kinds[arrival.kind], event_queue, transport)
+        calls.Call(
+            number,
+            arrival,
+            kinds[arrival.kind],
+            event_queue,
+            transport,
+            load.callers.retry_delay_s,
+        )
         for number, arrival in enumerate(load.arrivals)
     ]
     for call in all_calls:
@@ -104,6 +123,9 @@
         policy,
         tuple(call.outcome for call in all_calls if call.outcome is not None),
         {server.spec.name: server.served_requests for server in all_servers},
+        transport.placements_elsewhere / transport.placements
+        if transport.placements
+        else float("nan"),
         decision_counts(),
     )
 
--- a/clementinelead/replays/tail_comparison.py
+++ b/clementinelead/replays/tail_comparison.py
@@ -1,9 +1,9 @@
-"""Compares policies of extra openings on ``heavy-tail``.
+"""Compares shares of further load queries on ``heavy-tail``.
 
 Prints the quantiles of the time to the answer by part of the load, and the
 extra work, as means over several seeds::
 
-    python -m clementinelead.replays.tail_comparison never:0 more-targets:0.2
+    python -m clementinelead.replays.tail_comparison 0 0.2
 """
 
 import collections
@@ -13,7 +13,7 @@
 import numpy as np
 import typer
 
-from clementinelead.relays import second_openings
+from clementinelead.replays import relay_processes
 from clementinelead.replays import scales
 from clementinelead.replays import simulations
 from clementinelead.replays import tail_patterns
@@ -32,7 +32,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Comparison:
-    """Results of one policy.
+    """Results of one share.
 
     Attributes:
         requests: Number of requests.
@@ -49,23 +49,22 @@
 
 
 def compare(
-    policy: str, share: float, scale: scales.Scale, seeds: typing.Iterable[int]
+    share: float, scale: scales.Scale, seeds: typing.Iterable[int]
 ) -> Comparison:
-    """Returns the results of a policy, over all seeds.
+    """Returns the results of a share, over all seeds.
 
     Args:
-        policy: A key of ``second_openings.POLICY_BY_NAME``.
-        share: Limit of the extra openings, 0 to 1.
+        share: Largest share of the flows that get further queries, 0 to 1.
         scale: Size of the load.
         seeds: Seeds of the loads and the targets.
     """
+    options = relay_processes.Options(extra_openings_share=share)
     counts: collections.Counter[str] = collections.Counter()
     requests = executed = 0
     quantiles = collections.defaultdict(list)
     for seed in seeds:
         load = tail_patterns.heavy_tail(scale, np.random.default_rng(seed))
-        load = tail_patterns.with_extra(load, policy, share)
-        run = simulations.replay(load, "relayed", seed)
+        run = simulations.replay(load, "relayed", seed, options)
         requests += len(run.outcomes)
         executed += sum(run.served_by_target.values())
         counts.update(run.count_by_decision)
@@ -80,13 +79,12 @@
     return Comparison(requests, executed, means, dict(counts))
 
 
-def _print(name: str, result: Comparison) -> None:
+def _print(share: float, result: Comparison) -> None:
     counts = collections.Counter(result.count_by_decision)
-    sent = counts["placed"] + counts["second_won"] + counts["second_lost"]
     print(
-        f"{name}: {result.requests} requests, a request:"
+        f"{share}: {result.requests} requests, a request:"
         f" {result.executed / result.requests:.4f} executed,"
-        f" {sent / result.requests:.3f} openings,"
+        f" {counts['placed'] / result.requests:.3f} flows placed,"
         f" {counts['datagrams'] / result.requests:.2f} datagrams"
     )
     for part, values in result.quantiles_ms.items():
@@ -94,26 +92,22 @@
     extra = {
         cause: count
         for cause, count in sorted(counts.items())
-        if cause.startswith(("second_", "asked_"))
+        if cause.startswith("asked_")
     }
     print(" ", extra)
 
 
 def main(
-    cases: list[str],
+    shares: list[float],
     targets: int = 41,
     seconds: float = 24.0,
     utilisation: float = 0.5,
     seeds: int = 3,
 ) -> None:
-    """Compares cases such as ``never:0`` and ``more-targets:0.2``."""
+    """Compares shares such as 0 and 0.2."""
     scale = scales.Scale(targets, seconds, utilisation)
-    for case in cases:
-        policy, _, share = case.partition(":")
-        if policy not in second_openings.POLICY_BY_NAME:
-            raise typer.BadParameter(f"no policy {policy!r}")
-        result = compare(policy, float(share), scale, range(1, seeds + 1))
-        _print(case, result)
+    for share in shares:
+        _print(share, compare(share, scale, range(1, seeds + 1)))
 
 
 if __name__ == "__main__":
--- a/clementinelead/replays/tail_patterns.py
+++ b/clementinelead/replays/tail_patterns.py
@@ -1,7 +1,6 @@
 """Synthetic load whose slowest answers are far slower than the others."""
 
 import collections.abc
-import dataclasses
 
 import numpy as np
 
@@ -10,7 +9,7 @@
 from clementinelead.replays import scales
 from clementinelead.replays import simulations
 
-__all__ = ["QUANTILES", "answer_quantiles_ms", "heavy_tail", "with_extra"]
+__all__ = ["QUANTILES", "answer_quantiles_ms", "heavy_tail"]
 
 ZONES = ("a", "b", "c", "d")
 SERVICE_TIME_GAMMA_SHAPE = 4.0
@@ -111,20 +110,6 @@
     )
 
 
-def with_extra(load: loads.Load, policy: str, share: float) -> loads.Load:
-    """Returns a load whose balancers make extra openings.
-
-    Args:
-        load: The load.
-        policy: A key of ``second_openings.POLICY_BY_NAME``.
-        share: Limit of the extra openings.
-    """
-    balancers = dataclasses.replace(
-        load.balancers, extra_openings_share=share, extra_openings=policy
-    )
-    return dataclasses.replace(load, balancers=balancers)
-
-
 def answer_quantiles_ms(
     run: simulations.Replay, from_share: float = 0.0, to_share: float = 1.0
 ) -> tuple[float, ...]:
