Limit further load queries and drop the second opening

The setting was named after second openings, but a balancer process only asks further targets for their load; the policies that open a flow at two targets were reached by tests and replays alone.

--- a/clementinelead/platform/settings.py
+++ b/clementinelead/platform/settings.py
@@ -16,7 +16,7 @@
 
 SETTINGS_FILE_VARIABLE = "CLEMENTINELEAD_NODE_FILE"
 ZONE_SPILL_SHARE_VARIABLE = "CLEMENTINELEAD_ZONE_SPILL_SHARE"
-EXTRA_OPENINGS_SHARE_VARIABLE = "CLEMENTINELEAD_EXTRA_OPENINGS_SHARE"
+FURTHER_QUERIES_SHARE_VARIABLE = "CLEMENTINELEAD_FURTHER_QUERIES_SHARE"
 METRICS_PORT = 9464  # the same as in deploy/system.toml
 
 # Offsets of the ports of a process from the first of its internal ports.
@@ -127,8 +127,8 @@
         relay = msgspec.structs.replace(
             node_settings.relay,
             zone_spill_share=read_share(os.environ, ZONE_SPILL_SHARE_VARIABLE),
-            extra_openings_share=read_share(
-                os.environ, EXTRA_OPENINGS_SHARE_VARIABLE
+            further_queries_share=read_share(
+                os.environ, FURTHER_QUERIES_SHARE_VARIABLE
             ),
         )
         return dataclasses.replace(node_settings, relay=relay)
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -91,7 +91,7 @@
             log.report,
             settings.zone,
             self.node.routes.former_services,
-            settings.extra_openings_share,
+            settings.further_queries_share,
         )
         self._route_watch = route_watch.RouteWatch(self.node, source)
         generator = self.node.random
--- a/clementinelead/processes/relay_settings.py
+++ b/clementinelead/processes/relay_settings.py
@@ -28,9 +28,8 @@
             number is not limited.
         zone_spill_share: Share of a route's latency objective up to which a
             balancer prefers targets in its availability zone, 0 if not at all.
-        extra_openings_share: Share of the openings of a service for which a
-            balancer may make the extra effort of ``second_openings``, 0 for
-            none.
+        further_queries_share: Largest share of the new flows of a service for
+            which a balancer asks further targets for their load, 0 for none.
     """
 
     id: str
@@ -48,4 +47,4 @@
     first_start: bool = False
     warmup_bound: warmup_limit.WarmupBound | None = None
     zone_spill_share: float = 0.0
-    extra_openings_share: float = 0.0
+    further_queries_share: float = 0.0
--- a/clementinelead/relays/pending_flows.py
+++ b/clementinelead/relays/pending_flows.py
@@ -52,10 +52,6 @@
         timed_out: Queried targets whose reply was not in time.
         delivered_to: Targets that have received the opening packet and may
             have answered it.
-        sent_at: Time when the chosen target got the opening packet, seconds.
-        accept_by: Time by which it must answer, seconds.
-        second: Second target whose answer is awaited too.
-        second_considered: Whether a second opening was considered once.
         asked_further: Whether further targets were considered once.
     """
 
@@ -75,10 +71,6 @@
     retry_delay_s: float = FIRST_HOLD_DELAY_S
     timed_out: set[tuple[str, int]] = msgspec.field(default_factory=set)
     delivered_to: set[tuple[str, int]] = msgspec.field(default_factory=set)
-    sent_at: float = 0.0
-    accept_by: float = 0.0
-    second: tuple[str, int] | None = None
-    second_considered: bool = False
     asked_further: bool = False
 
     def remaining_ms(self, now: float) -> int:
@@ -110,9 +102,7 @@
             now: Present time, seconds.
         """
         unanswered = self.awaiting_reply | self.timed_out
-        second = {"second": self.second[0]} if self.second else {}
         return {
-            **second,
             "service": self.service,
             "target": self.chosen[0] if self.chosen else None,
             "loads_ms": {
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -9,12 +9,12 @@
 from clementinelead.relays import directory
 from clementinelead.relays import formats
 from clementinelead.relays import frames
+from clementinelead.relays import further_queries
 from clementinelead.relays import load_queries
 from clementinelead.relays import opening_retransmissions
 from clementinelead.relays import outcomes
 from clementinelead.relays import pending_flows
 from clementinelead.relays import routes
-from clementinelead.relays import second_openings
 from clementinelead.telemetry import counters
 
 __all__ = ["Placer"]
@@ -56,7 +56,7 @@
         counts: counters.CounterSet,
         report: collections.abc.Callable[[outcomes.Decision], None],
         search: _Search,
-        extra: second_openings.SecondOpenings,
+        further: further_queries.FurtherQueries,
     ):
         """Creates a placer without pending flows.
 
@@ -67,7 +67,7 @@
             report: Called with each decision, for the log.
             search: Searches for a flow that may be open, as
                 ``searching.Searcher.search`` does.
-            extra: Second openings and further load queries.
+            further: Chooses the flows that get further load queries.
         """
         self.version = 0
         self._format = packet_format
@@ -75,7 +75,7 @@
         self._counts = counts
         self._report = report
         self._search = search
-        self._extra = extra
+        self._further = further
         self._placement_by_key: dict[bytes, pending_flows.Placement] = {}
         self._queries = load_queries.LoadQueries(targets, counts)
 
@@ -135,7 +135,7 @@
             may_be_open=may_be_open or segment.copies > 0,
         )
         self._placement_by_key[key] = placement
-        self._extra.add_opening(service, now)
+        self._further.add_flow(service, now)
         if self._queries.use_recent(key, placement, now):
             return self._send_to_best(key, placement, now)
         queries = self._queries.query_targets(key, placement, now)
@@ -178,55 +178,16 @@
         )
         if address is None:
             return self._query_or_hold(key, placement, now)
-        # A backlogged balancer spares its processor time.
-        if not self._queries.recent.backlogged:
-            if self._extra.asks_further(placement, address, now):
-                queries = self._queries.query_targets(key, placement, now)
-                if queries:
-                    self._report_decision(key, placement, "asked further", now)
-                    return queries
+        queries = self._query_further(key, placement, address, now)
+        if queries:
+            return queries
         placement.chosen = address
-        placement.sent_at = now
-        placement.accept_by = now + ACCEPT_TIMEOUT_S
-        sends = [self._send_opening(key, placement, address, "sent", now)]
-        second_at = now + self._extra.second_delay_s(placement, now)
-        placement.deadline = min(second_at, placement.accept_by)
-        if now >= second_at:
-            sends += self._send_second(key, placement, now)
-        return sends
-
-    def _send_second(
-        self, key: bytes, placement: pending_flows.Placement, now: float
-    ) -> list[outcomes.Outcome]:
-        """Sends the opening packet to a second target, if that is allowed."""
-        placement.deadline = placement.accept_by
-        placement.second_considered = True
-        address = pending_flows.best_target(
-            placement, self._directory.same_zone, self._directory.evacuated
-        )
-        cause = self._extra.denial(placement, address, now)
-        if address is None or cause is not None:
-            self._counts.add(f"second_{cause}")
-            self._report_decision(key, placement, f"no second: {cause}", now)
-            return []
-        placement.second = address
-        self._counts.add("second_sent")
-        return [self._send_opening(key, placement, address, "second sent", now)]
-
-    def _send_opening(
-        self,
-        key: bytes,
-        placement: pending_flows.Placement,
-        address: _Address,
-        outcome: str,
-        now: float,
-    ) -> outcomes.Outcome:
-        """Returns the datagram with the opening packet for a target."""
         placement.tried.append(address)
         placement.delivered_to.add(address)
         self._queries.recent.add_placement(address)
+        placement.deadline = now + ACCEPT_TIMEOUT_S
         self._directory.responsiveness.record_query(address, now)
-        self._report_decision(key, placement, outcome, now)
+        self._report_decision(key, placement, "sent", now)
         message = frames.encode(
             _Kind.PLACE,
             placement.number,
@@ -234,7 +195,25 @@
             placement.packet,
             placement.remaining_ms(now),
         )
-        return outcomes.ToPeer(address, message)
+        return [outcomes.ToPeer(address, message)]
+
+    def _query_further(
+        self,
+        key: bytes,
+        placement: pending_flows.Placement,
+        address: _Address,
+        now: float,
+    ) -> list[outcomes.Outcome]:
+        """Returns load queries to further targets, if the flow gets them."""
+        # A backlogged balancer spares its processor time.
+        if self._queries.recent.backlogged:
+            return []
+        if not self._further.asks_further(placement, address, now):
+            return []
+        queries = self._queries.query_targets(key, placement, now)
+        if queries:
+            self._report_decision(key, placement, "asked further", now)
+        return queries
 
     def _query_or_hold(
         self, key: bytes, placement: pending_flows.Placement, now: float
@@ -278,18 +257,10 @@
         starting = any(target.starting for target in targets)
         return starting or bool(placement.tried)
 
-    def on_accepted(self, key: bytes, source: _Address, now: float) -> None:
-        """Ends the placement of a flow whose opening packet was answered.
-
-        Args:
-            key: Flow key.
-            source: Side process whose target has answered.
-            now: Present time, seconds.
-        """
-        placement = self._placement_by_key.pop(key, None)
-        if placement is not None:
+    def on_accepted(self, key: bytes) -> None:
+        """Ends the placement of a flow whose opening packet was answered."""
+        if self._placement_by_key.pop(key, None) is not None:
             self._counts.add("placed")
-            self._extra.on_accepted(placement, source, now)
 
     def on_deferred(
         self, frame: frames.Frame, source: _Address, now: float
@@ -305,11 +276,10 @@
             The datagrams and packets to send.
         """
         placement = self._placement_by_key.get(frame.key)
-        if placement is None:
+        if placement is None or placement.chosen != source:
             return []
-        if source in (placement.chosen, placement.second):
-            placement.busy.add(source)
-        return self._try_another(frame, placement, source, frame.value, now)
+        placement.busy.add(source)
+        return self._try_another(frame, placement, frame.value, now)
 
     def on_refused(
         self, frame: frames.Frame, source: _Address, now: float
@@ -325,36 +295,24 @@
             The datagrams and packets to send.
         """
         placement = self._placement_by_key.get(frame.key)
-        if placement is None:
+        if placement is None or placement.chosen != source:
             return []
         load = frames.NOT_ACCEPTING
-        return self._try_another(frame, placement, source, load, now)
+        return self._try_another(frame, placement, load, now)
 
     def _try_another(
         self,
         frame: frames.Frame,
         placement: pending_flows.Placement,
-        source: _Address,
         load: int,
         now: float,
     ) -> list[outcomes.Outcome]:
-        """Chooses again: the packet did not reach the target.
-
-        While another target has the packet as well, its answer is awaited.
-        """
-        if source not in (placement.chosen, placement.second):
-            return []
-        self._queries.recent.discard(source)
-        placement.delivered_to.discard(source)
-        placement.load_by_address[source] = load
-        if source == placement.second:
-            placement.second = None
-            self._counts.add("second_refused")
-            return []
-        placement.chosen, placement.second = placement.second, None
-        if placement.chosen is not None:
-            self._counts.add("second_won")
-            return []
+        """Chooses again: the packet did not reach the chosen target."""
+        assert placement.chosen is not None, "placement has a chosen target"
+        self._queries.recent.discard(placement.chosen)
+        placement.delivered_to.discard(placement.chosen)
+        placement.load_by_address[placement.chosen] = load
+        placement.chosen = None
         return self._send_to_best(frame.key, placement, now)
 
     def on_tick(self, now: float) -> list[outcomes.Outcome]:
@@ -377,8 +335,6 @@
     ) -> list[outcomes.Outcome]:
         if placement.is_expired(now):
             return self._give_up(key, placement, now)
-        if placement.chosen is not None and now < placement.accept_by:
-            return self._send_second(key, placement, now)
         if placement.chosen is not None:
             self._counts.add("accept_overdue")
             self._report_decision(key, placement, "not answered", now)
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -15,12 +15,12 @@
 from clementinelead.relays import formats
 from clementinelead.relays import former_services
 from clementinelead.relays import frames
+from clementinelead.relays import further_queries
 from clementinelead.relays import opening_retransmissions
 from clementinelead.relays import outcomes
 from clementinelead.relays import placing
 from clementinelead.relays import routes
 from clementinelead.relays import searching
-from clementinelead.relays import second_openings
 from clementinelead.telemetry import counters
 
 __all__ = ["Steering"]
@@ -52,8 +52,7 @@
         report: collections.abc.Callable[[outcomes.Decision], None],
         zone: str,
         former: former_services.FormerServices,
-        extra_openings_share: float = 0.0,
-        extra_openings: second_openings.Policy | None = None,
+        further_queries_share: float = 0.0,
     ):
         """Creates a balancer without routes and targets.
 
@@ -62,9 +61,8 @@
             report: Called with each decision, for the log.
             zone: Availability zone of this balancer.
             former: Services that routes no longer name.
-            extra_openings_share: Share of the openings of a service that may
-                get an extra one, 0 for none.
-            extra_openings: Policy of extra openings, None for the default.
+            further_queries_share: Largest share of the new flows of a service
+                for which further targets are asked for their load, 0 for none.
         """
         self.table = routes.EMPTY
         self.former = former
@@ -82,9 +80,7 @@
             self.counts,
             report,
             self._searcher.search,
-            second_openings.create(
-                extra_openings_share, self.counts, extra_openings
-            ),
+            further_queries.FurtherQueries(further_queries_share, self.counts),
         )
         # The start counts as a pause: packets that queued in the socket
         # meanwhile may be stale retransmissions.
@@ -317,7 +313,7 @@
         self, frame: frames.Frame, source: _Address, now: float
     ) -> list[outcomes.Outcome]:
         """Caches the target that has answered an opening packet as an owner."""
-        self._placer.on_accepted(frame.key, source, now)
+        self._placer.on_accepted(frame.key)
         flow = self._cache.by_key.get(frame.key)
         if flow is None or flow.closing:
             owners: list[tuple[_Address, int | None]] = [(source, frame.value)]
--- a/clementinelead/replays/command.py
+++ b/clementinelead/replays/command.py
@@ -69,9 +69,13 @@
             help="share of the objective up to which flows stay in their zone",
         ),
     ] = 0.0,
-    extra_openings_share: typing.Annotated[
+    further_queries_share: typing.Annotated[
         float,
-        typer.Option(min=0.0, max=1.0, help="largest share of second openings"),
+        typer.Option(
+            min=0.0,
+            max=1.0,
+            help="largest share of the flows with further load queries",
+        ),
     ] = 0.0,
     equal_priorities: typing.Annotated[
         bool,
@@ -93,7 +97,7 @@
         workload = loads.equal_priorities(workload)
     if save is not None:
         loads.write(save, workload)
-    options = relay_processes.Options(zone_spill_share, extra_openings_share)
+    options = relay_processes.Options(zone_spill_share, further_queries_share)
     table = rich.table.Table(title=workload.name)
     for column in _COLUMNS:
         table.add_column(column)
--- a/clementinelead/replays/relay_processes.py
+++ b/clementinelead/replays/relay_processes.py
@@ -48,11 +48,12 @@
     Attributes:
         zone_spill_share: Share of the objective up to which a flow stays in
             its zone, from 0 to 1.
-        extra_openings_share: Largest share of second openings, from 0 to 1.
+        further_queries_share: Largest share of the new flows for which further
+            targets are asked for their load, from 0 to 1.
     """
 
     zone_spill_share: float = 0.0
-    extra_openings_share: float = 0.0
+    further_queries_share: float = 0.0
 
 
 class UnsupportedOptionError(ValueError):
--- a/clementinelead/replays/tail_comparison.py
+++ b/clementinelead/replays/tail_comparison.py
@@ -58,7 +58,7 @@
         scale: Size of the load.
         seeds: Seeds of the loads and the targets.
     """
-    options = relay_processes.Options(extra_openings_share=share)
+    options = relay_processes.Options(further_queries_share=share)
     counts: collections.Counter[str] = collections.Counter()
     requests = executed = 0
     quantiles = collections.defaultdict(list)
