--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -92,7 +92,8 @@
             log.report,
             settings.zone,
             self.node.routes.former_services,
-            settings.zone_spill_share,
+            zone_spill_share=settings.zone_spill_share,
+            further_queries_share=settings.further_queries_share,
         )
         self._route_watch = route_watch.RouteWatch(self.node, source)
         generator = self.node.random
--- a/clementinelead/processes/relay_settings.py
+++ b/clementinelead/processes/relay_settings.py
@@ -29,8 +29,8 @@
         link_mbps: Bandwidth of the instance's link, Mbit/s; 0 if not known.
         zone_spill_share: Share of a route's latency objective up to which a
             balancer prefers targets in its availability zone, 0 if not at all.
-        extra_openings_share: Share of the openings of a service that a
-            balancer may repeat at a second target, 0 for none.
+        further_queries_share: Largest share of the new flows of a service for
+            which a balancer asks further targets for their load, 0 for none.
     """
 
     id: str
@@ -49,4 +49,4 @@
     warmup_bound: warmup_limit.WarmupBound | None = None
     link_mbps: float = 0.0
     zone_spill_share: float = 0.0
-    extra_openings_share: float = 0.0
+    further_queries_share: float = 0.0
--- a/clementinelead/relays/pending_flows.py
+++ b/clementinelead/relays/pending_flows.py
@@ -52,6 +52,7 @@
         timed_out: Queried targets whose reply was not in time.
         delivered_to: Targets that have received the opening packet and may
             have answered it.
+        asked_further: Whether further targets were considered once.
     """
 
     route: routes.Route
@@ -70,6 +71,7 @@
     retry_delay_s: float = FIRST_HOLD_DELAY_S
     timed_out: set[tuple[str, int]] = msgspec.field(default_factory=set)
     delivered_to: set[tuple[str, int]] = msgspec.field(default_factory=set)
+    asked_further: bool = False
 
     def remaining_ms(self, now: float) -> int:
         """Returns what is left of the latency objective, milliseconds.
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -9,6 +9,7 @@
 from clementinelead.relays import directory
 from clementinelead.relays import formats
 from clementinelead.relays import frames
+from clementinelead.relays import further_queries
 from clementinelead.relays import load_queries
 from clementinelead.relays import opening_retransmissions
 from clementinelead.relays import outcomes
@@ -56,6 +57,7 @@
         counts: counters.CounterSet,
         report: collections.abc.Callable[[outcomes.Decision], None],
         search: _Search,
+        further: further_queries.FurtherQueries,
         zone_spill_share: float = 0.0,
     ):
         """Creates a placer without pending flows.
@@ -67,6 +69,7 @@
             report: Called with each decision, for the log.
             search: Searches for a flow that may be open, as
                 ``searching.Searcher.search`` does.
+            further: Chooses the flows that get further load queries.
             zone_spill_share: Share of a route's objective up to which flows
                 stay in the balancer's zone, 0 for no preference.
         """
@@ -77,6 +80,7 @@
         self._counts = counts
         self._report = report
         self._search = search
+        self._further = further
         self._placement_by_key: dict[bytes, pending_flows.Placement] = {}
         self._queries = load_queries.LoadQueries(targets, counts)
 
@@ -136,6 +140,7 @@
             may_be_open=may_be_open or segment.copies > 0,
         )
         self._placement_by_key[key] = placement
+        self._further.add_flow(service, now)
         if self._queries.use_recent(key, placement, now):
             return self._send_to_best(key, placement, now)
         queries = self._queries.query_targets(key, placement, now)
@@ -181,6 +186,9 @@
         )
         if address is None:
             return self._query_or_hold(key, placement, now)
+        queries = self._query_further(key, placement, address, now)
+        if queries:
+            return queries
         zone_outcome = self._zone.outcome(placement, address, same_zone)
         if zone_outcome is not None:
             self._counts.add(zone_outcome)
@@ -200,6 +208,24 @@
         )
         return [outcomes.ToPeer(address, message)]
 
+    def _query_further(
+        self,
+        key: bytes,
+        placement: pending_flows.Placement,
+        address: _Address,
+        now: float,
+    ) -> list[outcomes.Outcome]:
+        """Returns load queries to further targets, if the flow gets them."""
+        # A backlogged balancer spares its processor time.
+        if self._queries.recent.backlogged:
+            return []
+        if not self._further.asks_further(placement, address, now):
+            return []
+        queries = self._queries.query_targets(key, placement, now)
+        if queries:
+            self._report_decision(key, placement, "asked further", now)
+        return queries
+
     def _query_or_hold(
         self, key: bytes, placement: pending_flows.Placement, now: float
     ) -> list[outcomes.Outcome]:
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -15,6 +15,7 @@
 from clementinelead.relays import formats
 from clementinelead.relays import former_services
 from clementinelead.relays import frames
+from clementinelead.relays import further_queries
 from clementinelead.relays import opening_retransmissions
 from clementinelead.relays import outcomes
 from clementinelead.relays import overload
@@ -53,7 +54,9 @@
         report: collections.abc.Callable[[outcomes.Decision], None],
         zone: str,
         former: former_services.FormerServices,
+        *,
         zone_spill_share: float = 0.0,
+        further_queries_share: float = 0.0,
     ):
         """Creates a balancer without routes and targets.
 
@@ -64,6 +67,8 @@
             former: Services that routes no longer name.
             zone_spill_share: Share of a route's objective up to which flows
                 stay in the balancer's zone, 0 for no preference.
+            further_queries_share: Largest share of the new flows of a service
+                for which further targets are asked for their load, 0 for none.
         """
         self.table = routes.EMPTY
         self.former = former
@@ -83,6 +88,7 @@
             self.counts,
             report,
             self._searcher.search,
+            further_queries.FurtherQueries(further_queries_share, self.counts),
             zone_spill_share,
         )
         # The start counts as a pause: packets that queued in the socket
--- a/clementinelead/replays/patterns.py
+++ b/clementinelead/replays/patterns.py
@@ -10,6 +10,7 @@
 from clementinelead.replays import mixed_patterns
 from clementinelead.replays import processors
 from clementinelead.replays import scales
+from clementinelead.replays import tail_patterns
 from clementinelead.replays import uneven_patterns
 
 __all__ = ["PATTERNS", "generate"]
@@ -307,6 +308,7 @@
     competing_patterns.kill_in_burst,
     uneven_patterns.walking_crest,
     uneven_patterns.half_speed,
+    tail_patterns.heavy_tail,
 )
 
 
--- a/clementinelead/replays/relayed.py
+++ b/clementinelead/replays/relayed.py
@@ -1,5 +1,6 @@
 """A transport that simulates the product's decisions packet by packet."""
 
+import collections
 import functools
 import typing
 
@@ -50,6 +51,7 @@
     ):
         self.placements = 0
         self.placements_elsewhere = 0
+        self._sent_datagrams = 0  # from balancers to side processes
         self._event_queue = event_queue
         self._draw = draw
         self._acknowledges_data = (
@@ -92,6 +94,13 @@
         event_queue.schedule(event_queue.now + IDLE_TICK_S, self._idle_tick)
         self._control.start_heartbeats()
 
+    def decision_counts(self) -> collections.Counter[str]:
+        """Returns the decisions and datagrams of all balancers by cause."""
+        counts = collections.Counter({"datagrams": self._sent_datagrams})
+        for balancer in self._balancer_by_address.values():
+            counts += balancer.steering.counts.by_cause
+        return counts
+
     # Callers.
 
     def open_flow(self, call: calls.Call) -> None:
@@ -124,6 +133,7 @@
         for outcome in outcome_batch:
             match outcome:
                 case outcomes.ToPeer(address, data):
+                    self._sent_datagrams += 1
                     side = self._side_by_address[address]
                     delay_s = latencies.one_way_s(
                         balancer.zone, side.server.spec.zone
--- a/clementinelead/replays/simulations.py
+++ b/clementinelead/replays/simulations.py
@@ -1,5 +1,6 @@
 """Simulates a load under a policy."""
 
+import collections.abc
 import dataclasses
 import functools
 
@@ -33,6 +34,8 @@
         served_by_target: Requests accepted for service, by target name.
         elsewhere_share: Share of the flows placed at targets outside the zone
             of their caller; NaN if none was placed.
+        count_by_decision: Decisions of all balancers by cause, and the
+            datagrams that they sent; empty for the baselines.
     """
 
     load: loads.Load
@@ -40,6 +43,7 @@
     outcomes: tuple[calls.Outcome, ...]
     served_by_target: dict[str, int]
     elsewhere_share: float
+    count_by_decision: dict[str, int]
 
 
 def replay(
@@ -67,12 +71,14 @@
     generator = np.random.default_rng(seed)
     all_servers = [servers.Server(target) for target in load.targets]
     transport: relayed.RelayedTransport | direct.DirectTransport
+    decision_counts: collections.abc.Callable[[], dict[str, int]] = dict
     match policy:
         case "relayed":
             relayed_transport = relayed.RelayedTransport(
                 load, all_servers, event_queue, generator.random, options
             )
             set_condition = relayed_transport.set_condition
+            decision_counts = relayed_transport.decision_counts
             transport = relayed_transport
         case "plain-hash" | "shortest-queue":
             set_condition = functools.partial(_set_condition, all_servers)
@@ -120,6 +126,7 @@
         transport.placements_elsewhere / transport.placements
         if transport.placements
         else float("nan"),
+        decision_counts(),
     )
 
 
