Order new flows by priority and refuse those that cannot be answered in time

Cause: at several times the capacity, flows of all priorities query all targets for 1.2 s each, and callers learn only then that none will answer. Change: relays/admission.py decides which waiting flows may query targets, which new flows are refused, and how much of the objective flows below the highest priority may need at a target.

--- a/clementinelead/relays/pending_flows.py
+++ b/clementinelead/relays/pending_flows.py
@@ -52,6 +52,11 @@
         timed_out: Queried targets whose reply was not in time.
         delivered_to: Targets that have received the opening packet and may
             have answered it.
+        waiting: Whether all targets were busy, or the flow yields to flows of
+            a higher priority.
+        paused: Whether it queries no target until its deadline.
+        refusing: Whether it is to be refused at its deadline if it still
+            can't be answered within its time budget.
     """
 
     route: routes.Route
@@ -70,6 +75,9 @@
     retry_delay_s: float = FIRST_HOLD_DELAY_S
     timed_out: set[tuple[str, int]] = msgspec.field(default_factory=set)
     delivered_to: set[tuple[str, int]] = msgspec.field(default_factory=set)
+    waiting: bool = False
+    paused: bool = False
+    refusing: bool = False
 
     def remaining_ms(self, now: float) -> int:
         """Returns what is left of the latency objective, milliseconds.
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 
+from clementinelead.relays import admission
 from clementinelead.relays import directory
 from clementinelead.relays import formats
 from clementinelead.relays import frames
@@ -74,6 +75,7 @@
         self._search = search
         self._placement_by_key: dict[bytes, pending_flows.Placement] = {}
         self._queries = load_queries.LoadQueries(targets, counts)
+        self._admission = admission.Admission()
 
     def set_backlogged(self, backlogged: bool) -> None:
         """Sets whether packets queue up faster than they are handled.
@@ -131,6 +133,12 @@
             may_be_open=may_be_open or segment.copies > 0,
         )
         self._placement_by_key[key] = placement
+        if self._admission.unanswerable(placement, now) is not None:
+            placement.refusing = True
+            placement.deadline = now + admission.refusal_delay_s(key)
+            return []
+        if self._yields(key, placement, now):
+            return []
         if self._queries.use_recent(key, placement, now):
             return self._send_to_best(key, placement, now)
         queries = self._queries.query_targets(key, placement, now)
@@ -157,6 +165,7 @@
             return []
         placement.awaiting_reply.discard(source)
         placement.load_by_address[source] = frame.value
+        self._admission.record_answer(placement.service, frame.value, now)
         if frame.kind is _Kind.BUSY:
             placement.busy.add(source)
         if not placement.awaiting_reply:
@@ -216,8 +225,24 @@
             now + placement.retry_delay_s, placement.give_up_at
         )
         placement.retry_delay_s *= HOLD_BACKOFF_FACTOR
+        self._admission.hold(placement, now)
         return []
 
+    def _yields(
+        self, key: bytes, placement: pending_flows.Placement, now: float
+    ) -> bool:
+        """Lets a flow wait on while flows of a higher priority are due."""
+        if not self._admission.must_yield(placement, now):
+            return False
+        self._counts.add("yielded")
+        if not placement.waiting:
+            self._report_decision(key, placement, "yields", now)
+        placement.deadline = min(
+            now + placement.retry_delay_s, placement.give_up_at
+        )
+        self._admission.hold(placement, now)
+        return True
+
     def _may_become_ready(self, placement: pending_flows.Placement) -> bool:
         """Returns whether a target of the service may soon accept the flow.
 
@@ -231,10 +256,13 @@
         starting = any(target.starting for target in targets)
         return starting or bool(placement.tried)
 
-    def on_accepted(self, key: bytes) -> None:
+    def on_accepted(self, key: bytes, now: float) -> None:
         """Ends the placement of a flow whose opening packet was answered."""
-        if self._placement_by_key.pop(key, None) is not None:
+        placement = self._placement_by_key.pop(key, None)
+        if placement is not None:
             self._counts.add("placed")
+            self._admission.record_placed(placement.service, now)
+            self._admission.release(placement)
 
     def on_deferred(
         self, frame: frames.Frame, source: _Address, now: float
@@ -253,6 +281,7 @@
         if placement is None or placement.chosen != source:
             return []
         placement.busy.add(source)
+        self._admission.record_answer(placement.service, frame.value, now)
         return self._try_another(frame, placement, frame.value, now)
 
     def on_refused(
@@ -299,6 +328,7 @@
             The datagrams and packets to send.
         """
         sends: list[outcomes.Outcome] = []
+        self._admission.update_due(self._placement_by_key.values())
         for key, placement in list(self._placement_by_key.items()):
             if now >= placement.deadline:
                 sends.extend(self._on_deadline(key, placement, now))
@@ -309,6 +339,15 @@
     ) -> list[outcomes.Outcome]:
         if placement.is_expired(now):
             return self._give_up(key, placement, now)
+        if placement.refusing:
+            placement.refusing = False
+            estimate = self._admission.unanswerable(placement, now)
+            if estimate is not None:
+                self._counts.add("refused_unanswerable")
+                return self._give_up(key, placement, now, estimate)
+        if placement.paused and self._yields(key, placement, now):
+            return []
+        placement.paused = False
         if placement.chosen is not None:
             self._counts.add("accept_overdue")
             self._report_decision(key, placement, "not answered", now)
@@ -319,14 +358,25 @@
         return self._send_to_best(key, placement, now)
 
     def _give_up(
-        self, key: bytes, placement: pending_flows.Placement, now: float
+        self,
+        key: bytes,
+        placement: pending_flows.Placement,
+        now: float,
+        estimate: admission.Estimate | None = None,
     ) -> list[outcomes.Outcome]:
         """Refuses a flow that no target accepts, so the caller can retry.
 
         A flow that may be open by now is searched for instead; the search
         resets it if no side process holds it.
+
+        Args:
+            key: Flow key.
+            placement: Its placement.
+            now: Present time, seconds.
+            estimate: When it could be answered, if that is too late.
         """
         del self._placement_by_key[key]
+        self._admission.release(placement)
         segment = self._format.from_caller(placement.packet)
         assert segment is not None, "opening packet was parsed before"
         retransmitted = (
@@ -342,6 +392,9 @@
             "service": placement.service,
             "age_ms": round((now - placement.began_at) * 1000, 1),
         }
+        if estimate is not None:
+            inputs |= estimate.log_inputs()
+            return [self.refuse(segment, "not answerable in time", inputs)]
         return [self.refuse(segment, "no target accepts", inputs)]
 
     def refuse(
--- a/clementinelead/relays/query_replies.py
+++ b/clementinelead/relays/query_replies.py
@@ -5,6 +5,7 @@
 from clementinelead.relays import outcomes
 from clementinelead.relays import outstanding_packets
 from clementinelead.relays import startup_recovery
+from clementinelead.relays import workload
 from clementinelead.telemetry import counters
 
 __all__ = ["QueryResponder", "reply"]
@@ -88,6 +89,7 @@
         accepting: bool,
         within_limit: bool,
         now: float,
+        objective_share: float = workload.MAX_OBJECTIVE_SHARE,
     ) -> outcomes.Outcome:
         """Replies with the load that a new flow would meet.
 
@@ -101,16 +103,21 @@
             within_limit: Whether the limit of a target that warms up allows a
                 new flow now.
             now: Present time, seconds.
+            objective_share: Largest share of the objective for waiting and
+                service, see ``admission.ReservedRoom``.
         """
         kind = _Kind.LOAD
         load_ms = frames.NOT_ACCEPTING
         if frame.key in self._flows.by_key:
             load_ms = 0
         elif accepting:
-            workload = self._flows.workload
-            load_ms = workload.load_ms(now)
-            if not within_limit or workload.busy(frame.value, now):
+            target = self._flows.workload
+            load_ms = target.load_ms(now)
+            if not within_limit or target.busy(frame.value, now):
                 kind = _Kind.BUSY
+            elif target.busy(frame.value, now, objective_share):
+                kind = _Kind.BUSY
+                self._counts.add("room_kept")
         return reply(kind, frame, source, value=load_ms)
 
     def reply_held(
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -308,7 +308,7 @@
         self, frame: frames.Frame, source: _Address, now: float
     ) -> list[outcomes.Outcome]:
         """Caches the target that has answered an opening packet as an owner."""
-        self._placer.on_accepted(frame.key)
+        self._placer.on_accepted(frame.key, now)
         flow = self._cache.by_key.get(frame.key)
         if flow is None or flow.closing:
             owners: list[tuple[_Address, int | None]] = [(source, frame.value)]
--- a/clementinelead/relays/target_relay.py
+++ b/clementinelead/relays/target_relay.py
@@ -10,6 +10,7 @@
 
 import collections.abc
 
+from clementinelead.relays import admission
 from clementinelead.relays import announcements
 from clementinelead.relays import formats
 from clementinelead.relays import frames
@@ -88,6 +89,7 @@
         self._format = packet_format
         self._service = service
         self._route_by_address: dict[bytes, routes.Route] = {}
+        self._room = admission.ReservedRoom()
         self._service_number = frames.service_number(service)
         self._report = report
         self._flows = held_flows.HeldFlows(self.workload)
@@ -152,6 +154,7 @@
         """
         self.set_warmup_rate(table.warmup_flows_per_s(self._service))
         self._route_by_address = table.by_address
+        self._room = admission.ReservedRoom(table.priorities(self._service))
 
     def route_of(self, key: bytes) -> routes.Route | None:
         """Returns the route of a flow, None if no route in force has it.
@@ -259,6 +262,7 @@
                         self.accepting,
                         self._limit_allows_flow(now),
                         now,
+                        self._room.objective_share(self.route_of(frame.key)),
                     )
                 ]
             case _Kind.QUERY_HELD:
@@ -290,6 +294,9 @@
             objective_ms = frame.value
             if objective_ms and self.workload.busy(objective_ms, now):
                 return self._defer(frame, source, "deferred", now)
+            share = self._room.objective_share(self.route_of(key))
+            if objective_ms and self.workload.busy(objective_ms, now, share):
+                return self._defer(frame, source, "deferred_room_kept", now)
             self._flows.begin_accept(key, now)
         self._outstanding.add_opening(key, source, now)
         self._limit.add_flow(now)
--- a/clementinelead/relays/workload.py
+++ b/clementinelead/relays/workload.py
@@ -119,7 +119,12 @@
             return completion_ms * WARMUP_SLOWDOWN
         return completion_ms
 
-    def busy(self, objective_ms: int, now: float) -> bool:
+    def busy(
+        self,
+        objective_ms: int,
+        now: float,
+        objective_share: float = MAX_OBJECTIVE_SHARE,
+    ) -> bool:
         """Returns whether a new flow should wait or go to another target.
 
         A target with a free slot is never busy, however slow it is.
@@ -127,6 +132,7 @@
         Args:
             objective_ms: Latency objective of the flow's route, milliseconds.
             now: Present time, seconds.
+            objective_share: Largest share of it for waiting and service.
         """
         wait_s = self.estimate.expected_wait_s(now)
         if wait_s <= 0:
@@ -137,7 +143,7 @@
             service_s = INITIAL_BUSY_SERVICE_S
         if now < self._warm_at:
             service_s *= WARMUP_SLOWDOWN
-        return rounds * service_s * 1000 > MAX_OBJECTIVE_SHARE * objective_ms
+        return rounds * service_s * 1000 > objective_share * objective_ms
 
     def add_flow(self, now: float) -> int:
         """Counts a new flow and its request.
