Take the arrival rate into the expected wait of new flows

Cause: a flow past its objective gets a free slot only, so in a sustained overload it waits without end, although few flows wait ahead of it.

--- a/clementinelead/relays/admission.py
+++ b/clementinelead/relays/admission.py
@@ -106,18 +106,26 @@
         ahead: Flows of the same or a higher priority that wait.
         placed_per_s: Flows of the service that are placed, per second; the
             largest rate that the count in the window makes plausible.
+        arriving_per_s: New flows of the same or a higher priority, per second;
+            the smallest such rate.
     """
 
     answer_s: float
     ahead: int
     placed_per_s: float
+    arriving_per_s: float
 
     def log_inputs(self) -> dict[str, object]:
         """Returns the inputs of a refusal, for the log."""
         return {
-            "earliest_ms": round(self.answer_s * 1000),
+            "earliest_ms": (
+                round(self.answer_s * 1000)
+                if math.isfinite(self.answer_s)
+                else None
+            ),
             "ahead": self.ahead,
             "placed_per_s": round(self.placed_per_s, 1),
+            "arriving_per_s": round(self.arriving_per_s, 1),
         }
 
 
@@ -129,11 +137,13 @@
         placed: Flows placed in it.
         least_load_ms: Lowest load that a target has reported in it,
             milliseconds; None without a report.
+        arrived_by_priority: New flows that arrived in it.
     """
 
     began_at: float
     placed: int = 0
     least_load_ms: int | None = None
+    arrived_by_priority: dict[int, int] = msgspec.field(default_factory=dict)
 
 
 class _Backlog:
@@ -169,6 +179,11 @@
         self._placed_at = now
         self._current_slice(now).placed += 1
 
+    def record_arrival(self, priority: int, now: float) -> None:
+        """Records a new flow."""
+        arrived = self._current_slice(now).arrived_by_priority
+        arrived[priority] = arrived.get(priority, 0) + 1
+
     def _current_slice(self, now: float) -> _Slice:
         """Returns the slice of the present time, and drops outdated ones."""
         while self._slices and now - self._slices[0].began_at > RATE_WINDOW_S:
@@ -196,11 +211,18 @@
             for higher, due in self.due_by_priority.items()
         )
 
-    def estimate(self, priority: int, now: float) -> Estimate | None:
+    def estimate(
+        self, priority: int, objective_s: float, now: float
+    ) -> Estimate | None:
         """Returns when a new flow could be answered at the earliest.
 
+        A flow that is not placed within its objective gets a free slot only,
+        as ``Placement.remaining_ms`` says. It then waits for the flows that
+        arrive meanwhile, too, and without end while these alone use all slots.
+
         Args:
             priority: Priority of the flow.
+            objective_s: What is left of its latency objective, seconds.
             now: Present time, seconds.
 
         Returns:
@@ -209,31 +231,46 @@
         """
         window_s = min(RATE_WINDOW_S, now - self._placing_since)
         placed_recently = now - self._placed_at <= MAX_PLACEMENT_GAP_S
+        least_load_ms = self._least_fresh_load_ms(now)
         if window_s < MIN_RATE_WINDOW_S or not placed_recently:
             return None
-        fresh_loads_ms = [
-            piece.least_load_ms
-            for piece in self._slices
-            if now - piece.began_at <= FRESH_ANSWER_S
-            and piece.least_load_ms is not None
-        ]
-        if not fresh_loads_ms:
+        if least_load_ms is None:
             return None
-        placed = sum(
-            piece.placed
-            for piece in self._slices
-            if now - piece.began_at <= window_s
+        pieces = [p for p in self._slices if now - p.began_at <= window_s]
+        placed = sum(piece.placed for piece in pieces)
+        arrived = sum(
+            _count_up_to(priority, piece.arrived_by_priority)
+            for piece in pieces
         )
-        # Upper end of the 0.95 confidence interval of a Poisson process.
+        # Ends of the 0.95 confidence intervals of Poisson processes.
         placed_per_s = (placed + 2 * math.sqrt(placed) + 3) / window_s
-        ahead = sum(
-            count
-            for other, count in self.count_by_priority.items()
-            if other <= priority
+        arriving_per_s = max(0.0, arrived - 2 * math.sqrt(arrived)) / window_s
+        ahead = _count_up_to(priority, self.count_by_priority)
+        wait_s = ahead / placed_per_s
+        if wait_s > objective_s:
+            spare_per_s = placed_per_s - arriving_per_s
+            wait_s = ahead / spare_per_s if spare_per_s > 0 else math.inf
+        answer_s = wait_s + least_load_ms * MIN_FREE_SHARE / 1000
+        return Estimate(answer_s, ahead, placed_per_s, arriving_per_s)
+
+    def _least_fresh_load_ms(self, now: float) -> int | None:
+        """Returns the lowest load in fresh answers, None without any."""
+        return min(
+            (
+                piece.least_load_ms
+                for piece in self._slices
+                if now - piece.began_at <= FRESH_ANSWER_S
+                and piece.least_load_ms is not None
+            ),
+            default=None,
         )
-        completion_s = min(fresh_loads_ms) * MIN_FREE_SHARE / 1000
-        answer_s = ahead / placed_per_s + completion_s
-        return Estimate(answer_s, ahead, placed_per_s)
+
+
+def _count_up_to(priority: int, count_by_priority: dict[int, int]) -> int:
+    """Returns the number of flows of the same or a higher priority."""
+    return sum(
+        count for other, count in count_by_priority.items() if other <= priority
+    )
 
 
 class Admission:
@@ -260,6 +297,19 @@
             return
         backlog.record_load(load_ms, now)
 
+    def record_arrival(
+        self, placement: pending_flows.Placement, now: float
+    ) -> None:
+        """Records a new flow.
+
+        Args:
+            placement: The flow.
+            now: Present time, seconds.
+        """
+        backlog = self._backlog_by_service.get(placement.service)
+        if backlog is not None:
+            backlog.record_arrival(_rank(placement.route), now)
+
     def record_placed(self, service: str, now: float) -> None:
         """Records that a target has accepted a flow.
 
@@ -356,7 +406,8 @@
         backlog = self._backlog_by_service.get(placement.service)
         if backlog is None or placement.may_be_open or placement.delivered_to:
             return None
-        estimate = backlog.estimate(_rank(placement.route), now)
+        objective_s = placement.remaining_ms(now) / 1000
+        estimate = backlog.estimate(_rank(placement.route), objective_s, now)
         if estimate is None:
             return None
         answered_at = now + estimate.answer_s
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -133,6 +133,7 @@
             may_be_open=may_be_open or segment.copies > 0,
         )
         self._placement_by_key[key] = placement
+        self._admission.record_arrival(placement, now)
         if self._admission.unanswerable(placement, now) is not None:
             placement.refusing = True
             placement.deadline = now + admission.refusal_delay_s(key)
