--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -7,6 +7,7 @@
 import collections.abc
 
 from clementinelead.relays import admission
+from clementinelead.relays import backlogs
 from clementinelead.relays import directory
 from clementinelead.relays import formats
 from clementinelead.relays import frames
@@ -75,7 +76,7 @@
         self._search = search
         self._placement_by_key: dict[bytes, pending_flows.Placement] = {}
         self._queries = load_queries.LoadQueries(targets, counts)
-        self._admission = admission.Admission()
+        self._admission = admission.Admission(counts, self._report_decision)
 
     def set_backlogged(self, backlogged: bool) -> None:
         """Sets whether packets queue up faster than they are handled.
@@ -133,12 +134,7 @@
             may_be_open=may_be_open or segment.copies > 0,
         )
         self._placement_by_key[key] = placement
-        self._admission.record_arrival(placement, now)
-        if self._admission.unanswerable(placement, now) is not None:
-            placement.refusing = True
-            placement.deadline = now + admission.refusal_delay_s(key)
-            return []
-        if self._yields(key, placement, now):
+        if self._admission.delays(key, placement, now):
             return []
         if self._queries.use_recent(key, placement, now):
             return self._send_to_best(key, placement, now)
@@ -166,7 +162,7 @@
             return []
         placement.awaiting_reply.discard(source)
         placement.load_by_address[source] = frame.value
-        self._admission.record_answer(placement.service, frame.value, now)
+        self._admission.record_answer(placement, frame.value, now)
         if frame.kind is _Kind.BUSY:
             placement.busy.add(source)
         if not placement.awaiting_reply:
@@ -178,6 +174,7 @@
         self, key: bytes, placement: pending_flows.Placement, now: float
     ) -> list[outcomes.Outcome]:
         """Sends the opening packet to the best target that has replied."""
+        placement.paused = False
         address = pending_flows.best_target(
             placement, self._directory.same_zone, self._directory.evacuated
         )
@@ -226,24 +223,9 @@
             now + placement.retry_delay_s, placement.give_up_at
         )
         placement.retry_delay_s *= HOLD_BACKOFF_FACTOR
-        self._admission.hold(placement, now)
+        self._admission.hold(placement)
         return []
 
-    def _yields(
-        self, key: bytes, placement: pending_flows.Placement, now: float
-    ) -> bool:
-        """Lets a flow wait on while flows of a higher priority are due."""
-        if not self._admission.must_yield(placement, now):
-            return False
-        self._counts.add("yielded")
-        if not placement.waiting:
-            self._report_decision(key, placement, "yields", now)
-        placement.deadline = min(
-            now + placement.retry_delay_s, placement.give_up_at
-        )
-        self._admission.hold(placement, now)
-        return True
-
     def _may_become_ready(self, placement: pending_flows.Placement) -> bool:
         """Returns whether a target of the service may soon accept the flow.
 
@@ -258,12 +240,16 @@
         return starting or bool(placement.tried)
 
     def on_accepted(self, key: bytes, now: float) -> None:
-        """Ends the placement of a flow whose opening packet was answered."""
+        """Ends the placement of a flow whose opening packet was answered.
+
+        Args:
+            key: Flow key.
+            now: Present time, seconds.
+        """
         placement = self._placement_by_key.pop(key, None)
         if placement is not None:
             self._counts.add("placed")
-            self._admission.record_placed(placement.service, now)
-            self._admission.release(placement)
+            self._admission.record_placed(placement, now)
 
     def on_deferred(
         self, frame: frames.Frame, source: _Address, now: float
@@ -282,7 +268,7 @@
         if placement is None or placement.chosen != source:
             return []
         placement.busy.add(source)
-        self._admission.record_answer(placement.service, frame.value, now)
+        self._admission.record_answer(placement, frame.value, now)
         return self._try_another(frame, placement, frame.value, now)
 
     def on_refused(
@@ -341,14 +327,11 @@
         if placement.is_expired(now):
             return self._give_up(key, placement, now)
         if placement.refusing:
-            placement.refusing = False
-            estimate = self._admission.unanswerable(placement, now)
+            estimate = self._admission.refuses(placement, now)
             if estimate is not None:
-                self._counts.add("refused_unanswerable")
                 return self._give_up(key, placement, now, estimate)
-        if placement.paused and self._yields(key, placement, now):
+        if placement.paused and self._admission.postpones(key, placement, now):
             return []
-        placement.paused = False
         if placement.chosen is not None:
             self._counts.add("accept_overdue")
             self._report_decision(key, placement, "not answered", now)
@@ -363,7 +346,7 @@
         key: bytes,
         placement: pending_flows.Placement,
         now: float,
-        estimate: admission.Estimate | None = None,
+        estimate: backlogs.Estimate | None = None,
     ) -> list[outcomes.Outcome]:
         """Refuses a flow that no target accepts, so the caller can retry.
 
