Refuse new flows only while another new flow has just found no room

Change: a new flow is refused only within 50 ms of another one of its route that had most of its objective left and found all targets busy.

--- a/clementinelead/relays/admission.py
+++ b/clementinelead/relays/admission.py
@@ -26,6 +26,21 @@
 Callers that are refused at the same moment would come back together.
 """
 
+SATURATION_S = 0.05
+"""Time for which new flows rely on an earlier one that found no room, seconds.
+
+Then the next ones query targets again. Otherwise refusals would go on after a
+burst: the rate of placed flows that justifies them falls with the flows that
+query. Targets have accepted work for longer than this time.
+"""
+
+MIN_EVIDENCE_SHARE = 0.5
+"""Share of its objective that a flow must have left to find targets busy.
+
+A target is sooner busy for a flow with less time, so a flow that has waited
+says nothing about new ones.
+"""
+
 LOWER_PRIORITY_SHARE = 0.7
 """Share of the objective that flows below the highest priority may need.
 
@@ -126,12 +141,32 @@
             backlog.record_placed(now)
         self.release(placement)
 
-    def hold(self, placement: pending_flows.Placement) -> None:
-        """Records that a flow waits until its deadline to query targets.
+    def hold(
+        self, key: bytes, placement: pending_flows.Placement, now: float
+    ) -> None:
+        """Holds a flow for which all targets are busy, or prepares its refusal.
 
         Args:
-            placement: The flow.
+            key: Flow key.
+            placement: The flow; its deadline is the time at which it may query
+                targets again.
+            now: Present time, seconds.
         """
+        is_new = not placement.waiting
+        self._wait(placement)
+        if not is_new:
+            return
+        least_ms = MIN_EVIDENCE_SHARE * placement.route.objective_ms
+        if placement.remaining_ms(now) < least_ms:
+            return
+        backlog = self._backlog_by_service[placement.service]
+        backlog.saturated_at_by_route[placement.route.address] = now
+        if self._estimate_if_late(placement, now) is not None:
+            self.release(placement)
+            self._prepare_refusal(key, placement, now)
+
+    def _wait(self, placement: pending_flows.Placement) -> None:
+        """Records that a flow waits until its deadline to query targets."""
         backlog = self._backlog_by_service.setdefault(
             placement.service, backlogs.Backlog()
         )
@@ -195,11 +230,23 @@
         if backlog is None:
             return False
         backlog.record_arrival(_rank(placement.route), now)
-        if self.unanswerable(placement, now) is None:
+        saturated_at = backlog.saturated_at_by_route.get(
+            placement.route.address, float("-inf")
+        )
+        if now - saturated_at > SATURATION_S:
+            return self.postpones(key, placement, now)
+        if self._estimate_if_late(placement, now) is None:
             return self.postpones(key, placement, now)
+        self._prepare_refusal(key, placement, now)
+        return True
+
+    def _prepare_refusal(
+        self, key: bytes, placement: pending_flows.Placement, now: float
+    ) -> None:
+        """Sets the time of a flow's refusal."""
         placement.refusing = True
+        placement.paused = False
         placement.deadline = now + refusal_delay_s(key)
-        return True
 
     def postpones(
         self, key: bytes, placement: pending_flows.Placement, now: float
@@ -226,7 +273,7 @@
         if not placement.waiting:
             self._report(key, placement, "yields", now)
         placement.deadline = min(until, placement.give_up_at)
-        self.hold(placement)
+        self._wait(placement)
         return True
 
     def refuses(
@@ -242,14 +289,14 @@
             Estimate of a flow that must be refused; None if it may go on.
         """
         placement.refusing = False
-        estimate = self.unanswerable(placement, now)
+        estimate = self._estimate_if_late(placement, now)
         cause = (
             "refusal_withdrawn" if estimate is None else "refused_in_advance"
         )
         self._counts.add(cause)
         return estimate
 
-    def unanswerable(
+    def _estimate_if_late(
         self, placement: pending_flows.Placement, now: float
     ) -> backlogs.Estimate | None:
         """Returns the estimate for a flow that can't be answered in time.
--- a/clementinelead/relays/backlogs.py
+++ b/clementinelead/relays/backlogs.py
@@ -95,11 +95,14 @@
     Attributes:
         count_by_priority: Waiting flows.
         due_by_priority: Time at which the next one queries targets, seconds.
+        saturated_at_by_route: Time at which a new flow of a route last found
+            all targets busy, seconds, by the address of the route.
     """
 
     def __init__(self) -> None:
         self.count_by_priority: dict[int, int] = {}
         self.due_by_priority: dict[int, float] = {}
+        self.saturated_at_by_route: dict[bytes, float] = {}
         self._placed_at = float("-inf")
         self._placing_since = float("-inf")
         self._slices: collections.deque[_Slice] = collections.deque()
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -223,7 +223,7 @@
             now + placement.retry_delay_s, placement.give_up_at
         )
         placement.retry_delay_s *= HOLD_BACKOFF_FACTOR
-        self._admission.hold(placement)
+        self._admission.hold(key, placement, now)
         return []
 
     def _may_become_ready(self, placement: pending_flows.Placement) -> bool:
