--- a/clementinelead/relays/admission.py
+++ b/clementinelead/relays/admission.py
@@ -26,14 +26,6 @@
 Callers that are refused at the same moment would come back together.
 """
 
-SATURATION_S = 0.05
-"""Time for which new flows rely on an earlier one that found no room, seconds.
-
-Then the next ones query targets again. Otherwise refusals would go on after a
-burst: the rate of placed flows that justifies them falls with the flows that
-query. Targets have accepted work for longer than this time.
-"""
-
 MIN_EVIDENCE_SHARE = 0.5
 """Share of its objective that a flow must have left to find targets busy.
 
@@ -41,10 +33,11 @@
 says nothing about new ones.
 """
 
-LOWER_PRIORITY_SHARE = 0.7
+LOWER_PRIORITY_SHARE = 0.6
 """Share of the objective that flows below the highest priority may need.
 
 Flows of the highest priority may need ``workload.MAX_OBJECTIVE_SHARE``.
+Measured in ``docs/design/admission.md``.
 """
 
 _REFUSAL_SEED = 0x41
@@ -160,7 +153,8 @@
         if placement.remaining_ms(now) < least_ms:
             return
         backlog = self._backlog_by_service[placement.service]
-        backlog.saturated_at_by_route[placement.route.address] = now
+        route_id = (_rank(placement.route), placement.route.address)
+        backlog.saturated_at_by_route[route_id] = now
         if self._estimate_if_late(placement, now) is not None:
             self.release(placement)
             self._prepare_refusal(key, placement, now)
@@ -229,11 +223,9 @@
         backlog = self._backlog_by_service.get(placement.service)
         if backlog is None:
             return False
-        backlog.record_arrival(_rank(placement.route), now)
-        saturated_at = backlog.saturated_at_by_route.get(
-            placement.route.address, float("-inf")
-        )
-        if now - saturated_at > SATURATION_S:
+        rank = _rank(placement.route)
+        backlog.record_arrival(rank, now)
+        if not backlog.is_saturated(rank, placement.route.address, now):
             return self.postpones(key, placement, now)
         if self._estimate_if_late(placement, now) is None:
             return self.postpones(key, placement, now)
--- a/clementinelead/relays/backlogs.py
+++ b/clementinelead/relays/backlogs.py
@@ -32,6 +32,14 @@
 SLICE_S = 0.05
 """Resolution of these times, seconds."""
 
+SATURATION_S = 0.05
+"""Time for which new flows rely on an earlier one that found no room, seconds.
+
+Then the next ones query targets again. Otherwise refusals would go on after a
+burst: the rate of placed flows that justifies them falls with the flows that
+query. Targets have accepted work for longer than this time.
+"""
+
 MIN_FREE_SHARE = 1.0 - workload.MAX_UTILISATION
 """Least factor from a reported load to the expected time to the answer.
 
@@ -96,13 +104,13 @@
         count_by_priority: Waiting flows.
         due_by_priority: Time at which the next one queries targets, seconds.
         saturated_at_by_route: Time at which a new flow of a route last found
-            all targets busy, seconds, by the address of the route.
+            all targets busy, seconds; by priority and address of the route.
     """
 
     def __init__(self) -> None:
         self.count_by_priority: dict[int, int] = {}
         self.due_by_priority: dict[int, float] = {}
-        self.saturated_at_by_route: dict[bytes, float] = {}
+        self.saturated_at_by_route: dict[tuple[int, bytes], float] = {}
         self._placed_at = float("-inf")
         self._placing_since = float("-inf")
         self._slices: collections.deque[_Slice] = collections.deque()
@@ -160,6 +168,23 @@
             for higher, due in self.due_by_priority.items()
         )
 
+    def is_saturated(self, priority: int, address: bytes, now: float) -> bool:
+        """Returns whether flows of a route need not query targets.
+
+        That holds if all targets were busy for a flow of the same route, or
+        of a higher priority, to which flows of this route yield.
+
+        Args:
+            priority: Priority of the route.
+            address: Address of the route.
+            now: Present time, seconds.
+        """
+        return any(
+            now - saturated_at <= SATURATION_S
+            for (other, at), saturated_at in self.saturated_at_by_route.items()
+            if other < priority or at == address
+        )
+
     def estimate(
         self, priority: int, objective_s: float, now: float
     ) -> Estimate | None:
