--- a/clementinelead/relays/admission.py
+++ b/clementinelead/relays/admission.py
@@ -225,9 +225,11 @@
             return False
         rank = _rank(placement.route)
         backlog.record_arrival(rank, now)
-        if not backlog.is_saturated(rank, placement.route.address, now):
-            return self.postpones(key, placement, now)
-        if self._estimate_if_late(placement, now) is None:
+        until = now + placement.retry_delay_s
+        no_room = backlog.higher_is_due(rank, until) or backlog.is_saturated(
+            rank, placement.route.address, now
+        )
+        if not no_room or self._estimate_if_late(placement, now) is None:
             return self.postpones(key, placement, now)
         self._prepare_refusal(key, placement, now)
         return True
@@ -265,6 +267,7 @@
         if not placement.waiting:
             self._report(key, placement, "yields", now)
         placement.deadline = min(until, placement.give_up_at)
+        placement.retry_delay_s *= pending_flows.HOLD_BACKOFF_FACTOR
         self._wait(placement)
         return True
 
--- a/clementinelead/relays/backlogs.py
+++ b/clementinelead/relays/backlogs.py
@@ -190,9 +190,10 @@
     ) -> Estimate | None:
         """Returns when a new flow could be answered at the earliest.
 
-        A flow that is not placed within its objective gets a free slot only,
-        as ``Placement.remaining_ms`` says. It then waits for the flows that
-        arrive meanwhile, too, and without end while these alone use all slots.
+        Flows of higher priorities that arrive meanwhile are placed first. A
+        flow that is not placed within its objective gets a free slot only, as
+        ``Placement.remaining_ms`` says: it then waits for all flows that
+        arrive meanwhile, and without end while these use all slots.
 
         Args:
             priority: Priority of the flow.
@@ -211,19 +212,15 @@
         if least_load_ms is None:
             return None
         pieces = [p for p in self._slices if now - p.began_at <= window_s]
-        placed = sum(piece.placed for piece in pieces)
-        arrived = sum(
-            _count_up_to(priority, piece.arrived_by_priority)
-            for piece in pieces
-        )
         # Ends of the 0.95 confidence intervals of Poisson processes.
+        placed = sum(piece.placed for piece in pieces)
         placed_per_s = (placed + 2 * math.sqrt(placed) + 3) / window_s
-        arriving_per_s = max(0.0, arrived - 2 * math.sqrt(arrived)) / window_s
+        higher_per_s = _least_rate_per_s(priority - 1, pieces, window_s)
+        arriving_per_s = _least_rate_per_s(priority, pieces, window_s)
         ahead = _count_up_to(priority, self.count_by_priority)
-        wait_s = ahead / placed_per_s
+        wait_s = _wait_s(ahead, placed_per_s - higher_per_s)
         if wait_s > objective_s:
-            spare_per_s = placed_per_s - arriving_per_s
-            wait_s = ahead / spare_per_s if spare_per_s > 0 else math.inf
+            wait_s = _wait_s(ahead, placed_per_s - arriving_per_s)
         answer_s = wait_s + least_load_ms * MIN_FREE_SHARE / 1000
         return Estimate(answer_s, ahead, placed_per_s, arriving_per_s)
 
@@ -240,6 +237,21 @@
         )
 
 
+def _least_rate_per_s(
+    priority: int, pieces: list[_Slice], window_s: float
+) -> float:
+    """Returns the least plausible rate of new flows up to a priority."""
+    arrived = sum(
+        _count_up_to(priority, piece.arrived_by_priority) for piece in pieces
+    )
+    return max(0.0, arrived - 2 * math.sqrt(arrived)) / window_s
+
+
+def _wait_s(ahead: int, spare_per_s: float) -> float:
+    """Returns how long flows wait for what others leave, seconds."""
+    return ahead / spare_per_s if spare_per_s > 0 else math.inf
+
+
 def _count_up_to(priority: int, count_by_priority: dict[int, int]) -> int:
     """Returns the number of flows of the same or a higher priority."""
     return sum(
--- a/clementinelead/relays/pending_flows.py
+++ b/clementinelead/relays/pending_flows.py
@@ -10,6 +10,13 @@
 FIRST_HOLD_DELAY_S = 0.03
 """Delay before a held flow queries the targets again, seconds."""
 
+HOLD_BACKOFF_FACTOR = 1.5
+"""Factor between consecutive delays before a held flow queries again.
+
+Newer flows query more often and so get a free slot first: only they can still
+be answered within the latency objective.
+"""
+
 CROSS_ZONE_COST_MS = 3
 """Cost added to the load of a target in another zone, milliseconds.
 
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -29,13 +29,6 @@
 ACCEPT_TIMEOUT_S = 0.08
 """Time in which a chosen target must answer the opening packet, seconds."""
 
-HOLD_BACKOFF_FACTOR = 1.5
-"""Factor between consecutive delays before a held flow queries again.
-
-Newer flows query more often and so get a free slot first: only they can still
-be answered within the latency objective.
-"""
-
 _Kind = frames.Kind
 _Address = tuple[str, int]
 _Search = collections.abc.Callable[
@@ -222,7 +215,7 @@
         placement.deadline = min(
             now + placement.retry_delay_s, placement.give_up_at
         )
-        placement.retry_delay_s *= HOLD_BACKOFF_FACTOR
+        placement.retry_delay_s *= pending_flows.HOLD_BACKOFF_FACTOR
         self._admission.hold(key, placement, now)
         return []
 
