--- a/clementinelead/relays/tests/test_admission.py
+++ b/clementinelead/relays/tests/test_admission.py
@@ -283,3 +283,16 @@
 def test_target_with_a_free_slot_refuses_no_priority():
     side, now = _side(_table(), requests=1)  # of two slots
     assert _answer(side, LOW, 1, now) is frames.Kind.LOAD
+
+
+# Guards against refusals that rely on loads of before.
+@pytest.mark.parametrize(("age_s", "known"), [(0.1, True), (0.3, False)])
+def test_estimate_needs_an_answer_that_is_fresh(age_s, known):
+    backlog = backlogs.Backlog()
+    backlog.add(1)
+    for step in range(60):
+        now = 100.0 + step * 0.01
+        backlog.record_placed(now)
+        if step * 0.01 <= 0.59 - age_s:
+            backlog.record_load(150, now)
+    assert (backlog.estimate(1, 0.2, now) is not None) == known
