--- a/clementinelead/relays/pending_flows.py
+++ b/clementinelead/relays/pending_flows.py
@@ -10,6 +10,13 @@
 FIRST_HOLD_DELAY_S = 0.03
 """Delay before a held flow queries the targets again, seconds."""
 
+HOLD_BACKOFF_FACTOR = 1.5
+"""Factor between consecutive delays before a held flow queries again.
+
+Newer flows query more often and so get a free slot first: only they can still
+be answered within the latency objective.
+"""
+
 CROSS_ZONE_COST_MS = 3
 """Cost added to the load of a target in another zone, milliseconds.
 
@@ -53,6 +60,11 @@
         delivered_to: Targets that have received the opening packet and may
             have answered it.
         asked_further: Whether further targets were considered once.
+        waiting: Whether all targets were busy, or the flow yields to flows of
+            a higher priority.
+        paused: Whether it queries no target until its deadline.
+        refusing: Whether it is to be refused at its deadline if it still
+            can't be answered within its time budget.
     """
 
     route: routes.Route
@@ -72,6 +84,9 @@
     timed_out: set[tuple[str, int]] = msgspec.field(default_factory=set)
     delivered_to: set[tuple[str, int]] = msgspec.field(default_factory=set)
     asked_further: bool = False
+    waiting: bool = False
+    paused: bool = False
+    refusing: bool = False
 
     def remaining_ms(self, now: float) -> int:
         """Returns what is left of the latency objective, milliseconds.
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -6,6 +6,8 @@
 
 import collections.abc
 
+from clementinelead.relays import admission
+from clementinelead.relays import backlogs
 from clementinelead.relays import directory
 from clementinelead.relays import formats
 from clementinelead.relays import frames
@@ -29,13 +31,6 @@
 ACCEPT_TIMEOUT_S = 0.08
 """Time in which a chosen target must answer the opening packet, seconds."""
 
-HOLD_BACKOFF_FACTOR = 1.5
-"""Factor between consecutive delays before a held flow queries again.
-
-Newer flows query more often and so get a free slot first: only they can still
-be answered within the latency objective.
-"""
-
 _Kind = frames.Kind
 _Address = tuple[str, int]
 _Search = collections.abc.Callable[
@@ -83,6 +78,7 @@
         self._further = further
         self._placement_by_key: dict[bytes, pending_flows.Placement] = {}
         self._queries = load_queries.LoadQueries(targets, counts)
+        self._admission = admission.Admission(counts, self._report_decision)
 
     def set_backlogged(self, backlogged: bool) -> None:
         """Sets whether packets queue up faster than they are handled.
@@ -141,6 +137,8 @@
         )
         self._placement_by_key[key] = placement
         self._further.add_flow(service, now)
+        if self._admission.delays(key, placement, now):
+            return []
         if self._queries.use_recent(key, placement, now):
             return self._send_to_best(key, placement, now)
         queries = self._queries.query_targets(key, placement, now)
@@ -169,6 +167,7 @@
             return []
         placement.awaiting_reply.discard(source)
         placement.load_by_address[source] = frame.value
+        self._admission.record_answer(placement, frame.value, now)
         if frame.kind is _Kind.BUSY:
             placement.busy.add(source)
         if not placement.awaiting_reply:
@@ -180,6 +179,7 @@
         self, key: bytes, placement: pending_flows.Placement, now: float
     ) -> list[outcomes.Outcome]:
         """Sends the opening packet to the best target that has replied."""
+        placement.paused = False
         same_zone = self._directory.same_zone
         address = self._zone.choose(
             placement, same_zone, self._directory.evacuated, now
@@ -252,7 +252,8 @@
         placement.deadline = min(
             now + placement.retry_delay_s, placement.give_up_at
         )
-        placement.retry_delay_s *= HOLD_BACKOFF_FACTOR
+        placement.retry_delay_s *= pending_flows.HOLD_BACKOFF_FACTOR
+        self._admission.hold(key, placement, now)
         return []
 
     def _may_become_ready(self, placement: pending_flows.Placement) -> bool:
@@ -268,10 +269,17 @@
         starting = any(target.starting for target in targets)
         return starting or bool(placement.tried)
 
-    def on_accepted(self, key: bytes) -> None:
-        """Ends the placement of a flow whose opening packet was answered."""
-        if self._placement_by_key.pop(key, None) is not None:
+    def on_accepted(self, key: bytes, now: float) -> None:
+        """Ends the placement of a flow whose opening packet was answered.
+
+        Args:
+            key: Flow key.
+            now: Present time, seconds.
+        """
+        placement = self._placement_by_key.pop(key, None)
+        if placement is not None:
             self._counts.add("placed")
+            self._admission.record_placed(placement, now)
 
     def on_deferred(
         self, frame: frames.Frame, source: _Address, now: float
@@ -290,6 +298,7 @@
         if placement is None or placement.chosen != source:
             return []
         placement.busy.add(source)
+        self._admission.record_answer(placement, frame.value, now)
         return self._try_another(frame, placement, frame.value, now)
 
     def on_refused(
@@ -336,6 +345,7 @@
             The datagrams and packets to send.
         """
         sends: list[outcomes.Outcome] = []
+        self._admission.update_due(self._placement_by_key.values())
         for key, placement in list(self._placement_by_key.items()):
             if now >= placement.deadline:
                 sends.extend(self._on_deadline(key, placement, now))
@@ -346,6 +356,12 @@
     ) -> list[outcomes.Outcome]:
         if placement.is_expired(now):
             return self._give_up(key, placement, now)
+        if placement.refusing:
+            estimate = self._admission.refuses(placement, now)
+            if estimate is not None:
+                return self._give_up(key, placement, now, estimate)
+        if placement.paused and self._admission.postpones(key, placement, now):
+            return []
         if placement.chosen is not None:
             self._counts.add("accept_overdue")
             self._report_decision(key, placement, "not answered", now)
@@ -358,14 +374,25 @@
         return self._send_to_best(key, placement, now)
 
     def _give_up(
-        self, key: bytes, placement: pending_flows.Placement, now: float
+        self,
+        key: bytes,
+        placement: pending_flows.Placement,
+        now: float,
+        estimate: backlogs.Estimate | None = None,
     ) -> list[outcomes.Outcome]:
         """Refuses a flow that no target accepts, so the caller can retry.
 
         A flow that may be open by now is searched for instead; the search
         resets it if no side process holds it.
+
+        Args:
+            key: Flow key.
+            placement: Its placement.
+            now: Present time, seconds.
+            estimate: When it could be answered, if that is too late.
         """
         del self._placement_by_key[key]
+        self._admission.release(placement)
         segment = self._format.from_caller(placement.packet)
         assert segment is not None, "opening packet was parsed before"
         retransmitted = (
@@ -381,6 +408,9 @@
             "service": placement.service,
             "age_ms": round((now - placement.began_at) * 1000, 1),
         }
+        if estimate is not None:
+            inputs |= estimate.log_inputs()
+            return [self.refuse(segment, "not answerable in time", inputs)]
         return [self.refuse(segment, "no target accepts", inputs)]
 
     def refuse(
