Let the soak change priorities while callers use the routes

Cause: the soak knew equal priorities only, so no side process of it ever held a request. Change: idle routes, which come and go with each version, have a higher priority than the routes in use.

--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -31,6 +31,9 @@
 _PACKAGE = "clementinelead.platform"
 _PORT_NAMES = ("datagrams", "ready", "control", "outbound", "app", "store")
 
+IDLE_ROUTE_PRIORITY = 1
+"""Priority of idle routes; that of the others is 2."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Sizes:
@@ -151,7 +154,9 @@
     def change_config(self, idle_routes: int | None = None) -> None:
         """Stores a new version with another number of idle routes.
 
-        An idle route is one that no caller uses.
+        An idle route is one that no caller uses. Its priority is higher than
+        that of the other routes, so that side processes of its service begin
+        to hold requests, and stop to do so, while callers use them.
 
         Args:
             idle_routes: Their number. By default it grows by one with each
@@ -169,7 +174,9 @@
         host, _ = SERVICE_ENDPOINTS[0]
         idle_ports = range(FIRST_IDLE_PORT, FIRST_IDLE_PORT + self._idle_routes)
         routes += [
-            node_files.route_entry(f"idle{port}", (host, port), SERVICES[0])
+            node_files.route_entry(
+                f"idle{port}", (host, port), SERVICES[0], IDLE_ROUTE_PRIORITY
+            )
             for port in idle_ports
         ]
         version = self.store.version + self.random.randint(1, 4)
--- a/clementinelead/platform/standins/node_files.py
+++ b/clementinelead/platform/standins/node_files.py
@@ -69,7 +69,7 @@
 
 
 def route_entry(
-    name: str, address: tuple[str, int], service: str
+    name: str, address: tuple[str, int], service: str, priority: int = 2
 ) -> dict[str, object]:
     """Returns a route of the operator's configuration, ready for JSON.
 
@@ -77,6 +77,7 @@
         name: Name of the route.
         address: IP address and port of the service.
         service: Service that the route leads to.
+        priority: Priority of its requests, 0 is the highest.
     """
     host, port = address
     return {
@@ -86,4 +87,6 @@
         "service": service,
         "target_latency_ms": 100,
         "timeout_ms": 1000,
+        "priority": priority,
+        "type": "idempotent",
     }
