Name a flow with a held request after the request queue

HELD means that a target holds a flow; the field of a flow with a waiting request had the same name.

--- a/clementinelead/relays/held_flows.py
+++ b/clementinelead/relays/held_flows.py
@@ -61,8 +61,8 @@
         min_completed: Completed requests at the target before it can have
             started on this flow's request.
         closing: Whether either end has closed or reset the flow.
-        held: Whether the data of its next request is held for a turn.
-        held_from: Value of ``request_end`` before the held data.
+        request_queued: Whether the data of its next request is held for a turn.
+        queued_from: Value of ``request_end`` before the held data.
     """
 
     initial_sequence: int | None
@@ -76,8 +76,8 @@
     work_ahead: int = 0
     min_completed: int = 0
     closing: bool = False
-    held: bool = False
-    held_from: int | None = None
+    request_queued: bool = False
+    queued_from: int | None = None
 
     @property
     def is_open(self) -> bool:
@@ -273,22 +273,22 @@
         flow.request_at = now
 
     def hold_request(
-        self, key: bytes, flow: HeldFlow, held_from: int | None, now: float
+        self, key: bytes, flow: HeldFlow, queued_from: int | None, now: float
     ) -> None:
         """Counts a request as work that is not sent to the target yet.
 
         Args:
             key: Flow key.
             flow: The flow, without a request under way.
-            held_from: Sequence number before its data, None for any.
+            queued_from: Sequence number before its data, None for any.
             now: Present time, seconds.
         """
         if not flow.has_work:
             self.workload.add_request(now)
             flow.has_work = True
         self._request_deadline_by_key.pop(key, None)
-        flow.held = True
-        flow.held_from = held_from
+        flow.request_queued = True
+        flow.queued_from = queued_from
         self._held_requests += 1
 
     def begin_held_request(
@@ -318,12 +318,12 @@
             now: Present time, seconds.
         """
         self._end_hold(flow)
-        flow.request_end = flow.held_from
+        flow.request_end = flow.queued_from
         flow.has_work = False
         self.workload.discard_request(now)
 
     def _end_hold(self, flow: HeldFlow) -> None:
-        flow.held = False
+        flow.request_queued = False
         self._held_requests -= 1
 
     def complete_request(
@@ -415,7 +415,7 @@
         self, key: bytes, flow: HeldFlow, rejected: bool = False
     ) -> None:
         """Counts a flow's request as completed if one is under way."""
-        if flow.held:
+        if flow.request_queued:
             self._end_hold(flow)
             self.ends.append(RequestEnd(key, False))
         if flow.request_at is not None:
--- a/clementinelead/relays/request_gate.py
+++ b/clementinelead/relays/request_gate.py
@@ -140,7 +140,7 @@
         if segment.resets:
             sends = self._apply(self._queue.complete(key, now), now)
             return [outcomes.ToTarget(data), *sends]
-        if flow.held and _belongs_to_held(segment, flow):
+        if flow.request_queued and _belongs_to_held(segment, flow):
             return self._follow(segment, data, flow, is_probe, now)
         if is_new:
             begins = flow.request_at is None
@@ -254,7 +254,7 @@
         sends: list[outcomes.Outcome] = []
         for release in releases:
             flow = self._flows.by_key.get(release.key)
-            if flow is not None and flow.held:
+            if flow is not None and flow.request_queued:
                 if release.cause in _DROPPED:
                     self._flows.drop_held_request(flow, now)
                 else:
@@ -297,8 +297,8 @@
         return True
     if not segment.length:
         return False
-    if flow.held_from is None:
+    if flow.queued_from is None:
         return True
     end = (segment.sequence + segment.length) & sequences.MASK
-    distance = (end - flow.held_from - 1) & sequences.MASK
+    distance = (end - flow.queued_from - 1) & sequences.MASK
     return distance < sequences.HALF_RANGE
--- a/clementinelead/relays/target_packets.py
+++ b/clementinelead/relays/target_packets.py
@@ -146,7 +146,7 @@
         if prober is not None:
             sends.append(self._held_report(key, prober))
         # Data while a request is held belongs to an earlier answer.
-        if segment.length and flow.has_work and not flow.held:
+        if segment.length and flow.has_work and not flow.request_queued:
             self._complete_request(key, flow, now)
         if segment.closes or segment.resets:
             self._flows.mark_closing(key, flow, now)
--- a/clementinelead/relays/target_relay.py
+++ b/clementinelead/relays/target_relay.py
@@ -362,7 +362,7 @@
         flow.balancer = source
         flow.last_packet_at = now
         if self._gate.in_use and (
-            segment.length or segment.resets or flow.held
+            segment.length or segment.resets or flow.request_queued
         ):
             is_probe = frame.kind is _Kind.PROBE
             return self._gate.on_packet(
