Start processes in less processor time

After a loss of power all processes start at once on small shares of a processor, and callers wait for it. A sixth of the start went to garbage collections while modules load, and to the site module, which nothing needs: all dependencies are in target/deps.

--- a/clementinelead/platform/launch.py
+++ b/clementinelead/platform/launch.py
@@ -3,6 +3,7 @@
 Datagrams and connections that arrive during the load wait in the sockets.
 """
 
+import gc
 import importlib
 import sys
 import typing
@@ -43,6 +44,8 @@
         node_settings = settings.load()
         bound_sockets = _bind(node_settings)
         program: _Program = importlib.import_module(module)
+        gc.freeze()
+        gc.enable()
         return program.main(node_settings, bound_sockets)
     except exceptions.SettingsError as error:
         print(error, file=sys.stderr)
--- a/clementinelead/platform/tests/test_launch.py
+++ b/clementinelead/platform/tests/test_launch.py
@@ -95,6 +95,27 @@
     assert launch_count < 0.6 * program_count
 
 
+def test_garbage_is_collected_once_the_program_is_loaded(tmp_path):
+    # Guards against a program that keeps cycles of objects until it ends.
+    file, _ = _settings_file(tmp_path)
+    (tmp_path / "gc_program.py").write_text(
+        "import gc\nloaded_with = gc.isenabled()\n"
+        "def main(node_settings, bound_sockets):\n"
+        "    return 10 * loaded_with + gc.isenabled()\n"
+    )
+    code = (
+        f"import sys; sys.path.insert(0, {str(tmp_path)!r})\n"
+        "from clementinelead.platform import start\n"
+        "sys.exit(start.start('gc_program'))"
+    )
+    completed = subprocess.run(
+        [sys.executable, "-c", code],
+        env={settings.SETTINGS_FILE_VARIABLE: str(file), "PATH": ""},
+        check=False,
+    )
+    assert completed.returncode == 1
+
+
 def _start_slowly(tmp_path, file):
     """Starts a side process that loads for a second."""
     module = tmp_path / "slow_side.py"
