--- a/clementinelead/relays/held_flows.py
+++ b/clementinelead/relays/held_flows.py
@@ -2,11 +2,10 @@
 
 import msgspec
 
-from clementinelead.relays import formats
-from clementinelead.relays import sequences
+from clementinelead.relays import held_flow
 from clementinelead.relays import workload
 
-__all__ = ["HeldFlow", "HeldFlows", "RequestEnd"]
+__all__ = ["HeldFlows", "RequestEnd"]
 
 FIRST_REQUEST_TIMEOUT_S = 0.04
 """Time for which a new flow counts as work without a request, seconds.
@@ -38,87 +37,6 @@
 """Time after which an unanswered request no longer counts as work, seconds."""
 
 
-class HeldFlow(msgspec.Struct):
-    """A flow that the target holds.
-
-    Attributes:
-        initial_sequence: Initial sequence number of the target, None if it has
-            not been seen.
-        last_packet_at: Time of the last packet, seconds.
-        balancer: Balancer that sent the last packet, None if not known.
-        chosen_by_caller: Whether the caller continues the flow with this
-            target, not with another one that accepted a copy of its opening
-            packet.
-        confirmed_by_target: Whether the current incarnation of the target has
-            sent a packet of the flow or kept a packet that it would have
-            returned otherwise.
-        has_work: Whether a request is under way or expected.
-        request_at: Time of the last data of the request under way, seconds;
-            None without a request.
-        request_end: Sequence number after the last data of the caller, None
-            before any data.
-        work_ahead: Requests that were under way before this one.
-        min_completed: Completed requests at the target before it can have
-            started on this flow's request.
-        closing: Whether either end has closed or reset the flow.
-        request_queued: Whether the data of its next request is held for a turn.
-        queued_from: Value of ``request_end`` before the held data.
-    """
-
-    initial_sequence: int | None
-    last_packet_at: float
-    balancer: tuple[str, int] | None
-    chosen_by_caller: bool = False
-    confirmed_by_target: bool = False
-    has_work: bool = False
-    request_at: float | None = None
-    request_end: int | None = None
-    work_ahead: int = 0
-    min_completed: int = 0
-    closing: bool = False
-    request_queued: bool = False
-    queued_from: int | None = None
-
-    @property
-    def is_open(self) -> bool:
-        """Whether the present incarnation of the target holds it open."""
-        return self.confirmed_by_target and not self.closing
-
-    def is_acknowledged_by(self, segment: formats.Segment) -> bool:
-        """Returns whether a caller's first packet acknowledges the acceptance.
-
-        Args:
-            segment: Header of a packet that does not open the flow.
-
-        Returns:
-            True also if the target's initial sequence number is not known.
-        """
-        if self.initial_sequence is None:
-            return True
-        return sequences.acknowledges(
-            segment.acknowledgement,
-            self.initial_sequence,
-            sequences.FIRST_ACKNOWLEDGED_BYTES,
-        )
-
-    def record_new_data(self, segment: formats.Segment) -> bool:
-        """Records the end of a caller's data and returns whether it is new.
-
-        A retransmission that crosses the answer is not a new request.
-
-        Args:
-            segment: Header of a packet with data.
-        """
-        end = (segment.sequence + segment.length) & sequences.MASK
-        recorded_end = self.request_end
-        if recorded_end is not None:
-            distance = (end - recorded_end - 1) & sequences.MASK
-            if distance >= sequences.HALF_RANGE:
-                return False
-        self.request_end = end
-        return True
-
-
 class RequestEnd(msgspec.Struct, frozen=True):
     """The end of a request that was in progress or held.
 
@@ -147,7 +65,7 @@
         Args:
             target_workload: Workload of the target, updated by the flows.
         """
-        self.by_key: dict[bytes, HeldFlow] = {}
+        self.by_key: dict[bytes, held_flow.HeldFlow] = {}
         self.workload = target_workload
         self.records_ends = False
         self.ends: list[RequestEnd] = []
@@ -190,7 +108,7 @@
         initial_sequence: int,
         balancer: tuple[str, int] | None,
         now: float,
-    ) -> HeldFlow:
+    ) -> held_flow.HeldFlow:
         """Adds a flow that the target has accepted, and expects a request.
 
         Args:
@@ -199,7 +117,7 @@
             balancer: Sender of the opening packet, None if not known.
             now: Present time, seconds.
         """
-        flow = HeldFlow(initial_sequence, now, balancer)
+        flow = held_flow.HeldFlow(initial_sequence, now, balancer)
         flow.work_ahead = self.workload.add_flow(now) - self._held_requests
         flow.has_work = True
         self.by_key[key] = flow
@@ -208,7 +126,7 @@
 
     def add_unconfirmed(
         self, key: bytes, balancer: tuple[str, int] | None, now: float
-    ) -> HeldFlow:
+    ) -> held_flow.HeldFlow:
         """Adds a flow opened earlier that the target holds or may hold.
 
         Args:
@@ -216,7 +134,7 @@
             balancer: Sender of its packet, None for a packet of the target.
             now: Present time, seconds.
         """
-        flow = HeldFlow(None, now, balancer, chosen_by_caller=True)
+        flow = held_flow.HeldFlow(None, now, balancer, chosen_by_caller=True)
         self.by_key[key] = flow
         self.workload.estimate.open_flows += 1
         return flow
@@ -252,7 +170,9 @@
             self._request_deadline_by_key.pop(key, None)
             self._release(key, flow, now)
 
-    def begin_request(self, key: bytes, flow: HeldFlow, now: float) -> None:
+    def begin_request(
+        self, key: bytes, flow: held_flow.HeldFlow, now: float
+    ) -> None:
         """Counts a request, or more data of the one under way.
 
         Args:
@@ -273,7 +193,11 @@
         flow.request_at = now
 
     def hold_request(
-        self, key: bytes, flow: HeldFlow, queued_from: int | None, now: float
+        self,
+        key: bytes,
+        flow: held_flow.HeldFlow,
+        queued_from: int | None,
+        now: float,
     ) -> None:
         """Counts a request as work that is not sent to the target yet.
 
@@ -292,7 +216,7 @@
         self._held_requests += 1
 
     def begin_held_request(
-        self, key: bytes, flow: HeldFlow, now: float
+        self, key: bytes, flow: held_flow.HeldFlow, now: float
     ) -> None:
         """Counts a held request that is sent to the target now.
 
@@ -308,7 +232,7 @@
         flow.work_ahead = self._outstanding_requests
         self.begin_request(key, flow, now)
 
-    def drop_held_request(self, flow: HeldFlow, now: float) -> None:
+    def drop_held_request(self, flow: held_flow.HeldFlow, now: float) -> None:
         """Stops counting a held request that is dropped.
 
         A copy of its data counts as a new request.
@@ -322,12 +246,12 @@
         flow.has_work = False
         self.workload.discard_request(now)
 
-    def _end_hold(self, flow: HeldFlow) -> None:
+    def _end_hold(self, flow: held_flow.HeldFlow) -> None:
         flow.request_queued = False
         self._held_requests -= 1
 
     def complete_request(
-        self, key: bytes, flow: HeldFlow, now: float
+        self, key: bytes, flow: held_flow.HeldFlow, now: float
     ) -> float | None:
         """Ends the request that the target has answered.
 
@@ -357,7 +281,9 @@
             self.workload.complete_request(duration, flow.work_ahead, now)
         return duration
 
-    def mark_closing(self, key: bytes, flow: HeldFlow, now: float) -> None:
+    def mark_closing(
+        self, key: bytes, flow: held_flow.HeldFlow, now: float
+    ) -> None:
         """Records that the target closes a flow, and ends its request.
 
         Args:
@@ -404,7 +330,9 @@
             ):
                 self._release(key, flow, now)
 
-    def _release(self, key: bytes, flow: HeldFlow, now: float) -> None:
+    def _release(
+        self, key: bytes, flow: held_flow.HeldFlow, now: float
+    ) -> None:
         """Ends a flow's request, whether under way, held or expected."""
         self._end_request(key, flow)
         if flow.has_work:
@@ -412,7 +340,7 @@
             self.workload.discard_request(now)
 
     def _end_request(
-        self, key: bytes, flow: HeldFlow, rejected: bool = False
+        self, key: bytes, flow: held_flow.HeldFlow, rejected: bool = False
     ) -> None:
         """Counts a flow's request as completed if one is under way."""
         if flow.request_queued:
--- a/clementinelead/relays/request_gate.py
+++ b/clementinelead/relays/request_gate.py
@@ -7,6 +7,7 @@
 import collections.abc
 
 from clementinelead.relays import formats
+from clementinelead.relays import held_flow
 from clementinelead.relays import held_flows
 from clementinelead.relays import held_requests
 from clementinelead.relays import outcomes
@@ -107,7 +108,7 @@
         self,
         segment: formats.Segment,
         data: bytes,
-        flow: held_flows.HeldFlow,
+        flow: held_flow.HeldFlow,
         is_probe: bool,
         now: float,
     ) -> list[outcomes.Outcome]:
@@ -156,7 +157,7 @@
         self,
         segment: formats.Segment,
         data: bytes,
-        flow: held_flows.HeldFlow,
+        flow: held_flow.HeldFlow,
         is_probe: bool,
         now: float,
     ) -> list[outcomes.Outcome]:
@@ -173,7 +174,7 @@
     def _offer(
         self,
         packet: held_requests.Packet,
-        flow: held_flows.HeldFlow,
+        flow: held_flow.HeldFlow,
         start: int | None,
         now: float,
     ) -> list[outcomes.Outcome]:
@@ -285,7 +286,7 @@
 
 
 def _belongs_to_held(
-    segment: formats.Segment, flow: held_flows.HeldFlow
+    segment: formats.Segment, flow: held_flow.HeldFlow
 ) -> bool:
     """Returns whether a packet must not overtake the held data of its flow.
 
--- a/clementinelead/relays/target_packets.py
+++ b/clementinelead/relays/target_packets.py
@@ -4,6 +4,7 @@
 
 from clementinelead.relays import formats
 from clementinelead.relays import frames
+from clementinelead.relays import held_flow
 from clementinelead.relays import held_flows
 from clementinelead.relays import outcomes
 from clementinelead.relays import outstanding_packets
@@ -156,10 +157,10 @@
     def _on_accepted(
         self,
         segment: formats.Segment,
-        flow: held_flows.HeldFlow | None,
+        flow: held_flow.HeldFlow | None,
         now: float,
         sends: list[outcomes.Outcome],
-    ) -> held_flows.HeldFlow:
+    ) -> held_flow.HeldFlow:
         """Handles the target's answer to an opening packet.
 
         Adds the flow unless it is recorded already, and appends the report to
@@ -195,7 +196,7 @@
         return outcomes.ToPeer(balancer, message)
 
     def _complete_request(
-        self, key: bytes, flow: held_flows.HeldFlow, now: float
+        self, key: bytes, flow: held_flow.HeldFlow, now: float
     ) -> None:
         """Ends a request that has been answered; logs a slow answer."""
         ahead = flow.work_ahead
