Don't end a request with a copy of an earlier answer

Cause: any data of the target ended the request under way. A retransmission of an earlier answer that arrived after the flow's next request ended that one, often as rejected after less than 2 ms, and the next held request was sent to a target that was still at work.

Change: the record of a flow keeps the first sequence number of its request and the caller's acknowledgement number at that time. Data of the target does not answer the request if it acknowledges none of it, or if the caller had acknowledged the data before. Sequence numbers of the target alone are not used: the stand-in target sends all answers of a flow with one number. The numbers are recorded only while the queue is in use, so with equal priorities nothing changes.

The simulated targets of relayed.py and network.py set the acknowledgement number of their answers now, as real ones do.

--- a/clementinelead/relays/held_flow.py
+++ b/clementinelead/relays/held_flow.py
@@ -33,6 +33,10 @@
         closing: Whether either end has closed or reset the flow.
         request_queued: Whether the data of its next request is held for a turn.
         queued_from: Value of ``request_end`` before the held data.
+        request_start: Sequence number of the first byte of its last request,
+            None if the request queue was not in use when it arrived.
+        answer_start: Lowest sequence number after the answers that the caller
+            had received when it sent that request, None likewise.
     """
 
     initial_sequence: int | None
@@ -48,6 +52,8 @@
     closing: bool = False
     request_queued: bool = False
     queued_from: int | None = None
+    request_start: int | None = None
+    answer_start: int | None = None
 
     @property
     def is_open(self) -> bool:
@@ -87,3 +93,32 @@
                 return False
         self.request_end = end
         return True
+
+    def expect_answer(self, segment: formats.Segment, end: int | None) -> None:
+        """Records which of the target's packets can answer a new request.
+
+        Args:
+            segment: Header of the first packet of the request.
+            end: Sequence number after the data before it, None if not known.
+        """
+        self.request_start = segment.sequence if end is None else end
+        self.answer_start = segment.acknowledgement
+
+    def belongs_to_earlier_answer(self, segment: formats.Segment) -> bool:
+        """Returns whether data of the target answers an earlier request.
+
+        Targets retransmit data until its acknowledgement arrives. Such a packet
+        was either sent before the target had the request, which then it does
+        not acknowledge, or the caller had acknowledged its data with the
+        request. Numbers that are far away are not compared: the sender may not
+        fill the field.
+
+        Args:
+            segment: Header of the target's packet.
+        """
+        if self.request_start is None or self.answer_start is None:
+            return False
+        end = (segment.sequence + segment.length) & sequences.MASK
+        return sequences.acknowledges(
+            self.request_start, segment.acknowledgement
+        ) or sequences.acknowledges(self.answer_start, end)
--- a/clementinelead/relays/request_gate.py
+++ b/clementinelead/relays/request_gate.py
@@ -145,6 +145,8 @@
             return self._follow(segment, data, flow, is_probe, now)
         if is_new:
             begins = flow.request_at is None
+            if begins:
+                flow.expect_answer(segment, start)
             if begins and not self._queue.begin_if_idle(key, now):
                 if may_hold:
                     packet = held_requests.Packet(segment, data)
--- a/clementinelead/relays/target_packets.py
+++ b/clementinelead/relays/target_packets.py
@@ -146,8 +146,7 @@
         prober = self._outstanding.remove_probe(key)
         if prober is not None:
             sends.append(self._held_report(key, prober))
-        # Data while a request is held belongs to an earlier answer.
-        if segment.length and flow.has_work and not flow.request_queued:
+        if segment.length and _answers_last_request(segment, flow):
             self._complete_request(key, flow, now)
         if segment.closes or segment.resets:
             self._flows.mark_closing(key, flow, now)
@@ -230,3 +229,18 @@
                 flow.confirmed_by_target = True
                 sends.append(self._held_report(key, balancer))
         return sends
+
+
+def _answers_last_request(
+    segment: formats.Segment, flow: held_flow.HeldFlow
+) -> bool:
+    """Returns whether data of the target begins the answer that is awaited.
+
+    Args:
+        segment: Header of the target's packet.
+        flow: Its flow. While a request of it is held, the target can only
+            answer earlier ones.
+    """
+    if not flow.has_work or flow.request_queued:
+        return False
+    return not flow.belongs_to_earlier_answer(segment)
--- a/clementinelead/relays/tests/network.py
+++ b/clementinelead/relays/tests/network.py
@@ -73,7 +73,8 @@
             return []  # the caller continues the flow with another target
         self.delivered.append(data)
         if segment.length:
-            return [packet(key, 0, sequence + 1, length=10)]
+            end = segment.sequence + segment.length
+            return [packet(key, 0, sequence + 1, end, length=10)]
         return []
 
 
--- a/clementinelead/relays/tests/test_request_gate.py
+++ b/clementinelead/relays/tests/test_request_gate.py
@@ -49,21 +49,23 @@
         self.answer(key, packets.ACCEPTS, sequence=500, length=0)
         return key
 
-    def send(self, key, flags=0, sequence=1, length=10, kind=PACKET):
+    def send(
+        self, key, flags=0, sequence=1, length=10, kind=PACKET, received=501
+    ):
         """Returns the packets that the target gets."""
-        acknowledgement = 0 if flags & packets.OPENS else 501
+        acknowledgement = 0 if flags & packets.OPENS else received
         data = packets.build_packet(
             key, flags, sequence, acknowledgement, length
         )
         frame = frames.encode(kind, SERVICE_NUMBER, key, data)
         return _to_target(self.relay.on_frame(frame, BALANCER, self.now))
 
-    def request(self, key, sequence=1, kind=PACKET):
-        return self.send(key, sequence=sequence, kind=kind)
+    def request(self, key, sequence=1, kind=PACKET, received=501):
+        return self.send(key, sequence=sequence, kind=kind, received=received)
 
-    def answer(self, key, flags=0, sequence=501, length=20):
+    def answer(self, key, flags=0, sequence=501, length=20, received=11):
         """Returns the packets that the target gets upon one of its own."""
-        data = packets.build_packet(key, flags, sequence, 11, length)
+        data = packets.build_packet(key, flags, sequence, received, length)
         return _to_target(self.relay.on_target_packet(data, self.now))
 
     def tick(self, now):
@@ -154,6 +156,41 @@
     assert side.answer(side.busy[1]) == [(key, 11)]
 
 
+# Guards against a request that ends with a retransmission of an earlier answer,
+# sent before (11) or after (21) the target had the request: the next request
+# would go to a target that is still at work on this one.
+@pytest.mark.parametrize("was_held", [False, True])
+@pytest.mark.parametrize("received", [11, 21])
+def test_copy_of_an_earlier_answer_ends_no_request(received, was_held):
+    side = _Side()
+    key, other = side.open(3), side.open(4)
+    side.answer(side.busy[0])
+    if was_held:
+        assert side.request(other) == [(other, 1)]
+    assert side.request(side.busy[0], 11, received=521) == (
+        [] if was_held else [(side.busy[0], 11)]
+    )
+    if was_held:
+        assert side.answer(other) == [(side.busy[0], 11)]
+    assert side.request(key) == []
+    work = side.relay.work_under_way
+    assert side.answer(side.busy[0], received=received) == []
+    assert side.relay.work_under_way == work
+    answered = side.answer(side.busy[0], sequence=521, received=21)
+    assert answered == [(key, 1)]
+
+
+# Guards against requests that end only at the timeout at targets that don't fill
+# the field of acknowledgements.
+def test_answer_without_an_acknowledgement_ends_its_request():
+    side = _Side()
+    key, held = side.open(3), side.open(4)
+    side.answer(side.busy[0])
+    assert side.request(key, 1 << 30) == [(key, 1 << 30)]
+    assert side.request(held) == []
+    assert side.answer(key, received=0) == [(held, 1)]
+
+
 def test_probe_is_not_held_and_takes_held_data_along():
     side = _Side()
     key, other = side.open(3), side.open(4)
--- a/clementinelead/replays/relayed.py
+++ b/clementinelead/replays/relayed.py
@@ -327,6 +327,7 @@
             key,
             0,
             flow.first_sequence + 1 + flow.sent_bytes,
+            flow.received_end,
             length=caller_flows.REQUEST_BYTES,
         )
         flow.sent_bytes += caller_flows.REQUEST_BYTES
