Don't learn the target's capacity from unanswered requests

Cause: each end of a request that was not a rejection raised the learned number of requests that the target's queue accepts to the number in progress. A request without an answer (reset, close, timeout) has not shown that the target had accepted it. Until the next rejection, too many requests were forwarded and rejected.

Change: the end of a request says whether it was served, rejected or unanswered (requests_in_progress.Ending), and only a served one raises the number.

--- a/clementinelead/relays/held_flows.py
+++ b/clementinelead/relays/held_flows.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from clementinelead.relays import held_flow
+from clementinelead.relays import requests_in_progress
 from clementinelead.relays import workload
 
 __all__ = ["HeldFlows", "RequestEnd"]
@@ -36,17 +37,19 @@
 REQUEST_TIMEOUT_S = 5.0
 """Time after which an unanswered request no longer counts as work, seconds."""
 
+_Ending = requests_in_progress.Ending
+
 
 class RequestEnd(msgspec.Struct, frozen=True):
     """The end of a request that was in progress or held.
 
     Attributes:
         key: Flow key.
-        rejected: Whether the target has answered without serving it.
+        ending: How it ended.
     """
 
     key: bytes
-    rejected: bool
+    ending: _Ending
 
 
 class HeldFlows:
@@ -274,7 +277,8 @@
         # slots serve earlier requests means that it did no work on this one.
         in_order = self._completed_requests >= flow.min_completed
         rejected = duration < MIN_SERVICE_TIME_S or not in_order
-        self._end_request(key, flow, rejected)
+        ending = _Ending.REJECTED if rejected else _Ending.SERVED
+        self._end_request(key, flow, ending)
         if rejected:
             self.workload.discard_request(now)
         else:
@@ -340,15 +344,18 @@
             self.workload.discard_request(now)
 
     def _end_request(
-        self, key: bytes, flow: held_flow.HeldFlow, rejected: bool = False
+        self,
+        key: bytes,
+        flow: held_flow.HeldFlow,
+        ending: _Ending = _Ending.UNANSWERED,
     ) -> None:
         """Counts a flow's request as completed if one is under way."""
         if flow.request_queued:
             self._end_hold(flow)
-            self.ends.append(RequestEnd(key, False))
+            self.ends.append(RequestEnd(key, _Ending.UNANSWERED))
         if flow.request_at is not None:
             flow.request_at = None
             self._outstanding_requests -= 1
             self._completed_requests += 1
             if self.records_ends:
-                self.ends.append(RequestEnd(key, rejected))
+                self.ends.append(RequestEnd(key, ending))
--- a/clementinelead/relays/request_gate.py
+++ b/clementinelead/relays/request_gate.py
@@ -13,6 +13,7 @@
 from clementinelead.relays import outcomes
 from clementinelead.relays import request_queue
 from clementinelead.relays import request_releases
+from clementinelead.relays import requests_in_progress
 from clementinelead.relays import routes
 from clementinelead.relays import sequences
 from clementinelead.relays import target_packets
@@ -21,6 +22,7 @@
 __all__ = ["RequestGate"]
 
 _Cause = request_releases.Cause
+_Ending = requests_in_progress.Ending
 
 _COUNT_BY_CAUSE = {
     _Cause.AT_LIMIT: "request_passed_at_limit",
@@ -139,7 +141,9 @@
         if segment.closes or segment.resets:
             flow.closing = True
         if segment.resets:
-            sends = self._apply(self._queue.complete(key, now), now)
+            sends = self._apply(
+                self._queue.complete(key, now, _Ending.UNANSWERED), now
+            )
             return [outcomes.ToTarget(data), *sends]
         if flow.request_queued and _belongs_to_held(segment, flow):
             return self._follow(segment, data, flow, is_probe, now)
@@ -212,14 +216,14 @@
         self._flows.ends = []
         for end in ends:
             if not self._queue.held_count:
-                self._queue.in_progress.end(end.key, end.rejected, False)
+                self._queue.in_progress.end(end.key, end.ending, False)
                 continue
             is_recorded = end.key in self._flows.by_key
             if is_recorded and self._queue.is_held(end.key):
                 # The target has closed the flow: it decides on the rest.
                 released = self._queue.release(end.key, now)
                 sends += self._apply([released], now)
-            completed = self._queue.complete(end.key, now, end.rejected)
+            completed = self._queue.complete(end.key, now, end.ending)
             sends += self._apply(completed, now)
         return sends
 
--- a/clementinelead/relays/request_queue.py
+++ b/clementinelead/relays/request_queue.py
@@ -40,6 +40,7 @@
 """
 
 _Cause = request_releases.Cause
+_Ending = requests_in_progress.Ending
 _Release = request_releases.Release
 
 
@@ -181,14 +182,17 @@
         return self._forward(request, _Cause.OUT_OF_TURN, now)
 
     def complete(
-        self, key: bytes, now: float, rejected: bool = False
+        self,
+        key: bytes,
+        now: float,
+        ending: _Ending = _Ending.SERVED,
     ) -> list[_Release]:
         """Ends the request of a flow; drops it if it is held.
 
         Args:
             key: Flow key.
             now: Present time, seconds.
-            rejected: Whether the target has answered without serving it.
+            ending: How the request ends.
 
         Returns:
             The dropped request, and those to forward now.
@@ -197,7 +201,7 @@
         if request is not None:
             self._held.remove(request)
             return [request_releases.dropped(request, _Cause.DISCARDED, now)]
-        if not self.in_progress.end(key, rejected, self.held_count > 0):
+        if not self.in_progress.end(key, ending, self.held_count > 0):
             return []
         return self._forward_in_turn(now)
 
--- a/clementinelead/relays/requests_in_progress.py
+++ b/clementinelead/relays/requests_in_progress.py
@@ -5,7 +5,9 @@
 once none is held. The target's rejections show the capacity of its queue.
 """
 
-__all__ = ["RequestsInProgress"]
+import enum
+
+__all__ = ["Ending", "RequestsInProgress"]
 
 SPARE_REQUESTS = 1
 """Requests in progress beyond the slots.
@@ -18,6 +20,14 @@
 """Time after which an unanswered request is no longer in progress, seconds."""
 
 
+class Ending(enum.Enum):
+    """How a request ends."""
+
+    SERVED = "served"
+    REJECTED = "rejected"  # answered without being served
+    UNANSWERED = "unanswered"  # by the end of its flow or the timeout
+
+
 class RequestsInProgress:
     """Requests in progress at one target, by flow key.
 
@@ -102,12 +112,15 @@
         """Raises the limit so that one more request may be forwarded."""
         self.limit = max(self.limit, len(self._deadline_by_key) + 1)
 
-    def end(self, key: bytes, rejected: bool, any_held: bool) -> bool:
+    def end(self, key: bytes, ending: Ending, any_held: bool) -> bool:
         """Ends a request.
 
+        Only answers show the capacity of the target's queue: a request without
+        one may have been lost, or be in the queue no longer.
+
         Args:
             key: Flow key.
-            rejected: Whether the target has answered without serving it.
+            ending: How it ends.
             any_held: Whether requests are held.
 
         Returns:
@@ -116,12 +129,12 @@
         in_progress = len(self._deadline_by_key)
         if self._deadline_by_key.pop(key, None) is None:
             return False
-        if rejected:
+        if ending is Ending.REJECTED:
             self._capacity = max(self._min_limit, in_progress - 1)
-        elif self._capacity is not None:
+        elif ending is Ending.SERVED and self._capacity is not None:
             self._capacity = max(self._capacity, in_progress)
         # After a rejection the target's queue is full with those left.
-        if rejected or not any_held:
+        if ending is Ending.REJECTED or not any_held:
             self._lower_limit()
         return True
 
--- a/clementinelead/relays/tests/test_request_gate.py
+++ b/clementinelead/relays/tests/test_request_gate.py
@@ -143,6 +143,30 @@
     assert side.request(key, 1) == [(key, 1)]
 
 
+# Guards against rejections of requests that could have waited: a request that
+# ended without an answer was taken for one that the target's queue accepts.
+@pytest.mark.parametrize("ended_by", ["reset", "close", "timeout"])
+def test_unanswered_request_does_not_raise_the_known_capacity(ended_by):
+    side = _Side()
+    in_progress = side.relay._gate._queue.in_progress
+    side.tick(1.0)
+    keys = [side.open(number) for number in range(3, 8)]
+    for key in keys[:3]:
+        side.request(key, kind=PROBE)  # not held
+    side.now += held_flows.MIN_SERVICE_TIME_S / 2
+    side.answer(keys[0])  # too soon: it was rejected
+    assert (len(in_progress), in_progress.is_full) == (4, True)
+    side.request(keys[3], kind=PROBE)
+    if ended_by == "reset":
+        side.send(side.busy[0], packets.RESETS, 11, length=0)
+    elif ended_by == "close":
+        side.answer(side.busy[0], packets.CLOSES, length=0)
+    else:
+        side.tick(held_flows.REQUEST_TIMEOUT_S + 0.01)
+        side.request(keys[4], kind=PROBE)
+    assert (len(in_progress), in_progress.is_full) == (4, True)
+
+
 # Guards against the loss of a request to a late copy of the answer before it.
 def test_copy_of_an_earlier_answer_does_not_end_a_held_request():
     side = _Side()
--- a/clementinelead/relays/tests/test_request_queue.py
+++ b/clementinelead/relays/tests/test_request_queue.py
@@ -11,6 +11,7 @@
 from clementinelead.relays import requests_in_progress
 
 Cause = request_releases.Cause
+Ending = requests_in_progress.Ending
 
 
 def _packet(sequence=1, data=b"data"):
@@ -169,7 +170,7 @@
         for release in _offer(queue, b"%d" % number, now=number * 1e-4):
             keys.append(release.key)
             if len(keys) > capacity:
-                queue.complete(keys.pop(), 0.01, rejected=True)
+                queue.complete(keys.pop(), 0.01, ending=Ending.REJECTED)
     return keys
 
 
@@ -188,7 +189,7 @@
     [release] = _offer(queue, b"k", now=0.02)
     assert (release.key, release.cause) == (b"k", Cause.OVERFLOW)
     # The next place is for a request of the highest priority.
-    queue.complete(b"k", 0.02, rejected=True)
+    queue.complete(b"k", 0.02, ending=Ending.REJECTED)
     assert _offer(queue, b"order", priority=1, objective_s=0.3, now=0.02) == []
     assert queue.complete(b"busy0", 0.03)[0].key == b"order"
 
@@ -222,7 +223,7 @@
             _offer(queue, b"%s%d" % (key, number), priority, 0.25, now)
         while len(queue.in_progress) > 9:  # the target rejects the newest
             newest = list(queue.in_progress._deadline_by_key)[-1]
-            queue.complete(newest, now, rejected=True)
+            queue.complete(newest, now, ending=Ending.REJECTED)
         for release in queue.complete(keys.pop(0), now):
             keys.append(release.key)
             forwarded.append(release.key.startswith(b"high"))
@@ -268,7 +269,8 @@
         elif forwarded:
             key = draw.choice(list(forwarded)[:3])
             del forwarded[key]
-            releases = queue.complete(key, now, draw.random() < 0.3)
+            ending = Ending.REJECTED if draw.random() < 0.3 else Ending.SERVED
+            releases = queue.complete(key, now, ending)
         else:
             releases = []
         _check(queue, held, forwarded, releases, now)
