Measure the timeout of a request from its last data

Cause: the queue set the deadline of a request in progress with its first packet only. After 5 s an upload whose data was still arriving was regarded as ended, and a further request was forwarded.

Change: each packet with data beyond the earlier data starts the 5 s anew. Copies do not, so that a silent target's requests still end after 5 s. The timeout of held_flows counted from the last new data already.

--- a/clementinelead/relays/held_flows.py
+++ b/clementinelead/relays/held_flows.py
@@ -35,7 +35,10 @@
 """
 
 REQUEST_TIMEOUT_S = 5.0
-"""Time after which an unanswered request no longer counts as work, seconds."""
+"""Time from its last data until a request no longer counts as work, seconds.
+
+Copies of data don't count: callers send them while a target is silent.
+"""
 
 _Ending = requests_in_progress.Ending
 
--- a/clementinelead/relays/request_gate.py
+++ b/clementinelead/relays/request_gate.py
@@ -151,6 +151,8 @@
             begins = flow.request_at is None
             if begins:
                 flow.expect_answer(segment, start)
+            else:
+                self._queue.in_progress.extend(key, now)
             if begins and not self._queue.begin_if_idle(key, now):
                 if may_hold:
                     packet = held_requests.Packet(segment, data)
--- a/clementinelead/relays/requests_in_progress.py
+++ b/clementinelead/relays/requests_in_progress.py
@@ -17,7 +17,7 @@
 """
 
 IN_PROGRESS_TIMEOUT_S = 5.0
-"""Time after which an unanswered request is no longer in progress, seconds."""
+"""Time from its last data to the end of an unanswered request, seconds."""
 
 
 class Ending(enum.Enum):
@@ -98,6 +98,18 @@
         self._deadline_by_key.pop(key, None)
         self._deadline_by_key[key] = now + IN_PROGRESS_TIMEOUT_S
 
+    def extend(self, key: bytes, now: float) -> None:
+        """Starts the timeout of a request anew, since more data is forwarded.
+
+        Has no effect if the request has ended.
+
+        Args:
+            key: Flow key.
+            now: Present time, seconds.
+        """
+        if key in self._deadline_by_key:
+            self.begin(key, now)
+
     def begin_beyond_limit(self, key: bytes, now: float) -> None:
         """Counts a request as ``begin``; raises the limit to include it.
 
--- a/clementinelead/relays/tests/test_request_gate.py
+++ b/clementinelead/relays/tests/test_request_gate.py
@@ -167,6 +167,21 @@
     assert (len(in_progress), in_progress.is_full) == (4, True)
 
 
+# Guards against further requests for a target that still receives an upload, and
+# against a silent target that is kept busy by copies of its requests.
+def test_request_times_out_after_its_last_new_data():
+    side = _Side()
+    in_progress = side.relay._gate._queue.in_progress
+    side.tick(3.0)
+    assert side.request(side.busy[0], 11) == [(side.busy[0], 11)]
+    assert side.request(side.busy[1], 1) == [(side.busy[1], 1)]  # a copy
+    counts = []
+    for tick_at in (4.9, 5.1, 7.9, 8.1):
+        side.tick(tick_at)
+        counts.append(len(in_progress))
+    assert counts == [2, 1, 1, 0]
+
+
 # Guards against the loss of a request to a late copy of the answer before it.
 def test_copy_of_an_earlier_answer_does_not_end_a_held_request():
     side = _Side()
