Don't hold copies of data that the target already has

Cause: the first data of a flow that was not recorded was noted only while the queue was in use. After a restart the routes arrive later than the first packets; a copy of such data that came after the routes was held and forwarded as a new request, and was in progress until the 5 s had passed, since the target does not answer it again. The same happened to copies of data that the process before the restart had forwarded, once the target had sent a packet of the flow.

Change: the record of a flow always notes the end of such data, and the acknowledgement number of the target's packets while no request is recorded. Only the queue reads it, so loads are counted as before with equal priorities.

--- a/clementinelead/relays/held_flow.py
+++ b/clementinelead/relays/held_flow.py
@@ -33,6 +33,9 @@
         closing: Whether either end has closed or reset the flow.
         request_queued: Whether the data of its next request is held for a turn.
         queued_from: Value of ``request_end`` before the held data.
+        target_end: Sequence number after the caller's data that the target has
+            been sent although no request was recorded, None if there is none.
+            Data up to it is no new request for the queue.
         request_start: Sequence number of the first byte of its last request,
             None if the request queue was not in use when it arrived.
         answer_start: Lowest sequence number after the answers that the caller
@@ -52,6 +55,7 @@
     closing: bool = False
     request_queued: bool = False
     queued_from: int | None = None
+    target_end: int | None = None
     request_start: int | None = None
     answer_start: int | None = None
 
@@ -86,14 +90,20 @@
             segment: Header of a packet with data.
         """
         end = (segment.sequence + segment.length) & sequences.MASK
-        recorded_end = self.request_end
-        if recorded_end is not None:
-            distance = (end - recorded_end - 1) & sequences.MASK
-            if distance >= sequences.HALF_RANGE:
-                return False
+        if not _is_beyond(end, self.request_end):
+            return False
         self.request_end = end
         return True
 
+    def record_target_end(self, end: int) -> None:
+        """Records data that the target has been sent without a request.
+
+        Args:
+            end: Sequence number after the data.
+        """
+        if self.request_end is None and _is_beyond(end, self.target_end):
+            self.target_end = end
+
     def expect_answer(self, segment: formats.Segment, end: int | None) -> None:
         """Records which of the target's packets can answer a new request.
 
@@ -122,3 +132,11 @@
         return sequences.acknowledges(
             self.request_start, segment.acknowledgement
         ) or sequences.acknowledges(self.answer_start, end)
+
+
+def _is_beyond(end: int, recorded_end: int | None) -> bool:
+    """Returns whether data goes beyond the recorded data, if there is any."""
+    if recorded_end is None:
+        return True
+    distance = (end - recorded_end - 1) & sequences.MASK
+    return distance < sequences.HALF_RANGE
--- a/clementinelead/relays/request_gate.py
+++ b/clementinelead/relays/request_gate.py
@@ -134,6 +134,8 @@
             What to send.
         """
         key = segment.key
+        if flow.request_end is None:
+            flow.request_end = flow.target_end
         start = flow.request_end
         is_new = segment.length > 0 and flow.record_new_data(segment)
         may_hold = self._is_active and self._is_configured and flow.is_open
--- a/clementinelead/relays/target_packets.py
+++ b/clementinelead/relays/target_packets.py
@@ -143,6 +143,8 @@
             flow.closing = segment.closes or segment.resets
         flow.last_packet_at = now
         flow.confirmed_by_target = True
+        if segment.acknowledgement and not (segment.accepts or segment.resets):
+            flow.record_target_end(segment.acknowledgement)
         prober = self._outstanding.remove_probe(key)
         if prober is not None:
             sends.append(self._held_report(key, prober))
--- a/clementinelead/relays/target_relay.py
+++ b/clementinelead/relays/target_relay.py
@@ -20,6 +20,7 @@
 from clementinelead.relays import query_replies
 from clementinelead.relays import request_gate
 from clementinelead.relays import routes
+from clementinelead.relays import sequences
 from clementinelead.relays import startup_recovery
 from clementinelead.relays import target_packets
 from clementinelead.relays import warmup_limit
@@ -393,10 +394,11 @@
                 )
             ]
         flow = self._flows.add_unconfirmed(frame.key, source, now)
-        if self._gate.in_use and segment.length:
+        if segment.length:
             # A copy of the data must not be held as a new request: the target
             # would not answer it again.
-            flow.record_new_data(segment)
+            end = (segment.sequence + segment.length) & sequences.MASK
+            flow.record_target_end(end)
         self._outstanding.add_probe(frame.key, source, now)
         self.counts.add("probed")
         return [outcomes.ToTarget(frame.payload)]
--- a/clementinelead/relays/tests/test_request_gate.py
+++ b/clementinelead/relays/tests/test_request_gate.py
@@ -273,6 +273,46 @@
     assert side.request(key, 11) == []
 
 
+class _Restarted(_Side):
+    """A side process that has restarted and has no routes yet."""
+
+    def __init__(self):
+        super().__init__()
+        self.relay = target_relay.TargetRelay(
+            packets.Format(), one_target.SERVICE, self.decisions.append, 0.0, 0
+        )
+        self.relay.on_heartbeat(self.heartbeat, 0.0)
+
+    def set_routes(self):
+        self.relay.set_routes(one_target.table(one_target.PRIORITY))
+        for number in (7, 8):
+            assert self.request(self.open(number))
+
+
+# Guards against a request that is held and then in progress until the timeout,
+# because a copy of data that the target has was taken for a new request.
+def test_copy_of_data_forwarded_before_the_routes_is_no_new_request():
+    side = _Restarted()
+    key = side.busy[0]
+    assert side.request(key, kind=PROBE) == [(key, 1)]
+    side.set_routes()
+    side.tick(outstanding_packets.RETURN_TIMEOUT_S)  # the target keeps it
+    assert side.request(key) == [(key, 1)]
+    assert side.relay.held_request_count == 0
+    assert side.request(key, 11) == []
+
+
+# The same for data that the process before has forwarded.
+@pytest.mark.parametrize("length", [0, 20])
+def test_copy_of_data_that_the_target_acknowledges_is_no_new_request(length):
+    side = _Restarted()
+    key = side.busy[0]
+    side.answer(key, length=length)
+    side.set_routes()
+    assert side.request(key) == [(key, 1)]
+    assert side.request(key, 11) == []
+
+
 def test_restart_of_the_target_drops_held_requests():
     side = _Side()
     key = side.open(3)
