Start with the default weight if link_mbps can't be used

Cause: limits.link_mbps was decoded as a number. Text, another type, a limits entry that is no table, or an integer beyond the range of a float ended the process at its start with an error. A value such as 1e30 became the largest weight. A membership record without a weight is read as one with the weight 0, which counted as the smallest link.

Change: a value that is missing, no number, not above 0 or above 1,000,000 Mbit/s is unknown. The process logs it once at its start, before the program runs; a missing value only at balancers, as side processes do not use it. A record whose weight is 0, negative, infinite or no number counts with the default weight, and is logged once. The log lines about members move to member_log.py.

--- a/clementinelead/memberships/capacities.py
+++ b/clementinelead/memberships/capacities.py
@@ -7,10 +7,19 @@
 """
 
 import collections.abc
+import math
 
 from clementinelead.memberships import records
 
-__all__ = ["may_leave_rotation", "weight"]
+__all__ = [
+    "DEFAULT_WEIGHT",
+    "has_usable_weight",
+    "may_leave_rotation",
+    "weight",
+]
+
+DEFAULT_WEIGHT = 1.0
+"""Weight of a process of which none is known."""
 
 MAX_WEIGHT = 655.0
 """Largest weight that a control message can carry."""
@@ -35,10 +44,21 @@
         1.0
     """
     if role is not records.Role.BALANCER or link_mbps <= 0.0:
-        return 1.0
+        return DEFAULT_WEIGHT
     return min(MAX_WEIGHT, link_mbps)
 
 
+def has_usable_weight(record: records.Record) -> bool:
+    """Returns whether the weight in a membership record can be used.
+
+    A message without a weight is read as one with the weight 0.
+
+    Args:
+        record: Record of a process.
+    """
+    return 0.0 < record.weight < math.inf
+
+
 def may_leave_rotation(
     own: records.Record, others: collections.abc.Iterable[records.Record]
 ) -> bool:
@@ -56,17 +76,22 @@
     balancers[own.id] = own
     serving = sorted(
         (record for record in balancers.values() if _serves(record)),
-        key=lambda record: (record.weight, record.id),
+        key=lambda record: (_capacity(record), record.id),
     )
     if own not in serving:
         return False
-    if own.weight > MAX_RELATIVE_CAPACITY * serving[-1].weight:
+    if _capacity(own) > MAX_RELATIVE_CAPACITY * _capacity(serving[-1]):
         return False
     # The fabric may still count balancers that have stopped or died.
     absent = len(balancers) - len(serving)
     return own in serving[: max(0, len(balancers) // 2 - absent)]
 
 
+def _capacity(record: records.Record) -> float:
+    """Returns the weight of a record, or the default if it can't be used."""
+    return record.weight if has_usable_weight(record) else DEFAULT_WEIGHT
+
+
 def _serves(record: records.Record) -> bool:
     """Returns whether a balancer is alive and does not stop."""
     alive = record.health is records.Health.ALIVE
--- a/clementinelead/memberships/tests/test_capacities.py
+++ b/clementinelead/memberships/tests/test_capacities.py
@@ -73,6 +73,14 @@
     assert _leaving(_zone(5, 1, 1))[:1] != [5]
 
 
+# Guards against unusable weights that count as the smallest or largest link.
+@pytest.mark.parametrize("weight", [0.0, -1.0, float("inf"), float("nan")])
+def test_unusable_weight_counts_as_unknown(weight):
+    record = dataclasses.replace(RECORD, weight=weight)
+    assert not capacities.has_usable_weight(record)
+    assert _leaving(_zone(0.4, weight)) == [0.4]
+
+
 # Guards against too few balancers in the rotation while some of the zone stop.
 @pytest.mark.parametrize(
     "ending",
--- a/clementinelead/platform/programs.py
+++ b/clementinelead/platform/programs.py
@@ -66,13 +66,33 @@
     )
     return lifetime.run(
         node_settings.relay.id,
-        program.run,
+        _run_with_warnings(program, node_settings.warnings),
         [*sites, (metrics_site, metrics_address)],
         bound_sockets,
         lambda: _reload(program.node),
     )
 
 
+def _run_with_warnings(
+    program: Program, warnings: tuple[str, ...]
+) -> lifetime.Main:
+    """Returns a function that logs warnings and runs a program.
+
+    The log is not configured before.
+
+    Args:
+        program: The program.
+        warnings: Settings that are ignored, with the reason.
+    """
+
+    async def run_program(stopping: asyncio.Event) -> None:
+        for warning in warnings:
+            loguru.logger.warning("setting ignored: {}", warning)
+        await program.run(stopping)
+
+    return run_program
+
+
 def _reload(node: relay_node.RelayNode) -> None:
     """Adds the seeds of the settings file to those of a running process."""
     try:
--- a/clementinelead/platform/settings.py
+++ b/clementinelead/platform/settings.py
@@ -28,6 +28,9 @@
 DEFAULT_CHANGE_BOUND_S = 3.0
 """Time after which a change must be in force if no bound is set, seconds."""
 
+MAX_LINK_MBPS = 1_000_000.0
+"""Largest bandwidth that is accepted; larger ones are in another unit."""
+
 MIN_CHANGE_BOUND_S = 1.0
 """Lowest bound that is accepted; the store is called a few times in it."""
 
@@ -55,10 +58,6 @@
     evacuate_ms: float | None = None
 
 
-class _Limits(msgspec.Struct):
-    link_mbps: float = 0.0
-
-
 class _File(msgspec.Struct):
     node_name: str
     ip: str
@@ -69,7 +68,8 @@
     platform: _Store
     seeds: list[str] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
-    limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Limits of the instance; of any type, as they must not prevent the start.
+    limits: object = msgspec.field(default_factory=dict)
     app: str = ""  # UDP and TCP; the target of this side process
     service: str = ""
     zones: dict[str, str] = {}  # region by availability zone
@@ -100,6 +100,8 @@
         zones: Availability zones of the deployment.
         change_bound_s: Time after which a change that the operator writes to
             the store must be in force, seconds.
+        warnings: Settings that can't be used and are ignored, each with the
+            reason, to be logged at the start.
     """
 
     relay: relay_settings.RelaySettings
@@ -113,6 +115,20 @@
     caller_port: int
     zones: frozenset[str] = frozenset()
     change_bound_s: float = DEFAULT_CHANGE_BOUND_S
+    warnings: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class _Unusable:
+    """A setting that can't be used.
+
+    Attributes:
+        reason: The setting, its value and what is allowed.
+        is_missing: Whether it is not set.
+    """
+
+    reason: str
+    is_missing: bool = False
 
 
 def load() -> NodeSettings:
@@ -159,6 +175,11 @@
         raise ValueError("internal_ports: at least three ports are needed")
     fabric_endpoint = _endpoint(file.listen.datagram_addr)
     store_endpoint = _endpoint(file.platform.address)
+    link = _link_mbps(file.limits)
+    warnings = []
+    # Only balancers use the bandwidth, and only side processes have a target.
+    if isinstance(link, _Unusable) and not (link.is_missing and file.app):
+        warnings.append(link.reason)
     relay = relay_settings.RelaySettings(
         id=file.node_name,
         cluster=file.platform.address,
@@ -174,7 +195,7 @@
         heartbeat_s=file.heartbeat_ms / _MS_PER_S,
         first_start=file.bootstrap,
         warmup_bound=_warmup_bound(file.bounds),
-        link_mbps=max(0.0, file.limits.link_mbps),
+        link_mbps=0.0 if isinstance(link, _Unusable) else link,
     )
     return NodeSettings(
         relay=relay,
@@ -188,6 +209,7 @@
         caller_port=fabric_endpoint[1],
         zones=frozenset(file.zones),
         change_bound_s=_change_bound_s(file.bounds),
+        warnings=tuple(warnings),
     )
 
 
@@ -217,6 +239,31 @@
     return share
 
 
+def _link_mbps(limits: object) -> float | _Unusable:
+    """Returns the bandwidth of the instance's link, Mbit/s, if it is usable.
+
+    Args:
+        limits: Table of the settings file, unchecked.
+    """
+    if not isinstance(limits, dict):
+        return _Unusable(f"limits: {_short(limits)} is not a table")
+    if "link_mbps" not in limits:
+        return _Unusable("limits.link_mbps is not set", is_missing=True)
+    value = limits["link_mbps"]
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if is_number and 0.0 < value <= MAX_LINK_MBPS:
+        return float(value)
+    return _Unusable(
+        f"limits.link_mbps: {_short(value)} is not allowed "
+        f"(allowed: above 0, up to {MAX_LINK_MBPS:.0f})"
+    )
+
+
+def _short(value: object) -> str:
+    """Returns a value of the settings file as text of bounded length."""
+    return f"{value!r:.40}"
+
+
 def _change_bound_s(bounds: _Bounds) -> float:
     """Returns the strictest bound on changes that are read from the store."""
     strictest_ms = bounds.config_apply_ms
--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -14,6 +14,7 @@
 from clementinelead.processes import decision_log
 from clementinelead.processes import http_site
 from clementinelead.processes import known_targets
+from clementinelead.processes import member_log
 from clementinelead.processes import metrics_page
 from clementinelead.processes import relay_node
 from clementinelead.processes import relay_settings
@@ -416,19 +417,10 @@
         if any(change.new.role is records.Role.BALANCER for change in changes):
             self._update_may_leave()
         for change in changes:
-            record = change.new
-            if record.role is not records.Role.SIDE:
-                continue
-            if self._is_joined:
+            is_side = change.new.role is records.Role.SIDE
+            if is_side and self._is_joined:
                 self._delay_resets(change, now)
-            loguru.logger.bind(
-                member=record.id,
-                state=record.state.name.lower(),
-                health=record.health.name.lower(),
-                incarnation=record.incarnation,
-                sequence=record.sequence,
-                service=",".join(record.services),
-            ).info("member changed")
+            member_log.log_change(change)
         for service, targets in self._known_targets.update(changes).items():
             self.steering.set_targets(service, targets)
 
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -2,6 +2,7 @@
 import dataclasses
 import time
 
+import loguru
 import msgspec
 import pytest
 import uvloop
@@ -54,6 +55,23 @@
     balancer.on_members([change], now)
 
 
+# Guards against a log line for each of the changes of such a record.
+def test_unusable_weight_of_a_balancer_is_logged_once(balancer):
+    lines = []
+    sink = loguru.logger.add(lines.append, format="{message}", level="WARNING")
+    for sequence in (1, 2, 3):
+        record = dataclasses.replace(
+            SIDE,
+            id="b2",
+            role=records.Role.BALANCER,
+            weight=0.0,
+            sequence=sequence,
+        )
+        _merge_record(balancer, record, time.monotonic())
+    loguru.logger.remove(sink)
+    assert [str(line) for line in lines] == ["weight of a member ignored\n"]
+
+
 def _resets_after_denial(balancer, now):
     """Counts the resets sent when the only side process denies a flow."""
     key = network.flow_key(int(now * 1000))
