Rename OVERDUE and begin_if_idle of the request queue

OVERDUE stands in the place of a priority: OVERDUE_PRIORITY. begin_if_idle begins a request also at a target that is at work, as long as no turn is to be counted: begin_without_turn.

--- a/clementinelead/relays/held_requests.py
+++ b/clementinelead/relays/held_requests.py
@@ -12,12 +12,12 @@
 
 from clementinelead.relays import formats
 
-__all__ = ["OVERDUE", "HeldRequest", "HeldRequests", "Packet"]
+__all__ = ["OVERDUE_PRIORITY", "HeldRequest", "HeldRequests", "Packet"]
 
 MAX_CONSECUTIVE = 3
 """Turns of a priority in succession while lower priorities wait."""
 
-OVERDUE = 256
+OVERDUE_PRIORITY = 256
 """Stands for the priority of requests that can no longer be in time."""
 
 MAX_OUTDATED_ENTRIES = 64
@@ -51,7 +51,8 @@
 
     Attributes:
         key: Flow key.
-        priority: Priority of its route, 0 is served first, or ``OVERDUE``.
+        priority: Priority of its route, 0 is served first, or
+            ``OVERDUE_PRIORITY``.
         objective_s: Latency objective of its route, seconds.
         timeout_s: Time after which its caller gives up, seconds.
         arrived_at: Arrival of its first packet, seconds.
@@ -151,7 +152,7 @@
         """
         self.note_refused(request.priority)
         self.remove(request)
-        self.add(msgspec.structs.replace(request, priority=OVERDUE))
+        self.add(msgspec.structs.replace(request, priority=OVERDUE_PRIORITY))
 
     def clear(self) -> None:
         """Removes all requests."""
@@ -163,7 +164,7 @@
     def priorities(self) -> list[int]:
         """Returns the priorities of which a request is held, ascending.
 
-        ``OVERDUE`` is the last one.
+        ``OVERDUE_PRIORITY`` is the last one.
         """
         return sorted(
             priority
@@ -202,7 +203,7 @@
         Args:
             waiting: Priorities of which a request is held, ascending.
         """
-        if waiting[-1] == OVERDUE and len(waiting) > 1:
+        if waiting[-1] == OVERDUE_PRIORITY and len(waiting) > 1:
             waiting = waiting[:-1]
         for priority in waiting:
             lower_wants = priority < max(waiting[-1], self._lowest_refused)
@@ -265,7 +266,7 @@
         for other, count in self._count_by_priority.items():
             if other <= priority:
                 ahead += count
-            elif other != OVERDUE:
+            elif other != OVERDUE_PRIORITY:
                 behind += count
         return ahead + min(behind, ahead // MAX_CONSECUTIVE)
 
--- a/clementinelead/relays/request_gate.py
+++ b/clementinelead/relays/request_gate.py
@@ -179,7 +179,7 @@
             What to send.
         """
         key = packet.segment.key
-        if not self._queue.begin_if_idle(key, now):
+        if not self._queue.begin_without_turn(key, now):
             if may_hold:
                 return self._offer(packet, flow, start, now)
             self._queue.in_progress.begin(key, now)
--- a/clementinelead/relays/request_queue.py
+++ b/clementinelead/relays/request_queue.py
@@ -83,7 +83,7 @@
         """
         return key in self._held.by_key
 
-    def begin_if_idle(self, key: bytes, now: float) -> bool:
+    def begin_without_turn(self, key: bytes, now: float) -> bool:
         """Begins a request if there is room and no turn to count.
 
         Args:
@@ -221,7 +221,7 @@
         remaining_s = self.in_progress.expected_s(0) + TICK_MARGIN_S
         releases = []
         for priority in self._held.priorities():
-            if priority == held_requests.OVERDUE:
+            if priority == held_requests.OVERDUE_PRIORITY:
                 remaining_s = 0.0  # late in any case
             while (request := self._held.head(priority)) is not None:
                 if now < _forward_at(request, remaining_s):
@@ -281,7 +281,7 @@
             releases.append(self._forward(request, _Cause.IN_TURN, now))
         if self.in_progress.is_full:
             releases += self._forward_all(
-                held_requests.OVERDUE, _Cause.OVERFLOW, now
+                held_requests.OVERDUE_PRIORITY, _Cause.OVERFLOW, now
             )
         return releases
 
@@ -303,7 +303,7 @@
         At a target that rejects requests it waits for the moment at which the
         target rejects it: served late it would delay others.
         """
-        is_overdue = request.priority == held_requests.OVERDUE
+        is_overdue = request.priority == held_requests.OVERDUE_PRIORITY
         if self.in_progress.has_rejected and not is_overdue:
             self._held.mark_overdue(request)
             return []
