--- a/clementinelead/relays/target_relay.py
+++ b/clementinelead/relays/target_relay.py
@@ -12,15 +12,16 @@
 
 from clementinelead.relays import admission
 from clementinelead.relays import announcements
+from clementinelead.relays import caller_packets
 from clementinelead.relays import formats
 from clementinelead.relays import frames
 from clementinelead.relays import held_flows
+from clementinelead.relays import opening_packets
 from clementinelead.relays import outcomes
 from clementinelead.relays import outstanding_packets
 from clementinelead.relays import query_replies
 from clementinelead.relays import request_gate
 from clementinelead.relays import routes
-from clementinelead.relays import sequences
 from clementinelead.relays import startup_recovery
 from clementinelead.relays import target_packets
 from clementinelead.relays import warmup_limit
@@ -91,7 +92,6 @@
         self._format = packet_format
         self._service = service
         self._route_by_address: dict[bytes, routes.Route] = {}
-        self._room = admission.ReservedRoom()
         self._service_number = frames.service_number(service)
         self._report = report
         self._flows = held_flows.HeldFlows(self.workload)
@@ -112,6 +112,27 @@
         self._gate = request_gate.RequestGate(
             self._flows, self.route_of, self.counts, self._log
         )
+        self._opening_handler = opening_packets.OpeningPacketHandler(
+            self._flows,
+            self._outstanding,
+            self.startup,
+            self.workload,
+            self._limit,
+            self._refusal_cause,
+            self.route_of,
+            self.counts,
+            self._log,
+        )
+        self._caller_packet_handler = caller_packets.CallerPacketHandler(
+            packet_format,
+            self._flows,
+            self._outstanding,
+            self.startup,
+            self._gate,
+            self._opening_handler,
+            self.counts,
+            self._log,
+        )
         self._next_expiry_at = now
 
     @property
@@ -138,6 +159,12 @@
             and not self.evacuated
         )
 
+    def _refusal_cause(self) -> str | None:
+        """Returns why new flows are refused, for counts; None if they aren't."""
+        if self.accepting:
+            return None
+        return "refused_evacuated" if self.evacuated else "refused"
+
     def set_evacuated(self, evacuated: bool) -> None:
         """Sets whether the zone of the target is evacuated.
 
@@ -168,7 +195,9 @@
         self._route_by_address = table.by_address
         if not self.stopping:
             self._gate.set_priorities(table.priorities(self._service))
-        self._room = admission.ReservedRoom(table.priorities(self._service))
+        self._opening_handler.room = admission.ReservedRoom(
+            table.priorities(self._service)
+        )
 
     def route_of(self, key: bytes) -> routes.Route | None:
         """Returns the route of a flow, None if no route in force has it.
@@ -267,18 +296,18 @@
             return self._responder.reply_for_other_service(frame, source)
         match frame.kind:
             case _Kind.PACKET | _Kind.PROBE:
-                return self._on_packet(frame, source, now)
+                return self._caller_packet_handler.on_packet(frame, source, now)
             case _Kind.PLACE:
-                return self._on_opening_packet(frame, source, now)
+                return self._opening_handler.on_packet(frame, source, now)
             case _Kind.QUERY_LOAD:
                 return [
                     self._responder.reply_load(
                         frame,
                         source,
                         self.accepting,
-                        self._limit_allows_flow(now),
+                        self._opening_handler.limit_allows_flow(now),
                         now,
-                        self._room.objective_share(self.route_of(frame.key)),
+                        self._opening_handler.objective_share(frame.key),
                     )
                 ]
             case _Kind.QUERY_HELD:
@@ -286,123 +315,6 @@
         self.counts.add("foreign_frame")
         return []
 
-    def _limit_allows_flow(self, now: float) -> bool:
-        """Returns whether the warm-up limit allows another opening packet."""
-        first_flows_known = self.startup.all_flows_recorded(now)
-        return self._limit.allows_flow(first_flows_known, now)
-
-    def _on_opening_packet(
-        self, frame: frames.Frame, source: _Address, now: float
-    ) -> list[outcomes.Outcome]:
-        """Sends an opening packet to the target, or refuses or defers it."""
-        key = frame.key
-        flow = self._flows.by_key.get(key)
-        if not self.accepting and not (flow is not None and flow.is_open):
-            cause = "refused_evacuated" if self.evacuated else "refused"
-            self.counts.add(cause)
-            self._log("acceptance", "refused", key, now)
-            return [query_replies.reply(_Kind.REFUSED, frame, source)]
-        if not self._limit_allows_flow(now):
-            return self._defer(frame, source, "deferred_warmup", now)
-        if flow is not None:
-            flow.balancer = source
-        elif self._outstanding.opening_sender(key) is None:
-            objective_ms = frame.value
-            if objective_ms and self.workload.busy(objective_ms, now):
-                return self._defer(frame, source, "deferred", now)
-            share = self._room.objective_share(self.route_of(key))
-            if objective_ms and self.workload.busy(objective_ms, now, share):
-                return self._defer(frame, source, "deferred_room_kept", now)
-            self._flows.begin_accept(key, now)
-        self._outstanding.add_opening(key, source, now)
-        self._limit.add_flow(now)
-        return [outcomes.ToTarget(frame.payload)]
-
-    def _defer(
-        self, frame: frames.Frame, source: _Address, cause: str, now: float
-    ) -> list[outcomes.Outcome]:
-        """Tells a balancer that an opening packet was not sent to the target.
-
-        Args:
-            frame: The opening packet.
-            source: Address of the balancer.
-            cause: Reason, for counts and the log.
-            now: Present time, seconds.
-        """
-        self.counts.add(cause)
-        self._log("acceptance", "deferred", frame.key, now, cause=cause)
-        load_ms = self.workload.load_ms(now)
-        return [
-            query_replies.reply(_Kind.DEFERRED, frame, source, value=load_ms)
-        ]
-
-    def _on_packet(
-        self, frame: frames.Frame, source: _Address, now: float
-    ) -> list[outcomes.Outcome]:
-        """Sends a packet of a recorded flow to the target."""
-        key = frame.key
-        segment = self._format.from_caller(frame.payload)
-        if segment is None or segment.key != key:
-            self.counts.add("malformed_packet")
-            return []
-        flow = self._flows.by_key.get(key)
-        if flow is None:
-            return self._on_unrecorded_flow(frame, segment, source, now)
-        if frame.kind is _Kind.PROBE:
-            self._outstanding.add_probe(key, source, now)
-        if not flow.chosen_by_caller and not segment.opens:
-            if not flow.is_acknowledged_by(segment):
-                self._flows.remove(key, now)
-                self.counts.add("opened_elsewhere")
-                self._log("flow", "opened elsewhere", key, now)
-                reply = query_replies.reply(
-                    _Kind.NOT_HELD, frame, source, frame.payload
-                )
-                return [reply, *self._gate.on_ends(now)]
-            flow.chosen_by_caller = True
-        flow.balancer = source
-        flow.last_packet_at = now
-        if self._gate.in_use and (
-            segment.length or segment.resets or flow.request_queued
-        ):
-            is_probe = frame.kind is _Kind.PROBE
-            return self._gate.on_packet(
-                segment, frame.payload, flow, is_probe, now
-            )
-        if segment.length and flow.record_new_data(segment):
-            self._flows.begin_request(key, flow, now)
-        if segment.closes or segment.resets:
-            flow.closing = True
-        return [outcomes.ToTarget(frame.payload)]
-
-    def _on_unrecorded_flow(
-        self,
-        frame: frames.Frame,
-        segment: formats.Segment,
-        source: _Address,
-        now: float,
-    ) -> list[outcomes.Outcome]:
-        """Handles a packet of a flow that is not recorded."""
-        if segment.opens:
-            return self._on_opening_packet(frame, source, now)
-        returned = self._outstanding.was_returned(frame.key)
-        if returned or self.startup.all_flows_recorded(now):
-            self.counts.add("not_held")
-            return [
-                query_replies.reply(
-                    _Kind.NOT_HELD, frame, source, frame.payload
-                )
-            ]
-        flow = self._flows.add_unconfirmed(frame.key, source, now)
-        if segment.length:
-            # A copy of the data must not be held as a new request: the target
-            # would not answer it again.
-            end = (segment.sequence + segment.length) & sequences.MASK
-            flow.record_target_end(end)
-        self._outstanding.add_probe(frame.key, source, now)
-        self.counts.add("probed")
-        return [outcomes.ToTarget(frame.payload)]
-
     # Packets of the target.
 
     def on_target_packet(
