--- a/clementinelead/relays/held_flow.py
+++ b/clementinelead/relays/held_flow.py
@@ -36,10 +36,10 @@
         target_end: Sequence number after the caller's data that the target has
             been sent although no request was recorded, None if there is none.
             Data up to it is no new request for the queue.
-        request_start: Sequence number of the first byte of its last request,
-            None if the request queue was not in use when it arrived.
-        answer_start: Lowest sequence number after the answers that the caller
-            had received when it sent that request, None likewise.
+        request_start: Sequence number of the first byte of the last request that
+            arrived while the request queue was in use, None if there is none.
+        answer_start: Sequence number after the answers that the caller had
+            received when it sent that request, None likewise.
     """
 
     initial_sequence: int | None
