--- a/clementinelead/relays/request_gate.py
+++ b/clementinelead/relays/request_gate.py
@@ -7,11 +7,13 @@
 import collections.abc
 
 from clementinelead.relays import formats
+from clementinelead.relays import held_flow
 from clementinelead.relays import held_flows
 from clementinelead.relays import held_requests
 from clementinelead.relays import outcomes
 from clementinelead.relays import request_queue
 from clementinelead.relays import request_releases
+from clementinelead.relays import requests_in_progress
 from clementinelead.relays import routes
 from clementinelead.relays import sequences
 from clementinelead.relays import target_packets
@@ -20,6 +22,7 @@
 __all__ = ["RequestGate"]
 
 _Cause = request_releases.Cause
+_Ending = requests_in_progress.Ending
 
 _COUNT_BY_CAUSE = {
     _Cause.AT_LIMIT: "request_passed_at_limit",
@@ -107,7 +110,7 @@
         self,
         segment: formats.Segment,
         data: bytes,
-        flow: held_flows.HeldFlow,
+        flow: held_flow.HeldFlow,
         is_probe: bool,
         now: float,
     ) -> list[outcomes.Outcome]:
@@ -131,6 +134,8 @@
             What to send.
         """
         key = segment.key
+        if flow.request_end is None:
+            flow.request_end = flow.target_end
         start = flow.request_end
         is_new = segment.length > 0 and flow.record_new_data(segment)
         may_hold = self._is_active and self._is_configured and flow.is_open
@@ -138,25 +143,54 @@
         if segment.closes or segment.resets:
             flow.closing = True
         if segment.resets:
-            sends = self._apply(self._queue.complete(key, now), now)
+            sends = self._apply(
+                self._queue.complete(key, now, _Ending.UNANSWERED), now
+            )
             return [outcomes.ToTarget(data), *sends]
         if flow.request_queued and _belongs_to_held(segment, flow):
             return self._follow(segment, data, flow, is_probe, now)
+        if is_new and flow.request_at is None:
+            packet = held_requests.Packet(segment, data)
+            flow.expect_answer(segment, start)
+            return self._on_request(packet, flow, start, may_hold, now)
         if is_new:
-            begins = flow.request_at is None
-            if begins and not self._queue.begin_if_idle(key, now):
-                if may_hold:
-                    packet = held_requests.Packet(segment, data)
-                    return self._offer(packet, flow, start, now)
-                self._queue.in_progress.begin(key, now)
+            self._queue.in_progress.extend(key, now)
             self._flows.begin_request(key, flow, now)
         return [outcomes.ToTarget(data)]
 
+    def _on_request(
+        self,
+        packet: held_requests.Packet,
+        flow: held_flow.HeldFlow,
+        start: int | None,
+        may_hold: bool,
+        now: float,
+    ) -> list[outcomes.Outcome]:
+        """Begins or holds a request.
+
+        Args:
+            packet: Its first packet.
+            flow: Its flow.
+            start: Sequence number before its data, None for any.
+            may_hold: Whether it may be held.
+            now: Present time, seconds.
+
+        Returns:
+            What to send.
+        """
+        key = packet.segment.key
+        if not self._queue.begin_without_turn(key, now):
+            if may_hold:
+                return self._offer(packet, flow, start, now)
+            self._queue.in_progress.begin(key, now)
+        self._flows.begin_request(key, flow, now)
+        return [outcomes.ToTarget(packet.data)]
+
     def _follow(
         self,
         segment: formats.Segment,
         data: bytes,
-        flow: held_flows.HeldFlow,
+        flow: held_flow.HeldFlow,
         is_probe: bool,
         now: float,
     ) -> list[outcomes.Outcome]:
@@ -165,15 +199,18 @@
             packet = held_requests.Packet(segment, data)
             appended = self._queue.append(segment.key, packet, now)
             return self._apply(appended, now)
-        released = self._queue.release(segment.key, now)
-        sends = self._apply([released], now)
+        sends = self._forward_held(segment.key, now)
         self._flows.begin_request(segment.key, flow, now)
         return [*sends, outcomes.ToTarget(data)]
 
+    def _forward_held(self, key: bytes, now: float) -> list[outcomes.Outcome]:
+        """Forwards the held request of a flow out of turn."""
+        return self._apply([self._queue.release(key, now)], now)
+
     def _offer(
         self,
         packet: held_requests.Packet,
-        flow: held_flows.HeldFlow,
+        flow: held_flow.HeldFlow,
         start: int | None,
         now: float,
     ) -> list[outcomes.Outcome]:
@@ -209,14 +246,13 @@
         self._flows.ends = []
         for end in ends:
             if not self._queue.held_count:
-                self._queue.in_progress.end(end.key, end.rejected, False)
+                self._queue.in_progress.end(end.key, end.ending, False)
                 continue
             is_recorded = end.key in self._flows.by_key
             if is_recorded and self._queue.is_held(end.key):
                 # The target has closed the flow: it decides on the rest.
-                released = self._queue.release(end.key, now)
-                sends += self._apply([released], now)
-            completed = self._queue.complete(end.key, now, end.rejected)
+                sends += self._forward_held(end.key, now)
+            completed = self._queue.complete(end.key, now, end.ending)
             sends += self._apply(completed, now)
         return sends
 
@@ -285,7 +321,7 @@
 
 
 def _belongs_to_held(
-    segment: formats.Segment, flow: held_flows.HeldFlow
+    segment: formats.Segment, flow: held_flow.HeldFlow
 ) -> bool:
     """Returns whether a packet must not overtake the held data of its flow.
 
--- a/clementinelead/relays/request_queue.py
+++ b/clementinelead/relays/request_queue.py
@@ -40,6 +40,7 @@
 """
 
 _Cause = request_releases.Cause
+_Ending = requests_in_progress.Ending
 _Release = request_releases.Release
 
 
@@ -82,7 +83,7 @@
         """
         return key in self._held.by_key
 
-    def begin_if_idle(self, key: bytes, now: float) -> bool:
+    def begin_without_turn(self, key: bytes, now: float) -> bool:
         """Begins a request if there is room and no turn to count.
 
         Args:
@@ -181,14 +182,17 @@
         return self._forward(request, _Cause.OUT_OF_TURN, now)
 
     def complete(
-        self, key: bytes, now: float, rejected: bool = False
+        self,
+        key: bytes,
+        now: float,
+        ending: _Ending = _Ending.SERVED,
     ) -> list[_Release]:
         """Ends the request of a flow; drops it if it is held.
 
         Args:
             key: Flow key.
             now: Present time, seconds.
-            rejected: Whether the target has answered without serving it.
+            ending: How the request ends.
 
         Returns:
             The dropped request, and those to forward now.
@@ -197,7 +201,7 @@
         if request is not None:
             self._held.remove(request)
             return [request_releases.dropped(request, _Cause.DISCARDED, now)]
-        if not self.in_progress.end(key, rejected, self.held_count > 0):
+        if not self.in_progress.end(key, ending, self.held_count > 0):
             return []
         return self._forward_in_turn(now)
 
@@ -217,7 +221,7 @@
         remaining_s = self.in_progress.expected_s(0) + TICK_MARGIN_S
         releases = []
         for priority in self._held.priorities():
-            if priority == held_requests.OVERDUE:
+            if priority == held_requests.OVERDUE_PRIORITY:
                 remaining_s = 0.0  # late in any case
             while (request := self._held.head(priority)) is not None:
                 if now < _forward_at(request, remaining_s):
@@ -277,7 +281,7 @@
             releases.append(self._forward(request, _Cause.IN_TURN, now))
         if self.in_progress.is_full:
             releases += self._forward_all(
-                held_requests.OVERDUE, _Cause.OVERFLOW, now
+                held_requests.OVERDUE_PRIORITY, _Cause.OVERFLOW, now
             )
         return releases
 
@@ -299,7 +303,7 @@
         At a target that rejects requests it waits for the moment at which the
         target rejects it: served late it would delay others.
         """
-        is_overdue = request.priority == held_requests.OVERDUE
+        is_overdue = request.priority == held_requests.OVERDUE_PRIORITY
         if self.in_progress.has_rejected and not is_overdue:
             self._held.mark_overdue(request)
             return []
--- a/clementinelead/relays/requests_in_progress.py
+++ b/clementinelead/relays/requests_in_progress.py
@@ -5,7 +5,9 @@
 once none is held. The target's rejections show the capacity of its queue.
 """
 
-__all__ = ["RequestsInProgress"]
+import enum
+
+__all__ = ["Ending", "RequestsInProgress"]
 
 SPARE_REQUESTS = 1
 """Requests in progress beyond the slots.
@@ -15,7 +17,15 @@
 """
 
 IN_PROGRESS_TIMEOUT_S = 5.0
-"""Time after which an unanswered request is no longer in progress, seconds."""
+"""Time from its last data to the end of an unanswered request, seconds."""
+
+
+class Ending(enum.Enum):
+    """How a request ends."""
+
+    SERVED = "served"
+    REJECTED = "rejected"  # answered without being served
+    UNANSWERED = "unanswered"  # by the end of its flow or the timeout
 
 
 class RequestsInProgress:
@@ -88,6 +98,18 @@
         self._deadline_by_key.pop(key, None)
         self._deadline_by_key[key] = now + IN_PROGRESS_TIMEOUT_S
 
+    def extend(self, key: bytes, now: float) -> None:
+        """Starts the timeout of a request anew, since more data is forwarded.
+
+        Has no effect if the request has ended.
+
+        Args:
+            key: Flow key.
+            now: Present time, seconds.
+        """
+        if key in self._deadline_by_key:
+            self.begin(key, now)
+
     def begin_beyond_limit(self, key: bytes, now: float) -> None:
         """Counts a request as ``begin``; raises the limit to include it.
 
@@ -102,12 +124,15 @@
         """Raises the limit so that one more request may be forwarded."""
         self.limit = max(self.limit, len(self._deadline_by_key) + 1)
 
-    def end(self, key: bytes, rejected: bool, any_held: bool) -> bool:
+    def end(self, key: bytes, ending: Ending, any_held: bool) -> bool:
         """Ends a request.
 
+        Only answers show the capacity of the target's queue: a request without
+        one may have been lost, or be in the queue no longer.
+
         Args:
             key: Flow key.
-            rejected: Whether the target has answered without serving it.
+            ending: How it ends.
             any_held: Whether requests are held.
 
         Returns:
@@ -116,12 +141,12 @@
         in_progress = len(self._deadline_by_key)
         if self._deadline_by_key.pop(key, None) is None:
             return False
-        if rejected:
+        if ending is Ending.REJECTED:
             self._capacity = max(self._min_limit, in_progress - 1)
-        elif self._capacity is not None:
+        elif ending is Ending.SERVED and self._capacity is not None:
             self._capacity = max(self._capacity, in_progress)
         # After a rejection the target's queue is full with those left.
-        if rejected or not any_held:
+        if ending is Ending.REJECTED or not any_held:
             self._lower_limit()
         return True
 
--- a/clementinelead/relays/target_packets.py
+++ b/clementinelead/relays/target_packets.py
@@ -4,6 +4,7 @@
 
 from clementinelead.relays import formats
 from clementinelead.relays import frames
+from clementinelead.relays import held_flow
 from clementinelead.relays import held_flows
 from clementinelead.relays import outcomes
 from clementinelead.relays import outstanding_packets
@@ -142,11 +143,12 @@
             flow.closing = segment.closes or segment.resets
         flow.last_packet_at = now
         flow.confirmed_by_target = True
+        if segment.acknowledgement and not (segment.accepts or segment.resets):
+            flow.record_target_end(segment.acknowledgement)
         prober = self._outstanding.remove_probe(key)
         if prober is not None:
             sends.append(self._held_report(key, prober))
-        # Data while a request is held belongs to an earlier answer.
-        if segment.length and flow.has_work and not flow.request_queued:
+        if segment.length and _answers_last_request(segment, flow):
             self._complete_request(key, flow, now)
         if segment.closes or segment.resets:
             self._flows.mark_closing(key, flow, now)
@@ -156,10 +158,10 @@
     def _on_accepted(
         self,
         segment: formats.Segment,
-        flow: held_flows.HeldFlow | None,
+        flow: held_flow.HeldFlow | None,
         now: float,
         sends: list[outcomes.Outcome],
-    ) -> held_flows.HeldFlow:
+    ) -> held_flow.HeldFlow:
         """Handles the target's answer to an opening packet.
 
         Adds the flow unless it is recorded already, and appends the report to
@@ -195,7 +197,7 @@
         return outcomes.ToPeer(balancer, message)
 
     def _complete_request(
-        self, key: bytes, flow: held_flows.HeldFlow, now: float
+        self, key: bytes, flow: held_flow.HeldFlow, now: float
     ) -> None:
         """Ends a request that has been answered; logs a slow answer."""
         ahead = flow.work_ahead
@@ -229,3 +231,18 @@
                 flow.confirmed_by_target = True
                 sends.append(self._held_report(key, balancer))
         return sends
+
+
+def _answers_last_request(
+    segment: formats.Segment, flow: held_flow.HeldFlow
+) -> bool:
+    """Returns whether data of the target begins the answer that is awaited.
+
+    Args:
+        segment: Header of the target's packet.
+        flow: Its flow. While a request of it is held, the target can only
+            answer earlier ones.
+    """
+    if not flow.has_work or flow.request_queued:
+        return False
+    return not flow.belongs_to_earlier_answer(segment)
--- a/clementinelead/relays/tests/test_request_gate.py
+++ b/clementinelead/relays/tests/test_request_gate.py
@@ -49,21 +49,23 @@
         self.answer(key, packets.ACCEPTS, sequence=500, length=0)
         return key
 
-    def send(self, key, flags=0, sequence=1, length=10, kind=PACKET):
+    def send(
+        self, key, flags=0, sequence=1, length=10, kind=PACKET, received=501
+    ):
         """Returns the packets that the target gets."""
-        acknowledgement = 0 if flags & packets.OPENS else 501
+        acknowledgement = 0 if flags & packets.OPENS else received
         data = packets.build_packet(
             key, flags, sequence, acknowledgement, length
         )
         frame = frames.encode(kind, SERVICE_NUMBER, key, data)
         return _to_target(self.relay.on_frame(frame, BALANCER, self.now))
 
-    def request(self, key, sequence=1, kind=PACKET):
-        return self.send(key, sequence=sequence, kind=kind)
+    def request(self, key, sequence=1, kind=PACKET, received=501):
+        return self.send(key, sequence=sequence, kind=kind, received=received)
 
-    def answer(self, key, flags=0, sequence=501, length=20):
+    def answer(self, key, flags=0, sequence=501, length=20, received=11):
         """Returns the packets that the target gets upon one of its own."""
-        data = packets.build_packet(key, flags, sequence, 11, length)
+        data = packets.build_packet(key, flags, sequence, received, length)
         return _to_target(self.relay.on_target_packet(data, self.now))
 
     def tick(self, now):
@@ -141,6 +143,45 @@
     assert side.request(key, 1) == [(key, 1)]
 
 
+# Guards against rejections of requests that could have waited: a request that
+# ended without an answer was taken for one that the target's queue accepts.
+@pytest.mark.parametrize("ended_by", ["reset", "close", "timeout"])
+def test_unanswered_request_does_not_raise_the_known_capacity(ended_by):
+    side = _Side()
+    in_progress = side.relay._gate._queue.in_progress
+    side.tick(1.0)
+    keys = [side.open(number) for number in range(3, 8)]
+    for key in keys[:3]:
+        side.request(key, kind=PROBE)  # not held
+    side.now += held_flows.MIN_SERVICE_TIME_S / 2
+    side.answer(keys[0])  # too soon: it was rejected
+    assert (len(in_progress), in_progress.is_full) == (4, True)
+    side.request(keys[3], kind=PROBE)
+    if ended_by == "reset":
+        side.send(side.busy[0], packets.RESETS, 11, length=0)
+    elif ended_by == "close":
+        side.answer(side.busy[0], packets.CLOSES, length=0)
+    else:
+        side.tick(held_flows.REQUEST_TIMEOUT_S + 0.01)
+        side.request(keys[4], kind=PROBE)
+    assert (len(in_progress), in_progress.is_full) == (4, True)
+
+
+# Guards against further requests for a target that still receives an upload, and
+# against a silent target that is kept busy by copies of its requests.
+def test_request_times_out_after_its_last_new_data():
+    side = _Side()
+    in_progress = side.relay._gate._queue.in_progress
+    side.tick(3.0)
+    assert side.request(side.busy[0], 11) == [(side.busy[0], 11)]
+    assert side.request(side.busy[1], 1) == [(side.busy[1], 1)]  # a copy
+    counts = []
+    for tick_at in (4.9, 5.1, 7.9, 8.1):
+        side.tick(tick_at)
+        counts.append(len(in_progress))
+    assert counts == [2, 1, 1, 0]
+
+
 # Guards against the loss of a request to a late copy of the answer before it.
 def test_copy_of_an_earlier_answer_does_not_end_a_held_request():
     side = _Side()
@@ -154,6 +195,41 @@
     assert side.answer(side.busy[1]) == [(key, 11)]
 
 
+# Guards against a request that ends with a retransmission of an earlier answer,
+# sent before (11) or after (21) the target had the request: the next request
+# would go to a target that is still at work on this one.
+@pytest.mark.parametrize("was_held", [False, True])
+@pytest.mark.parametrize("received", [11, 21])
+def test_copy_of_an_earlier_answer_ends_no_request(received, was_held):
+    side = _Side()
+    key, other = side.open(3), side.open(4)
+    side.answer(side.busy[0])
+    if was_held:
+        assert side.request(other) == [(other, 1)]
+    assert side.request(side.busy[0], 11, received=521) == (
+        [] if was_held else [(side.busy[0], 11)]
+    )
+    if was_held:
+        assert side.answer(other) == [(side.busy[0], 11)]
+    assert side.request(key) == []
+    work = side.relay.work_under_way
+    assert side.answer(side.busy[0], received=received) == []
+    assert side.relay.work_under_way == work
+    answered = side.answer(side.busy[0], sequence=521, received=21)
+    assert answered == [(key, 1)]
+
+
+# Guards against requests that end only at the timeout at targets that don't fill
+# the field of acknowledgements.
+def test_answer_without_an_acknowledgement_ends_its_request():
+    side = _Side()
+    key, held = side.open(3), side.open(4)
+    side.answer(side.busy[0])
+    assert side.request(key, 1 << 30) == [(key, 1 << 30)]
+    assert side.request(held) == []
+    assert side.answer(key, received=0) == [(held, 1)]
+
+
 def test_probe_is_not_held_and_takes_held_data_along():
     side = _Side()
     key, other = side.open(3), side.open(4)
@@ -197,6 +273,46 @@
     assert side.request(key, 11) == []
 
 
+class _Restarted(_Side):
+    """A side process that has restarted and has no routes yet."""
+
+    def __init__(self):
+        super().__init__()
+        self.relay = target_relay.TargetRelay(
+            packets.Format(), one_target.SERVICE, self.decisions.append, 0.0, 0
+        )
+        self.relay.on_heartbeat(self.heartbeat, 0.0)
+
+    def set_routes(self):
+        self.relay.set_routes(one_target.table(one_target.PRIORITY))
+        for number in (7, 8):
+            assert self.request(self.open(number))
+
+
+# Guards against a request that is held and then in progress until the timeout,
+# because a copy of data that the target has was taken for a new request.
+def test_copy_of_data_forwarded_before_the_routes_is_no_new_request():
+    side = _Restarted()
+    key = side.busy[0]
+    assert side.request(key, kind=PROBE) == [(key, 1)]
+    side.set_routes()
+    side.tick(outstanding_packets.RETURN_TIMEOUT_S)  # the target keeps it
+    assert side.request(key) == [(key, 1)]
+    assert side.relay.held_request_count == 0
+    assert side.request(key, 11) == []
+
+
+# The same for data that the process before has forwarded.
+@pytest.mark.parametrize("length", [0, 20])
+def test_copy_of_data_that_the_target_acknowledges_is_no_new_request(length):
+    side = _Restarted()
+    key = side.busy[0]
+    side.answer(key, length=length)
+    side.set_routes()
+    assert side.request(key) == [(key, 1)]
+    assert side.request(key, 11) == []
+
+
 def test_restart_of_the_target_drops_held_requests():
     side = _Side()
     key = side.open(3)
