Treat a process as never ready only without a gap in its records

Only the newest record of a process is disseminated. A balancer that missed the record of a ready side process saw cold, then draining, and abandoned the process after 2 s without a reply. The flows of its target were then reset while the target lived.

A process is marked only if the draining record directly follows the cold one in its sequence. After a gap its replies are waited for as before. test_process_whose_ready_record_was_missed_is_not_marked failed before. The earlier test used a gap in the sequence for the process that was never ready; it now uses consecutive numbers and checks the same cases.

--- a/clementinelead/processes/known_targets.py
+++ b/clementinelead/processes/known_targets.py
@@ -74,11 +74,19 @@
         )
 
     def _update_never_ready(self, change: members.Change) -> None:
-        """Updates which processes stop before their targets are ready."""
+        """Updates which processes stop before their targets are ready.
+
+        Only the newest record of a process is disseminated. After a gap in the
+        sequence the process may have been ready in between.
+        """
         record, old = change.new, change.old
         goes_on = old is not None and old.incarnation == record.incarnation
         draining = record.state is records.State.DRAINING
         if not draining or not goes_on or members.has_ended(record):
             self._never_ready_ids.discard(record.id)
-        elif old is not None and old.state is records.State.COLD:
+        elif (
+            old is not None
+            and old.state is records.State.COLD
+            and old.sequence + 1 == record.sequence
+        ):
             self._never_ready_ids.add(record.id)
