Wait for side processes that die before a balancer has joined

Deaths that were received between the first record of a peer and the join were not taken into account: lost flows were reset 5 s after the join, while a process that was declared dead may return for 20 s with its flows.

The join now counts the dead side processes in the member table like those of which peers have returned the tombstone only. test_no_reset_while_a_side_process_that_died_during_the_join_may_return failed before (1 reset in place of 0 after 10 s).

--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -353,7 +353,8 @@
         if self.node.joining.joined and not self._is_joined:
             self._is_joined = True
             self._completeness.on_joined(now)
-            if self.node.gossiper.tombstones.lost_side_ids:
+            missing = self.node.count_side_processes(now).missing
+            if missing or self.node.gossiper.tombstones.lost_side_ids:
                 self._completeness.on_died(now)
         count = self._side_count
         count.is_complete = self._completeness.was_complete(now)
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -196,6 +196,19 @@
     assert _resets_after_denial(balancer, 120.1) == 1
 
 
+# Guards against resets of flows whose side process died while this process had
+# peers and had not joined: it waited for 5 s in place of the return window.
+def test_no_reset_while_a_side_process_that_died_during_the_join_may_return(
+    balancer,
+):
+    _merge_record(balancer, _other(records.State.READY), 99.0)
+    dead = _other(records.State.READY, records.Health.DEAD)
+    _merge_record(balancer, dead, 99.9)
+    _join(balancer, 100.0)
+    assert _resets_after_denial(balancer, 110.0) == 0
+    assert _resets_after_denial(balancer, 120.1) == 1
+
+
 def _is_abandoned_when_unresponsive(balancer, record):
     """Returns whether a cold side process without replies is abandoned."""
     _merge_record(balancer, record, 100.0)
