Wait for side processes that died before a balancer's join

A balancer that joins receives only the tombstones of processes that died before. They are in the earlier count for 20 s, in which they may return, but not among the missing ones. With ten or more side processes one may be missing for good, and in a restart of all a fifth, so 1 s after the join the flows of a process that was only paused were reset.

While peers report such a process and it has not returned, the count must be reached exactly. Both added tests failed before (1 reset in place of 0).

--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -366,6 +366,7 @@
                 count.recorded,
                 now,
                 self._all_restarted_together(),
+                self._any_lost_before_join(),
             )
         self._apply_completeness()
 
@@ -378,6 +379,11 @@
             if record.role is records.Role.SIDE
         )
 
+    def _any_lost_before_join(self) -> bool:
+        """Returns whether a side process died before the join and is absent."""
+        lost = self.node.gossiper.tombstones.lost_side_ids
+        return not lost <= self.node.gossiper.table.by_id.keys()
+
     def _apply_completeness(self) -> None:
         view = self._completeness
         self.steering.set_complete_from(view.complete_from)
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -196,6 +196,29 @@
     assert _resets_after_denial(balancer, 120.1) == 1
 
 
+# Guards against resets of flows whose side process died before the join: one of
+# ten or more processes was taken for gone for good after a second.
+@pytest.mark.parametrize(("returned", "resets"), [(False, 0), (True, 1)])
+def test_process_that_died_before_the_join_is_not_taken_for_gone(
+    balancer, returned, resets
+):
+    side_count = 20
+    _read_key_with_count(balancer, side_count + returned)
+    for number in range(1, side_count - 1):
+        side = dataclasses.replace(SIDE, id=f"s{number}", services=())
+        _merge_record(balancer, side, 99.0)
+    dead = _other(records.State.READY, records.Health.DEAD)
+    balancer.node.gossiper.merge((dead,), 99.0)
+    _join(balancer, 100.0)
+    if returned:
+        alive = dataclasses.replace(
+            _other(records.State.READY), services=(), incarnation=2
+        )
+        _merge_record(balancer, alive, 100.1)
+    balancer.on_tick(100.2 + completeness.QUIET_PERIOD_S)
+    assert _resets_after_denial(balancer, 102.0) == resets
+
+
 # Guards against resets of flows whose side process died while this process had
 # peers and had not joined: it waited for 5 s in place of the return window.
 def test_no_reset_while_a_side_process_that_died_during_the_join_may_return(
--- a/clementinelead/relays/completeness.py
+++ b/clementinelead/relays/completeness.py
@@ -86,6 +86,7 @@
         expected: int,
         now: float,
         all_restarted: bool = False,
+        lost_before_join: bool = False,
     ) -> None:
         """Compares the number of side processes with the earlier count.
 
@@ -100,12 +101,18 @@
             now: Present time, seconds.
             all_restarted: Whether all side processes in service have started
                 together with this process.
+            lost_before_join: Whether peers have reported processes that died
+                before the join and have not returned. The earlier count
+                contains them as long as they may return, so none of it may
+                be missing then.
         """
         if self.was_complete(now) or self.complete_from == float("inf"):
             return
         if missing or serving > expected or not expected:
             return
-        is_quiet = now - self._appeared_at >= QUIET_PERIOD_S
+        is_quiet = (
+            not lost_before_join and now - self._appeared_at >= QUIET_PERIOD_S
+        )
         max_missing = expected * MAX_MISSING_SHARE
         if expected >= MIN_COUNT_FOR_ONE_MISSING:
             max_missing = max(1.0, max_missing)
--- a/clementinelead/relays/tests/test_completeness.py
+++ b/clementinelead/relays/tests/test_completeness.py
@@ -92,6 +92,16 @@
     assert joined.complete_from == 100.0 + SETTLE_TIME_S
 
 
+def test_none_of_the_count_may_be_missing_if_one_died_before_the_join(joined):
+    late = 100.5 + completeness.QUIET_PERIOD_S
+    joined.update_from_count(48, 0, 50, late, True, lost_before_join=True)
+    joined.update_from_count(42, 0, 50, late, True, lost_before_join=True)
+    assert joined.complete_from == 100.0 + SETTLE_TIME_S
+    assert joined.denials_conclusive_from == float("inf")
+    joined.update_from_count(50, 0, 50, late, True, lost_before_join=True)
+    assert joined.complete_from == late
+
+
 def test_denials_count_after_a_full_restart_with_some_missing(joined):
     # The count includes targets that left while the store was unavailable.
     joined.on_appeared(100.5)
