Don't infer a restart of all processes from a clock set back

Side processes whose incarnation is above the balancer's, less 10 s, counted as restarted with it. With the balancer's clock behind, or its incarnation raised above that of a predecessor, this held for processes that had run for long.

Incarnations must now be within 10 s on both sides, and a raised incarnation proves nothing. Three cases of the added test failed before.

--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -117,6 +117,7 @@
         )
         self._completeness = completeness.Completeness()
         self._is_joined = False
+        self._started_ms = self.node.gossiper.own.incarnation
         self._loop: asyncio.AbstractEventLoop
         self._caller_socket: datagrams.DatagramSocket
         self._peer_socket: datagrams.DatagramSocket
@@ -371,10 +372,16 @@
         self._apply_completeness()
 
     def _all_restarted_together(self) -> bool:
-        """Returns whether all side processes have started with this one."""
-        own = self.node.gossiper.own
+        """Returns whether all side processes have started with this one.
+
+        The incarnation differs from the start if a predecessor has a higher
+        one: the clock has been set back, and proves nothing.
+        """
+        if self.node.gossiper.own.incarnation != self._started_ms:
+            return False
         return all(
-            record.incarnation >= own.incarnation - SAME_START_TOLERANCE_MS
+            abs(record.incarnation - self._started_ms)
+            <= SAME_START_TOLERANCE_MS
             for record in self.node.gossiper.table.living()
             if record.role is records.Role.SIDE
         )
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -219,6 +219,34 @@
     assert _resets_after_denial(balancer, 102.0) == resets
 
 
+# Guards against resets of open flows by a balancer whose clock is behind: side
+# processes that have not restarted seemed to have started after it.
+@pytest.mark.parametrize(
+    ("ahead_ms", "predecessor_ahead_ms", "expected"),
+    [
+        (0, None, True),
+        (8_000, None, True),
+        (60_000, None, False),
+        (-60_000, None, False),
+        (0, 1, False),
+        (60_000, 60_000, False),
+    ],
+)
+def test_only_processes_that_started_together_count_as_restarted(
+    balancer, ahead_ms, predecessor_ahead_ms, expected
+):
+    gossiper = balancer.node.gossiper
+    started_ms = gossiper.own.incarnation
+    if predecessor_ahead_ms is not None:
+        incarnation = started_ms + predecessor_ahead_ms
+        gossiper.raise_incarnation_above(
+            dataclasses.replace(gossiper.own, incarnation=incarnation)
+        )
+    side = dataclasses.replace(SIDE, incarnation=started_ms + ahead_ms)
+    _merge_record(balancer, side, 99.0)
+    assert balancer._all_restarted_together() is expected
+
+
 # Guards against resets of flows whose side process died while this process had
 # peers and had not joined: it waited for 5 s in place of the return window.
 def test_no_reset_while_a_side_process_that_died_during_the_join_may_return(
