Drop the missing replies of a process that appears at a known address

A search in progress may query a side process after it has left the directory. That query stays unanswered and was held against the next process at the same address: it was suspected and, before its target announced itself, abandoned at once. Flows of a target whose side process returned after more than 20 s could be reset.

Queries are now dropped when an address appears, too. test_process_that_appears_has_no_unanswered_queries failed before.

--- a/clementinelead/relays/directory.py
+++ b/clementinelead/relays/directory.py
@@ -65,10 +65,11 @@
             service: Name of the service.
             targets: Targets whose side processes are alive.
         """
-        kept = {target.address for target in targets}
-        for target in self.targets(service):
-            if target.address not in kept:
-                self.responsiveness.discard(target.address)
+        before = {target.address for target in self.targets(service)}
+        # Searches that are in progress may query a process that has gone. Its
+        # successor at the same address must not inherit the missing reply.
+        for address in before ^ {target.address for target in targets}:
+            self.responsiveness.discard(address)
         self.by_service[service] = targets
         self._same_zone = None
         self._starting = None
--- /dev/null
+++ b/clementinelead/relays/tests/test_directory.py
@@ -0,0 +1,21 @@
+"""Directory of targets: what is kept of targets and services that are gone."""
+
+from clementinelead.relays import candidates
+from clementinelead.relays import directory
+
+ADDRESS = ("side", 1)
+STARTING = candidates.Target(
+    "side", ADDRESS, "z", accepting=False, starting=True
+)
+
+
+# Guards against resets of open flows: a side process that returned beside its
+# target was abandoned at once, since its predecessor had not replied.
+def test_process_that_appears_has_no_unanswered_queries():
+    targets = directory.Directory("z")
+    targets.set_targets("s", (STARTING,))
+    targets.set_targets("s", ())
+    targets.responsiveness.record_query(ADDRESS, 100.0)  # a late probe
+    targets.set_targets("s", (STARTING,))
+    assert not targets.responsiveness.is_suspect(ADDRESS, 130.0)
+    assert not targets.is_abandoned(ADDRESS, 130.0)
