Forget services without targets at balancers

The directory and the known targets kept an empty entry for each service that ever had a side process; searches of all services walk through them.

Both added tests failed before.

--- a/clementinelead/processes/known_targets.py
+++ b/clementinelead/processes/known_targets.py
@@ -52,10 +52,14 @@
                 changed_services[service] = None
                 if not members.has_ended(record):
                     self._targets(service)[record.id] = self._target(record)
-        return {
+        targets_by_service = {
             service: tuple(self._targets(service).values())
             for service in changed_services
         }
+        for service, targets in targets_by_service.items():
+            if not targets:
+                del self._by_service[service]
+        return targets_by_service
 
     def _targets(self, service: str) -> dict[str, candidates.Target]:
         return self._by_service.setdefault(service, {})
--- a/clementinelead/processes/tests/test_known_targets.py
+++ b/clementinelead/processes/tests/test_known_targets.py
@@ -85,6 +85,16 @@
     assert not target.never_ready
 
 
+# Guards against memory that grows with each service that ever existed.
+def test_services_without_targets_are_forgotten():
+    known = known_targets.KnownTargets(members.MemberTable())
+    side = _side(id="a")
+    ended = dataclasses.replace(side, health=records.Health.DEAD)
+    known.update([members.Change(None, side)])
+    assert known.update([members.Change(side, ended)]) == {"s": ()}
+    assert not known._by_service
+
+
 def test_balancers_add_no_targets():
     balancer = dataclasses.replace(samples.SIDE, role=records.Role.BALANCER)
     assert _targets_after(balancer) == {}
--- a/clementinelead/relays/directory.py
+++ b/clementinelead/relays/directory.py
@@ -34,7 +34,8 @@
         zone: Availability zone of this balancer.
         queried_in_zone: Number of targets in it that are queried for a flow,
             None for the usual one.
-        by_service: Targets whose side processes are alive, by service.
+        by_service: Targets whose side processes are alive, by service; no
+            entry for a service without any.
         responsiveness: Which side processes reply to queries.
         overload: Whether most of them miss replies now and then.
         complete_from: Time from which no side process is missing here, seconds.
@@ -70,7 +71,10 @@
         # successor at the same address must not inherit the missing reply.
         for address in before ^ {target.address for target in targets}:
             self.responsiveness.discard(address)
-        self.by_service[service] = targets
+        if targets:
+            self.by_service[service] = targets
+        else:
+            self.by_service.pop(service, None)
         self._same_zone = None
         self._starting = None
         self._never_ready = None
--- a/clementinelead/relays/tests/test_directory.py
+++ b/clementinelead/relays/tests/test_directory.py
@@ -19,3 +19,13 @@
     targets.set_targets("s", (STARTING,))
     assert not targets.responsiveness.is_suspect(ADDRESS, 130.0)
     assert not targets.is_abandoned(ADDRESS, 130.0)
+
+
+# Guards against memory that grows with each service that ever existed, and
+# searches of all services that walk through them.
+def test_services_without_targets_are_forgotten():
+    targets = directory.Directory("z")
+    targets.set_targets("s", (STARTING,))
+    targets.set_targets("s", ())
+    targets.set_targets("never listed", ())
+    assert not targets.by_service
