Forget queries to side processes that have gone

Searches and placements in progress record queries to processes that have left the directory meanwhile. These were kept for the life of the balancer, one for each such address. They are dropped with the other expired state, once a second.

test_late_queries_to_processes_that_have_gone_are_forgotten failed before.

--- a/clementinelead/relays/directory.py
+++ b/clementinelead/relays/directory.py
@@ -80,6 +80,16 @@
         self._never_ready = None
         self._evacuated = None
 
+    def expire(self) -> None:
+        """Drops the queries to processes that are no longer listed."""
+        self.responsiveness.retain(
+            {
+                target.address
+                for targets in self.by_service.values()
+                for target in targets
+            }
+        )
+
     def set_evacuated_zones(self, zones: frozenset[str]) -> None:
         """Replaces the zones whose targets get no new flows.
 
--- a/clementinelead/relays/responsiveness.py
+++ b/clementinelead/relays/responsiveness.py
@@ -1,5 +1,7 @@
 """Failure suspicion of side processes, from unanswered queries."""
 
+import collections.abc
+
 __all__ = ["Responsiveness"]
 
 SUSPECT_AFTER_S = 0.12
@@ -77,3 +79,12 @@
         """Drops the queries of a process that is no longer a member."""
         self._unanswered_since.pop(address, None)
         self._queried_at.pop(address, None)
+
+    def retain(self, addresses: collections.abc.Set[tuple[str, int]]) -> None:
+        """Drops the queries of all processes except some.
+
+        Args:
+            addresses: Addresses of the processes.
+        """
+        for address in self._queried_at.keys() - addresses:
+            self.discard(address)
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -402,3 +402,4 @@
     def _expire(self, now: float) -> None:
         self._cache.expire(now, self.table.idle_timeout_s)
         self._searcher.expire(now)
+        self._directory.expire()
--- a/clementinelead/relays/tests/test_directory.py
+++ b/clementinelead/relays/tests/test_directory.py
@@ -2,6 +2,7 @@
 
 from clementinelead.relays import candidates
 from clementinelead.relays import directory
+from clementinelead.relays.tests import network
 
 ADDRESS = ("side", 1)
 STARTING = candidates.Target(
@@ -29,3 +30,15 @@
     targets.set_targets("s", ())
     targets.set_targets("never listed", ())
     assert not targets.by_service
+
+
+# Guards against memory that grows with each side process that ever existed.
+def test_late_queries_to_processes_that_have_gone_are_forgotten():
+    balancer = network.Network(targets=1).new_balancer()
+    responsiveness = balancer._directory.responsiveness
+    for address in (ADDRESS, ("side0", 1)):
+        responsiveness.record_query(address, 100.0)
+    balancer.on_tick(101.0)
+    assert not responsiveness.is_suspect(ADDRESS, 101.0)
+    assert responsiveness.is_suspect(("side0", 1), 101.0)
+    assert len(responsiveness._queried_at) == 1
