Drop cached loads that are too old to be used

The cache kept the last load of each target that ever existed, unless it was busy or refused a flow at the end. Old ones are now dropped once a second.

test_loads_of_targets_that_have_gone_are_forgotten failed before.

--- a/clementinelead/relays/recent_loads.py
+++ b/clementinelead/relays/recent_loads.py
@@ -14,6 +14,9 @@
 BACKLOGGED_REUSE_S = 0.25
 """The same while the balancer has a backlog of packets, seconds."""
 
+EXPIRY_INTERVAL_S = 1.0
+"""Interval in which loads that are too old are dropped, seconds."""
+
 LOAD_GROWTH_PER_PLACEMENT = 0.25
 """Share by which a cached load grows with each flow placed on the target."""
 
@@ -28,6 +31,7 @@
     def __init__(self) -> None:
         self.backlogged = False
         self._report_by_address: dict[tuple[str, int], tuple[float, float]] = {}
+        self._next_expiry = float("-inf")
 
     def record(
         self, address: tuple[str, int], load_ms: int, now: float
@@ -39,8 +43,19 @@
             load_ms: Its load, milliseconds.
             now: Present time, seconds.
         """
+        if now >= self._next_expiry:
+            self._next_expiry = now + EXPIRY_INTERVAL_S
+            self._expire(now)
         self._report_by_address[address] = (now, float(load_ms))
 
+    def _expire(self, now: float) -> None:
+        """Drops the loads that are not used again."""
+        self._report_by_address = {
+            address: report
+            for address, report in self._report_by_address.items()
+            if now - report[0] <= BACKLOGGED_REUSE_S
+        }
+
     def add_placement(self, address: tuple[str, int]) -> None:
         """Raises the cached load of a target by the flow placed on it."""
         report = self._report_by_address.get(address)
--- a/clementinelead/relays/tests/test_recent_loads.py
+++ b/clementinelead/relays/tests/test_recent_loads.py
@@ -39,3 +39,11 @@
     recent.record(SIDE, 30, NOW)
     assert recent.load_ms(SIDE, NOW + 5 * recent_loads.REUSE_S) == 30
     assert recent.load_ms(SIDE, NOW + 2 * recent_loads.BACKLOGGED_REUSE_S) == 0
+
+
+# Guards against memory that grows with each target that ever existed.
+def test_loads_of_targets_that_have_gone_are_forgotten():
+    recent = recent_loads.RecentLoads()
+    for number in range(100):
+        recent.record((f"side{number}", 1), 30, NOW + number)
+    assert len(recent._report_by_address) <= 2
