Round the weight of a balancer as control messages do

Messages carry weights in hundredths. A balancer compared its own exact weight with the rounded ones of others: with links of 8.496 Mbit/s, each saw the others at 8.5 and took itself for the smallest, so more than half of the zone could leave the rotation, whereupon the fabric uses all of them again.

test_equal_links_compare_the_same_at_all_balancers failed before (4 in place of 3 balancers may leave).

--- a/clementinelead/memberships/capacities.py
+++ b/clementinelead/memberships/capacities.py
@@ -15,6 +15,12 @@
 MAX_WEIGHT = 655.0
 """Largest weight that a control message can carry."""
 
+WEIGHT_DECIMALS = 2
+"""Decimal places of a weight in a control message.
+
+With more, balancers of equal links would each see the others' as larger.
+"""
+
 MAX_RELATIVE_CAPACITY = 0.5
 """Capacity up to which a balancer may leave, as a share of the largest one."""
 
@@ -36,7 +42,7 @@
     """
     if role is not records.Role.BALANCER or link_mbps <= 0.0:
         return 1.0
-    return min(MAX_WEIGHT, link_mbps)
+    return round(min(MAX_WEIGHT, link_mbps), WEIGHT_DECIMALS)
 
 
 def may_leave_rotation(
--- a/clementinelead/memberships/tests/test_capacities.py
+++ b/clementinelead/memberships/tests/test_capacities.py
@@ -73,6 +73,19 @@
     assert _leaving(_zone(5, 1, 1))[:1] != [5]
 
 
+# Guards against too many balancers that leave: each one of equal links took
+# itself for the smallest, as control messages carry hundredths.
+def test_equal_links_compare_the_same_at_all_balancers():
+    weight = capacities.weight(records.Role.BALANCER, 8.496)
+    as_received = round(weight * 100) / 100
+    leaving = []
+    for n in range(6):
+        zone = _zone(100, 100, *[as_received] * 4)
+        zone[n] = dataclasses.replace(zone[n], weight=100 if n < 2 else weight)
+        leaving.append(capacities.may_leave_rotation(zone[n], zone))
+    assert leaving == [False, False, True, True, True, False]
+
+
 # Guards against too few balancers in the rotation while some of the zone stop.
 @pytest.mark.parametrize(
     "ending",
