Rank links below 1 Mbit/s no lower than unknown ones

A balancer whose link is not known, as one of the version before, has the weight 1. Beside it nobody of the smaller half may leave the rotation, but a balancer with a link of up to 0.5 Mbit/s could. The least weight is now 1.

Two cases of test_smallest_links_count_no_less_than_unknown_ones failed before.

--- a/clementinelead/memberships/capacities.py
+++ b/clementinelead/memberships/capacities.py
@@ -15,6 +15,13 @@
 MAX_WEIGHT = 655.0
 """Largest weight that a control message can carry."""
 
+UNKNOWN_WEIGHT = 1.0
+"""Weight of a process whose link is not known, and least weight of any other.
+
+Balancers of earlier versions publish it. None may have a smaller link than
+those, as nobody may leave the rotation beside them.
+"""
+
 WEIGHT_DECIMALS = 2
 """Decimal places of a weight in a control message.
 
@@ -41,8 +48,9 @@
         1.0
     """
     if role is not records.Role.BALANCER or link_mbps <= 0.0:
-        return 1.0
-    return round(min(MAX_WEIGHT, link_mbps), WEIGHT_DECIMALS)
+        return UNKNOWN_WEIGHT
+    known = min(MAX_WEIGHT, max(UNKNOWN_WEIGHT, link_mbps))
+    return round(known, WEIGHT_DECIMALS)
 
 
 def may_leave_rotation(
--- a/clementinelead/memberships/tests/test_capacities.py
+++ b/clementinelead/memberships/tests/test_capacities.py
@@ -86,6 +86,14 @@
     assert leaving == [False, False, True, True, True, False]
 
 
+# Guards against a balancer with a link below 1 Mbit/s that leaves the rotation
+# to balancers whose links may be as small.
+@pytest.mark.parametrize("link_mbps", [0.002, 0.4, 1.0])
+def test_smallest_links_count_no_less_than_unknown_ones(link_mbps):
+    weight = capacities.weight(records.Role.BALANCER, link_mbps)
+    assert _leaving(_zone(weight, 1, 1, 1)) == []
+
+
 # Guards against too few balancers in the rotation while some of the zone stop.
 @pytest.mark.parametrize(
     "ending",
