Check each second whether a balancer may leave the rotation

Balancers that have ended count as out of the rotation as long as their records are kept, which is two hours. The records then expire without a change of the member table, so may_leave kept its value until another balancer of the zone changed.

test_balancer_may_leave_once_an_ended_one_is_forgotten failed before.

--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -35,6 +35,12 @@
 MAX_BATCH_DATAGRAMS = 64
 """Datagrams handled before other tasks of the event loop run."""
 
+LEAVE_CHECK_INTERVAL_S = 1.0
+"""Interval of the check whether this process may leave the rotation, seconds.
+
+The records of ended processes expire without a change of the member table.
+"""
+
 SAME_START_TOLERANCE_MS = 10_000
 """Tolerance for side processes that started together with this one.
 
@@ -111,6 +117,7 @@
         self._batch_due_at = 0.0
         self._was_behind = False
         self._was_overloaded = False
+        self._next_leave_check = float("-inf")
         self._backlog_log_limit = logs.RateLimiter(MAX_BACKLOG_LINES_PER_S)
         self._known_targets = known_targets.KnownTargets(
             self.node.gossiper.table
@@ -348,6 +355,9 @@
         Args:
             now: Present time, seconds.
         """
+        if now >= self._next_leave_check:
+            self._next_leave_check = now + LEAVE_CHECK_INTERVAL_S
+            self._update_may_leave()
         self._send(self.steering.on_tick(now))
         if self.steering.busy:
             self._schedule_batch(intake.ACTIVE_TICK_INTERVAL_S)
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -7,6 +7,7 @@
 import uvloop
 
 from clementinelead.memberships import evacuations
+from clementinelead.memberships import members
 from clementinelead.memberships import records
 from clementinelead.memberships.tests import samples as member_samples
 from clementinelead.processes import contact_keys
@@ -27,6 +28,11 @@
 SIDE = member_samples.SIDE
 
 
+PEER = dataclasses.replace(
+    SIDE, id="peer", role=records.Role.BALANCER, services=(), weight=100.0
+)
+
+
 class EmptySource:
     """A source that never has new routes."""
 
@@ -260,6 +266,23 @@
     assert _resets_after_denial(balancer, 120.1) == 1
 
 
+# Guards against an overloaded balancer that stays in the rotation as long as no
+# balancer of its zone changes, because of one that ended two hours ago.
+def test_balancer_may_leave_once_an_ended_one_is_forgotten(balancer):
+    balancer.node.announce()
+    own = balancer.node.gossiper.own
+    assert own.zone == PEER.zone
+    gone = dataclasses.replace(PEER, id="gone", health=records.Health.DEAD)
+    _merge_record(balancer, PEER, 100.0)
+    _merge_record(balancer, gone, 100.0)
+    balancer.on_tick(100.1)
+    assert not balancer.steering.overload.may_leave
+    later = 100.0 + members.TOMBSTONE_LIFETIME_S
+    balancer.node.gossiper.table.expire(later)
+    balancer.on_tick(later)
+    assert balancer.steering.overload.may_leave
+
+
 def _is_abandoned_when_unresponsive(balancer, record):
     """Returns whether a cold side process without replies is abandoned."""
     _merge_record(balancer, record, 100.0)
