Judge late replies of responding side processes only

A balancer does not leave the rotation if most missing replies arrive late. The missing replies of processes that do not respond at all counted, too. After a restart of all processes, with half of the side processes still silent and the others slow, late replies were no majority and the balancer left for 4 s.

test_silent_side_processes_do_not_hide_that_other_replies_are_late failed before (2 leaves in place of none).

--- a/clementinelead/relays/overload.py
+++ b/clementinelead/relays/overload.py
@@ -8,6 +8,8 @@
 passes its flows on to them; their owners are found by queries.
 """
 
+import collections
+
 __all__ = ["Overload"]
 
 MIN_LOSSY_SHARE = 0.5
@@ -18,7 +20,11 @@
 """
 
 MAX_LATE_SHARE = 0.5
-"""Share of the missing replies that may arrive late in an overload."""
+"""Share of the missing replies that may arrive late in an overload.
+
+Those of side processes that do not respond at all do not count: after a restart
+of all processes they would hide that the others' replies are only late.
+"""
 
 MIN_RESPONDING = 8
 """Fewest responding side processes that say something about this instance."""
@@ -60,8 +66,9 @@
         self.may_leave = False
         self._window_began_at = float("-inf")
         self._responding: set[_Address] = set()
-        self._missing: set[_Address] = set()
-        self._timeout_count = 0
+        self._timeouts_by_address: collections.Counter[_Address] = (
+            collections.Counter()
+        )
         self._late_count = 0
         self._was_lossy = False
         self._leave_s = FIRST_LEAVE_S
@@ -85,8 +92,7 @@
             now: Present time, seconds.
         """
         self._update(now)
-        self._missing.add(address)
-        self._timeout_count += 1
+        self._timeouts_by_address[address] += 1
 
     def record_late_reply(self) -> None:
         """Records that a reply has arrived after its timeout: it is not lost.
@@ -110,8 +116,13 @@
             return
         contiguous = now - self._window_began_at < 2 * WINDOW_S
         enough = len(self._responding) >= MIN_RESPONDING
-        lossy = len(self._responding & self._missing)
-        if self._late_count > MAX_LATE_SHARE * self._timeout_count:
+        timeouts = [
+            count
+            for address, count in self._timeouts_by_address.items()
+            if address in self._responding
+        ]
+        lossy = len(timeouts)
+        if self._late_count > MAX_LATE_SHARE * sum(timeouts):
             lossy = 0
         self.lossy_share = lossy / len(self._responding) if enough else 0.0
         is_lossy = contiguous and self.lossy_share >= MIN_LOSSY_SHARE
@@ -121,8 +132,7 @@
         self._was_lossy = is_lossy
         self._window_began_at = now
         self._responding.clear()
-        self._missing.clear()
-        self._timeout_count = 0
+        self._timeouts_by_address.clear()
         self._late_count = 0
 
     def _leave(self, now: float) -> None:
--- a/clementinelead/relays/tests/test_overload.py
+++ b/clementinelead/relays/tests/test_overload.py
@@ -49,6 +49,17 @@
     assert not detector.is_overloaded(now)
 
 
+# The same while the others are slow: half of the missing replies are late.
+def test_silent_side_processes_do_not_hide_that_other_replies_are_late():
+    detector = _detector()
+    now = 10.0
+    for _ in range(100):
+        for _ in SIDES[:10]:
+            detector.record_late_reply()
+        now = _feed(detector, now, 0.1, SIDES[:10], SIDES[:10], SIDES[10:])
+    assert detector.leave_count == 0
+
+
 def test_short_loss_does_not_make_a_balancer_leave():
     detector = _detector()
     now = _feed(detector, 10.0, 2.0, ())
