--- a/clementinelead/platform/settings.py
+++ b/clementinelead/platform/settings.py
@@ -32,6 +32,13 @@
 """Lowest bound that is accepted; the store is called a few times in it."""
 
 
+MAX_WARMUP_FIGURE = 1e6
+"""Largest factor on, and number of flows beyond, the rate of a cold target.
+
+TOML has infinite numbers, with which no limit can be computed.
+"""
+
+
 class _Listen(msgspec.Struct):
     datagram_addr: str  # UDP; callers' packets arrive here at a balancer
     ready: str = ""
@@ -228,12 +235,13 @@
 def _warmup_bound(bounds: _Bounds) -> warmup_limit.WarmupBound | None:
     """Returns the bound on flows at cold targets, None if there is none.
 
-    Negative figures count as 0.
+    Figures count as 0 if they are negative or not a number.
     """
     if bounds.warmup_overshoot is None:
         return None
     return warmup_limit.WarmupBound(
-        max(0.0, bounds.warmup_overshoot), max(0.0, bounds.warmup_slack)
+        min(MAX_WARMUP_FIGURE, max(0.0, bounds.warmup_overshoot)),
+        min(MAX_WARMUP_FIGURE, max(0.0, bounds.warmup_slack)),
     )
 
 
--- a/clementinelead/platform/tests/test_settings.py
+++ b/clementinelead/platform/tests/test_settings.py
@@ -32,6 +32,17 @@
     assert settings_files.side(bounds=bounds).change_bound_s == expected_s
 
 
+# Guards against a side process that answers no load query while its target may
+# be cold: the limit of an infinite factor can't be computed.
+@pytest.mark.parametrize("figure", [float("inf"), 1e308, float("nan"), -1.0])
+@pytest.mark.parametrize("name", ["warmup_overshoot", "warmup_slack"])
+def test_any_warmup_figure_gives_a_limit(name, figure):
+    bounds = {"warmup_overshoot": 1.0, name: figure}
+    bound = settings_files.side(bounds=bounds).relay.warmup_bound
+    for flows_per_s in (0.0, 1.0, 1e6):
+        assert bound.max_flows(flows_per_s) >= 0
+
+
 @pytest.mark.parametrize(
     "fields",
     [
