Move the common parts of the zoned synthetic loads to one module

competing_patterns and uneven_patterns repeated zones, targets and the creation of the load, and one imported the callers from the other; tail_patterns and mixed_patterns repeated the zones, tail_patterns the targets. They are in zoned_loads now.

--- a/clementinelead/replays/competing_patterns.py
+++ b/clementinelead/replays/competing_patterns.py
@@ -7,26 +7,13 @@
 from clementinelead.replays import class_arrivals
 from clementinelead.replays import loads
 from clementinelead.replays import scales
+from clementinelead.replays import zoned_loads
 
-__all__ = ["CALLERS", "KIND_LOADS", "kill_in_burst", "orders_burst", "targets"]
-
-ZONES = ("a", "b", "c", "d")
+__all__ = ["KIND_LOADS", "kill_in_burst", "orders_burst"]
 
 FAST_SLOWNESS = 0.55
 USUAL_SLOWNESS = 1.2
 
-CALLERS = loads.CallerSpec(
-    first_retransmission_s=0.2,
-    max_retransmission_s=1.6,
-    opening_timeout_s=1.4,
-    retry_delay_s=0.3,
-    reset_is_refusal=False,
-)
-"""Behaviour of the users' callers.
-
-Refused callers come back after some hundred milliseconds.
-"""
-
 KIND_LOADS = (
     class_arrivals.KindLoad(
         loads.RequestKind("status", 0.253, 1.9, 1.0, 0.3, 2, True),
@@ -61,25 +48,9 @@
 SERVING_DELAY_S = 1.5
 
 
-def targets(scale: scales.Scale) -> tuple[loads.TargetSpec, ...]:
-    """Returns targets with one slot, a quarter of which is fast.
-
-    The zones take turns, and so do the zones of the fast targets.
-
-    Args:
-        scale: Size of the load.
-    """
-    return tuple(
-        loads.TargetSpec(
-            f"t{number}",
-            ZONES[number % len(ZONES)],
-            slots=1,
-            slowness=FAST_SLOWNESS
-            if number % 4 == number // 4 % 4
-            else USUAL_SLOWNESS,
-        )
-        for number in range(scale.targets)
-    )
+def _slowness(number: int) -> float:
+    """Returns the slowness of a target; a quarter of the targets is fast."""
+    return FAST_SLOWNESS if zoned_loads.is_unusual(number) else USUAL_SLOWNESS
 
 
 def _is_within(
@@ -95,24 +66,15 @@
     generator: np.random.Generator,
     factor: class_arrivals.RateFactor,
 ) -> loads.Load:
-    all_targets = targets(scale)
-    arrivals = class_arrivals.draw(
+    return zoned_loads.create(
+        name,
         KIND_LOADS,
-        all_targets,
+        zoned_loads.targets(scale, _slowness),
         scale,
         factor,
         max(ORDERS_PEAK, COMMON_PEAK),
         generator,
     )
-    kinds = tuple(each.kind for each in KIND_LOADS)
-    return loads.Load(
-        name,
-        kinds,
-        all_targets,
-        arrivals,
-        callers=CALLERS,
-        fast_side_ticks=True,
-    )
 
 
 def orders_burst(
--- a/clementinelead/replays/mixed_patterns.py
+++ b/clementinelead/replays/mixed_patterns.py
@@ -7,10 +7,10 @@
 
 from clementinelead.replays import loads
 from clementinelead.replays import scales
+from clementinelead.replays import zoned_loads
 
 __all__ = ["WARMUP", "evacuation", "mixed_burst", "warm_up"]
 
-ZONES = ("a", "b", "c", "d")
 SERVICE_TIME_GAMMA_SHAPE = 4.0
 """Shape of the service times; their deviation is half of the mean."""
 
@@ -39,9 +39,9 @@
     return tuple(
         loads.TargetSpec(
             f"t{number}",
-            ZONES[number % len(ZONES)],
+            zoned_loads.ZONES[number % len(zoned_loads.ZONES)],
             slowness=SLOWNESS_FACTORS[
-                number // len(ZONES) % len(SLOWNESS_FACTORS)
+                number // len(zoned_loads.ZONES) % len(SLOWNESS_FACTORS)
             ],
         )
         for number in range(scale.targets)
@@ -72,7 +72,9 @@
         if at_s >= scale.seconds:
             return tuple(arrivals)
         mixed = _KINDS[int(generator.random() >= _KINDS[0].share)]
-        zone = ZONES[int(generator.integers(len(ZONES)))]
+        zone = zoned_loads.ZONES[
+            int(generator.integers(len(zoned_loads.ZONES)))
+        ]
         work_s = generator.gamma(
             SERVICE_TIME_GAMMA_SHAPE,
             mixed.mean_work_s / SERVICE_TIME_GAMMA_SHAPE,
@@ -145,7 +147,7 @@
     """
     begin_s, end_s = scale.seconds / 4, scale.seconds / 2
     factor = _burst(scale, 1 / 2, 3 / 4, 1.4)
-    zone = ZONES[0]
+    zone = zoned_loads.ZONES[0]
     changes = [
         change
         for target in _targets(scale)
--- a/clementinelead/replays/tail_patterns.py
+++ b/clementinelead/replays/tail_patterns.py
@@ -8,10 +8,10 @@
 from clementinelead.replays import loads
 from clementinelead.replays import scales
 from clementinelead.replays import simulations
+from clementinelead.replays import zoned_loads
 
 __all__ = ["QUANTILES", "answer_quantiles_ms", "heavy_tail"]
 
-ZONES = ("a", "b", "c", "d")
 SERVICE_TIME_GAMMA_SHAPE = 4.0
 """Shape of the service times; their deviation is half of the mean."""
 
@@ -35,13 +35,6 @@
 MEAN_WORK_S = {PAGE.name: 0.019, EDIT.name: 0.025}
 
 
-def _targets(scale: scales.Scale) -> tuple[loads.TargetSpec, ...]:
-    return tuple(
-        loads.TargetSpec(f"t{number}", ZONES[number % len(ZONES)], slots=1)
-        for number in range(scale.targets)
-    )
-
-
 def _work_s(kind: loads.RequestKind, generator: np.random.Generator) -> float:
     """Returns the work of a request, sometimes much more than the usual."""
     factor = HEAVY_FACTOR if generator.random() < HEAVY_SHARE else 1.0
@@ -69,7 +62,9 @@
         if at_s >= scale.seconds:
             return tuple(arrivals)
         kind = PAGE if generator.random() < PAGE_SHARE else EDIT
-        zone = ZONES[int(generator.integers(len(ZONES)))]
+        zone = zoned_loads.ZONES[
+            int(generator.integers(len(zoned_loads.ZONES)))
+        ]
         arrivals.append(
             loads.Arrival(at_s, zone, kind.name, _work_s(kind, generator))
         )
@@ -80,7 +75,7 @@
 ) -> collections.abc.Iterator[loads.Change]:
     """Yields a slow part, then a mute part, of a tenth of the targets each."""
     count = max(1, round(scale.targets * UNUSUAL_TARGET_SHARE))
-    targets = _targets(scale)
+    targets = zoned_loads.targets(scale)
     parts = (
         (1 / 4, targets[:count], loads.Condition(slowness=SLOWNESS)),
         (1 / 2, targets[count : 2 * count], loads.Condition(mute=1.0)),
@@ -104,7 +99,7 @@
     return loads.Load(
         "heavy-tail",
         (PAGE, EDIT),
-        _targets(scale),
+        zoned_loads.targets(scale),
         _arrivals(scale, generator),
         tuple(sorted(_changes(scale), key=lambda change: change.at_s)),
     )
--- a/clementinelead/replays/tests/test_caller_flows.py
+++ b/clementinelead/replays/tests/test_caller_flows.py
@@ -8,6 +8,7 @@
 from clementinelead.replays import event_queues
 from clementinelead.replays import loads
 from clementinelead.replays import packets
+from clementinelead.replays import zoned_loads
 
 STREAM, ORDER = (each.kind for each in competing_patterns.KIND_LOADS)
 TARGET_SEQUENCE = 1000
@@ -24,7 +25,7 @@
             (STREAM, ORDER),
             (),
             arrivals,
-            callers=competing_patterns.CALLERS,
+            callers=zoned_loads.CALLERS,
         )
         addresses = {STREAM.name: b"S1", ORDER.name: b"S2"}
         self.callers = caller_flows.CallerFlows(
--- a/clementinelead/replays/tests/test_mixed_patterns.py
+++ b/clementinelead/replays/tests/test_mixed_patterns.py
@@ -13,6 +13,7 @@
 from clementinelead.replays import scales
 from clementinelead.replays import simulations
 from clementinelead.replays import summaries
+from clementinelead.replays import zoned_loads
 
 SCALE = scales.Scale(targets=16, seconds=8.0, utilisation=0.5)
 SEED = 2
@@ -94,7 +95,7 @@
     (evacuation,) = replayed.load.evacuations
     warm_at = max(end for _, _, end in _cold_periods(replayed.load))
     begin = warm_at + FULL_USE_BOUND_S
-    counts = {zone: 0 for zone in mixed_patterns.ZONES}
+    counts = {zone: 0 for zone in zoned_loads.ZONES}
     for now, spec in openings:
         if begin <= now < begin + 1.0:
             counts[spec.zone] += 1
--- a/clementinelead/replays/tests/test_uneven_patterns.py
+++ b/clementinelead/replays/tests/test_uneven_patterns.py
@@ -10,6 +10,7 @@
 from clementinelead.replays import simulations
 from clementinelead.replays import summaries
 from clementinelead.replays import uneven_patterns
+from clementinelead.replays import zoned_loads
 
 SEED = 1
 LARGE = scales.Scale(targets=200)
@@ -34,7 +35,7 @@
 
 def test_crest_walks_through_the_zones():
     load = patterns.generate("walking-crest", LARGE, SEED)
-    for number, zone in enumerate(uneven_patterns.ZONES):
+    for number, zone in enumerate(zoned_loads.ZONES):
         delay, amplitude = _phase_and_amplitude(load, zone)
         assert delay == pytest.approx(0.08 * number, abs=0.02)
         assert amplitude == pytest.approx(0.55, abs=0.05)
--- a/clementinelead/replays/uneven_patterns.py
+++ b/clementinelead/replays/uneven_patterns.py
@@ -5,13 +5,11 @@
 import numpy as np
 
 from clementinelead.replays import class_arrivals
-from clementinelead.replays import competing_patterns
 from clementinelead.replays import loads
 from clementinelead.replays import scales
+from clementinelead.replays import zoned_loads
 
-__all__ = ["HEAVY", "KIND_LOADS", "ZONES", "half_speed", "walking_crest"]
-
-ZONES = ("a", "b", "c", "d")
+__all__ = ["HEAVY", "KIND_LOADS", "half_speed", "walking_crest"]
 
 KIND_LOADS = (
     class_arrivals.KindLoad(
@@ -41,13 +39,6 @@
 """Begin and end of the time of slow targets, as shares of the load."""
 
 
-def _targets(scale: scales.Scale) -> tuple[loads.TargetSpec, ...]:
-    return tuple(
-        loads.TargetSpec(f"t{number}", ZONES[number % len(ZONES)], slots=1)
-        for number in range(scale.targets)
-    )
-
-
 def _load(
     name: str,
     scale: scales.Scale,
@@ -56,18 +47,16 @@
     peak: float,
     changes: tuple[loads.Change, ...] = (),
 ) -> loads.Load:
-    targets = _targets(scale)
-    arrivals = class_arrivals.draw(
-        KIND_LOADS, targets, scale, factor, peak, generator, HEAVY
-    )
-    return loads.Load(
+    return zoned_loads.create(
         name,
-        tuple(each.kind for each in KIND_LOADS),
-        targets,
-        arrivals,
+        KIND_LOADS,
+        zoned_loads.targets(scale),
+        scale,
+        factor,
+        peak,
+        generator,
+        HEAVY,
         changes,
-        callers=competing_patterns.CALLERS,
-        fast_side_ticks=True,
     )
 
 
@@ -80,7 +69,9 @@
     """
 
     def factor(kind: str, zone: str, now: float) -> float:
-        phase = now / scale.seconds - CREST_DELAY * ZONES.index(zone)
+        phase = now / scale.seconds - CREST_DELAY * zoned_loads.ZONES.index(
+            zone
+        )
         return 1 + CREST_AMPLITUDE * math.sin(2 * math.pi * phase)
 
     peak = 1 + CREST_AMPLITUDE
@@ -97,8 +88,8 @@
     begin_s, end_s = (share * scale.seconds for share in SLOW_PART)
     slow = [
         target.name
-        for number, target in enumerate(_targets(scale))
-        if number % 4 == number // 4 % 4
+        for number, target in enumerate(zoned_loads.targets(scale))
+        if zoned_loads.is_unusual(number)
     ]
     condition = loads.Condition(slowness=SLOW_FACTOR)
     begins = [loads.Change(begin_s, name, condition) for name in slow]
