--- a/clementinelead/replays/command.py
+++ b/clementinelead/replays/command.py
@@ -45,6 +45,11 @@
 _application = typer.Typer(add_completion=False)
 
 
+def _share(description: str) -> typing.Any:
+    """Returns an option whose value is a share, from 0 to 1."""
+    return typer.Option(min=0.0, max=1.0, help=description)
+
+
 @_application.command()
 def run(
     load: typing.Annotated[
@@ -63,19 +68,11 @@
     utilisation: typing.Annotated[float, typer.Option(min=0.01)] = 0.5,
     zone_spill_share: typing.Annotated[
         float,
-        typer.Option(
-            min=0.0,
-            max=1.0,
-            help="share of the objective up to which flows stay in their zone",
-        ),
+        _share("share of the objective up to which flows stay in their zone"),
     ] = 0.0,
     further_queries_share: typing.Annotated[
         float,
-        typer.Option(
-            min=0.0,
-            max=1.0,
-            help="largest share of the flows with further load queries",
-        ),
+        _share("largest share of the flows with further load queries"),
     ] = 0.0,
     equal_priorities: typing.Annotated[
         bool,
