Configure the test network in place of copies of its methods

The tests of further queries and of warming targets each repeated new_side of the test network, the former also new_balancer. Its fields now set the bound on new flows, the options of balancers and the route's idempotency.

--- a/clementinelead/relays/tests/network.py
+++ b/clementinelead/relays/tests/network.py
@@ -16,11 +16,13 @@
 from clementinelead.relays import routes
 from clementinelead.relays import steering
 from clementinelead.relays import target_relay
+from clementinelead.relays import warmup_limit
 from clementinelead.replays import packets
 
 SERVICE = "lookups"
 ROUTE_ADDRESS = b"S1"
 STEP_S = 0.001
+WARMUP_FLOWS_PER_S = 10.0
 Format = packets.Format
 packet = packets.build_packet
 
@@ -91,6 +93,10 @@
         zones: Availability zones of the targets, in turn.
         delay_s: Time that each datagram between processes takes, seconds.
         target_delay_s: Time that targets take to send a packet, seconds.
+        warmup_bound: Bound on new flows at targets that warm up at
+            ``WARMUP_FLOWS_PER_S``, None for no limit.
+        balancer_options: Options of the balancers, by name.
+        idempotent: Whether requests may be executed more than once.
         now: Present time, seconds.
         to_caller: Packets sent to callers, in order.
         decisions: Decisions that the processes have reported.
@@ -106,6 +112,9 @@
     zones: tuple[str, ...] = ("z",)
     delay_s: float = STEP_S
     target_delay_s: float = 0.0
+    warmup_bound: warmup_limit.WarmupBound | None = None
+    balancer_options: dict[str, float] = dataclasses.field(default_factory=dict)
+    idempotent: bool = False
 
     def __post_init__(self) -> None:
         self.now = 100.0
@@ -151,7 +160,9 @@
             self.decisions.append,
             self.now,
             self.now_ms,
+            warmup_limit.WarmupLimit(self.warmup_bound, 1.0, self.now),
         )
+        side.set_warmup_rate(WARMUP_FLOWS_PER_S)
         side.startup.no_predecessor = machine_booted
         return side
 
@@ -234,9 +245,18 @@
         """Returns a balancer that has just joined."""
         former = former_services.FormerServices(first_start=True)
         balancer = steering.Steering(
-            Format(), self.decisions.append, "z", former
+            Format(),
+            self.decisions.append,
+            "z",
+            former,
+            **self.balancer_options,
+        )
+        route = routes.Route(
+            "r",
+            ROUTE_ADDRESS,
+            (routes.Share(SERVICE, 1),),
+            idempotent=self.idempotent,
         )
-        route = routes.Route("r", ROUTE_ADDRESS, (routes.Share(SERVICE, 1),))
         self.set_routes(balancer, routes.RoutingTable(1, (route,), 60.0))
         self.update_targets(balancer)
         balancer.set_complete_from(self.now)
--- a/clementinelead/relays/tests/test_further_queries.py
+++ b/clementinelead/relays/tests/test_further_queries.py
@@ -5,12 +5,8 @@
 import pytest
 
 from clementinelead.relays import flow_cache
-from clementinelead.relays import former_services
 from clementinelead.relays import load_queries
 from clementinelead.relays import placing
-from clementinelead.relays import routes
-from clementinelead.relays import steering
-from clementinelead.relays import target_relay
 from clementinelead.relays import warmup_limit
 from clementinelead.relays.tests import network
 from clementinelead.replays import packets
@@ -49,45 +45,16 @@
         sequences=range(5, 1 << 32, 1 << 28),
         **fields,
     ):
-        self.share, self.bound, self.idempotent = share, bound, idempotent
-        super().__init__(**fields)
+        super().__init__(
+            warmup_bound=bound,
+            balancer_options={"further_queries_share": share},
+            idempotent=idempotent,
+            **fields,
+        )
         for number, address in enumerate(self.target_by_address):
             target = _Target(number + 1, sequences[number])
             self.target_by_address[address] = target
 
-    def new_side(self, machine_booted):
-        limit = warmup_limit.WarmupLimit(self.bound, 1.0, self.now)
-        side = target_relay.TargetRelay(
-            network.Format(),
-            network.SERVICE,
-            self.decisions.append,
-            self.now,
-            self.now_ms,
-            limit,
-        )
-        side.set_warmup_rate(10.0)
-        side.startup.no_predecessor = machine_booted
-        return side
-
-    def new_balancer(self):
-        balancer = steering.Steering(
-            network.Format(),
-            self.decisions.append,
-            "z",
-            former_services.FormerServices(first_start=True),
-            further_queries_share=self.share,
-        )
-        route = routes.Route(
-            "r",
-            network.ROUTE_ADDRESS,
-            (routes.Share(network.SERVICE, 1),),
-            idempotent=self.idempotent,
-        )
-        self.set_routes(balancer, routes.RoutingTable(1, (route,), 60.0))
-        self.update_targets(balancer)
-        balancer.set_complete_from(self.now)
-        return balancer
-
     @property
     def counts(self):
         return self.balancer_by_address[("balancer0", 1)].counts.by_cause
--- a/clementinelead/relays/tests/test_warming.py
+++ b/clementinelead/relays/tests/test_warming.py
@@ -1,30 +1,18 @@
 """Replays of a crowd that meets targets which warm up."""
 
-from clementinelead.relays import target_relay
 from clementinelead.relays import warmup_limit
 from clementinelead.relays.tests import network
 from clementinelead.replays import packets
 
 _BOUND = warmup_limit.WarmupBound(1.5, 5.0)
 _MAX_FLOWS_PER_S = 20
-_RATE = 10.0
 
 
 class _Network(network.Network):
     """A network whose side processes limit flows, and count what they send."""
 
-    def new_side(self, machine_booted):
-        side = target_relay.TargetRelay(
-            network.Format(),
-            network.SERVICE,
-            self.decisions.append,
-            self.now,
-            self.now_ms,
-            warmup_limit.WarmupLimit(_BOUND, 1.0, self.now),
-        )
-        side.set_warmup_rate(_RATE)
-        side.startup.no_predecessor = machine_booted
-        return side
+    def __init__(self, **fields):
+        super().__init__(warmup_bound=_BOUND, **fields)
 
     def warm_up(self, number, warmup_s, sequence):
         heartbeat = self.heartbeat(number, sequence, warmup_s=warmup_s)
