--- a/clementinelead/relays/tests/test_placing.py
+++ b/clementinelead/relays/tests/test_placing.py
@@ -6,33 +6,16 @@
 from clementinelead.relays import frames
 from clementinelead.relays import outcomes
 from clementinelead.relays import pending_flows
-from clementinelead.relays import routes
 from clementinelead.relays.tests import network
+from clementinelead.relays.tests import placements
 from clementinelead.replays import packets
 
 NEAR = ("near", 1)
 FAR = ("far", 1)
 
 
-def _placement(load_by_address, **fields):
-    route = routes.Route("r", b"a", (routes.Share("s", 1),))
-    return pending_flows.Placement(
-        route=route,
-        service="s",
-        number=1,
-        packet=b"",
-        began_at=100.0,
-        deadline=101.0,
-        queried=list(load_by_address),
-        awaiting_reply=set(),
-        load_by_address=load_by_address,
-        tried=fields.get("tried", []),
-        busy=fields.get("busy", set()),
-    )
-
-
 def _best(load_by_address, **fields):
-    placement = _placement(load_by_address, **fields)
+    placement = placements.placement(load_by_address, **fields)
     return pending_flows.best_target(placement, frozenset({NEAR}))
 
 
@@ -65,7 +48,7 @@
 
 
 def test_flow_past_its_latency_objective_gets_only_a_free_slot():
-    placement = _placement({})
+    placement = placements.placement({})
     objective_ms = placement.route.objective_ms
     assert placement.remaining_ms(100.0) == objective_ms
     assert placement.remaining_ms(100.05) == objective_ms - 50
@@ -125,7 +108,7 @@
 
 
 def test_placement_expires_at_the_callers_timeout():
-    placement = _placement({})
+    placement = placements.placement({})
     assert not placement.is_expired(100.9)
     assert placement.is_expired(101.0)  # the route's timeout is 1 s
 
--- a/clementinelead/relays/tests/test_zone_spill.py
+++ b/clementinelead/relays/tests/test_zone_spill.py
@@ -9,12 +9,12 @@
 from clementinelead.relays import former_services
 from clementinelead.relays import frames
 from clementinelead.relays import outcomes
-from clementinelead.relays import pending_flows
 from clementinelead.relays import possible_owners
 from clementinelead.relays import routes
 from clementinelead.relays import steering
 from clementinelead.relays import zone_spill
 from clementinelead.relays.tests import network
+from clementinelead.relays.tests import placements
 from clementinelead.replays import packets
 
 NOW = 100.0
@@ -23,28 +23,9 @@
 OWN_ZONE = frozenset(OWN)
 
 
-def _placement(load_by_address, objective_ms=200, service="s", **fields):
-    route = routes.Route(
-        "r", b"a", (routes.Share(service, 1),), objective_ms=objective_ms
-    )
-    return pending_flows.Placement(
-        route=route,
-        service=service,
-        number=1,
-        packet=b"",
-        began_at=NOW,
-        deadline=NOW + 1,
-        queried=list(load_by_address),
-        awaiting_reply=set(),
-        load_by_address=load_by_address,
-        tried=fields.get("tried", []),
-        busy=fields.get("busy", set()),
-    )
-
-
 def _choose(preference, own_ms, now=NOW, **fields):
     """Returns the choice between an own target and one without load."""
-    placement = _placement({OWN[0]: own_ms, OTHERS[0]: 0}, **fields)
+    placement = placements.placement({OWN[0]: own_ms, OTHERS[0]: 0}, **fields)
     return preference.choose(placement, OWN_ZONE, frozenset(), now)
 
 
@@ -96,7 +77,7 @@
 
 
 def test_evacuated_own_zone_gets_no_flow():
-    placement = _placement({OWN[0]: 1, OTHERS[0]: 50})
+    placement = placements.placement({OWN[0]: 1, OTHERS[0]: 50})
     preference = zone_spill.ZonePreference(1.0)
     chosen = preference.choose(placement, OWN_ZONE, OWN_ZONE, NOW)
     assert chosen == OTHERS[0]
@@ -123,7 +104,7 @@
     addresses = [*OWN, *OTHERS]
     generator.shuffle(addresses)
     loads = [0, 5, 20, 24, 26, 90, frames.NOT_ACCEPTING]
-    return _placement(
+    return placements.placement(
         {address: generator.choice(loads) for address in addresses[:4]},
         busy=set(generator.sample(addresses, generator.randrange(3))),
         tried=generator.sample(addresses, generator.randrange(3)),
