Share the token bucket of control traffic and of teams' requests

memberships/budgets.py and administration/limits.py computed the same bucket.

query_budgets.py has a window of counts, and nothing in common with it.

--- a/clementinelead/administration/limits.py
+++ b/clementinelead/administration/limits.py
@@ -1,23 +1,10 @@
 """Rate limit per team, so that one team can't starve another."""
 
-import dataclasses
+from clementinelead import token_buckets
 
 __all__ = ["TeamRateLimiter"]
 
 
-@dataclasses.dataclass(slots=True)
-class _Bucket:
-    """A token bucket.
-
-    Attributes:
-        tokens: Requests that are available now.
-        updated_s: Time of the latest refill, seconds.
-    """
-
-    tokens: float
-    updated_s: float
-
-
 class TeamRateLimiter:
     """Limits the requests of each team by a token bucket.
 
@@ -29,7 +16,7 @@
     def __init__(self, requests_per_s: float, burst: float):
         self.requests_per_s = requests_per_s
         self.burst = burst
-        self._bucket_by_team: dict[str, _Bucket] = {}
+        self._bucket_by_team: dict[str, token_buckets.TokenBucket] = {}
 
     def admit(self, team: str, now: float) -> float:
         """Admits a request of a team or returns when to retry it.
@@ -42,13 +29,14 @@
             0 if the request is admitted, else the time to wait before a
             retry, seconds.
         """
-        bucket = self._bucket_by_team.setdefault(team, _Bucket(self.burst, now))
-        elapsed_s = max(0.0, now - bucket.updated_s)
-        bucket.updated_s = now
-        bucket.tokens = min(
-            self.burst, bucket.tokens + elapsed_s * self.requests_per_s
-        )
-        if bucket.tokens < 1.0:
-            return (1.0 - bucket.tokens) / self.requests_per_s
-        bucket.tokens -= 1.0
+        bucket = self._bucket_by_team.get(team)
+        if bucket is None:
+            bucket = token_buckets.TokenBucket(
+                self.requests_per_s, self.burst, now
+            )
+            self._bucket_by_team[team] = bucket
+        available = bucket.available(now)
+        if available < 1.0:
+            return (1.0 - available) / self.requests_per_s
+        bucket.spend(1.0)
         return 0.0
