Don't abandon a starting side process after one lost reply

A side process that was starting counted as unresponsive since its oldest query without a reply, also if it had not been queried again. After one lost datagram the next search did not wait for its reply, and reset the flow if the denials of the others arrived first.

--- a/clementinelead/relays/directory.py
+++ b/clementinelead/relays/directory.py
@@ -26,6 +26,12 @@
 The unresponsive process is then surplus: it has none of their targets.
 """
 
+MIN_MISSED_REPLIES = 2
+"""Fewest consecutive replies that an abandoned process has missed.
+
+A single reply may be lost, and the process is not always queried again soon.
+"""
+
 
 class Directory:
     """Targets by service.
@@ -166,6 +172,8 @@
             limit_s = SURPLUS_ABANDON_AFTER_S
         else:
             limit_s = ABANDON_AFTER_S
+        if self.responsiveness.missed_count(address, now) < MIN_MISSED_REPLIES:
+            return False
         return self.responsiveness.unanswered_s(address, now) >= limit_s
 
     def absence_decidable(self, now: float) -> bool:
--- a/clementinelead/relays/tests/test_directory.py
+++ b/clementinelead/relays/tests/test_directory.py
@@ -1,8 +1,11 @@
 """Directory of targets: what is kept of targets and services that are gone."""
 
+import dataclasses
+
 from clementinelead.relays import candidates
 from clementinelead.relays import directory
 from clementinelead.relays.tests import network
+from clementinelead.relays.tests import test_probing
 
 ADDRESS = ("side", 1)
 STARTING = candidates.Target(
@@ -42,3 +45,32 @@
     assert not responsiveness.is_suspect(ADDRESS, 101.0)
     assert responsiveness.is_suspect(("side0", 1), 101.0)
     assert len(responsiveness._queried_at) == 1
+
+
+# Guards against resets of open flows: a process that was starting was abandoned
+# after one lost reply, although it was not queried again.
+def test_one_lost_reply_does_not_make_a_process_unresponsive():
+    net = network.Network(targets=3)
+    keys = [network.flow_key(number) for number in range(20)]
+    key_by_owner = {net.open_flow(key): key for key in keys}
+    assert len(key_by_owner) == 3
+    net.restart_balancer(0)
+    [balancer] = net.balancer_by_address.values()
+    starting = ("side2", 1)
+    listed = tuple(
+        dataclasses.replace(target, accepting=False, starting=True)
+        if target.address == starting
+        else target
+        for target in balancer._directory.targets(network.SERVICE)
+    )
+    balancer.set_targets(network.SERVICE, listed)
+    net.unreachable.add(starting)
+    test_probing.send_data(net, key_by_owner["side0", 1], ("side0", 1))
+    net.run(0.02)
+    net.unreachable.clear()
+    net.run(directory.ABANDON_AFTER_S + 0.1)
+    test_probing.send_data(net, key_by_owner[starting], starting)
+    net.run(0.1)
+    answers = map(network.Format().from_target, net.to_caller)
+    assert not any(answer.resets for answer in answers)
+    assert balancer._cache.by_key[key_by_owner[starting]].owner() == starting
--- a/clementinelead/relays/tests/test_searching.py
+++ b/clementinelead/relays/tests/test_searching.py
@@ -120,6 +120,8 @@
     starting = candidates.Target("s", address, "z", False, True)
     targets.set_targets(network.SERVICE, (starting,))
     targets.responsiveness.record_query(address, BEGIN)
+    assert not targets.is_abandoned(address, BEGIN + 2.0)  # one lost reply
+    targets.responsiveness.record_query(address, BEGIN + 0.1)
     for late, complete, abandoned in (
         (0.2, True, False),
         (0.3, True, True),
