--- a/clementinelead/processes/relay_balancer.py
+++ b/clementinelead/processes/relay_balancer.py
@@ -6,7 +6,6 @@
 
 import loguru
 
-from clementinelead.memberships import capacities
 from clementinelead.memberships import members
 from clementinelead.memberships import records
 from clementinelead.processes import contact_keys
@@ -17,8 +16,10 @@
 from clementinelead.processes import metrics_page
 from clementinelead.processes import relay_node
 from clementinelead.processes import relay_settings
+from clementinelead.processes import rotation
 from clementinelead.processes import route_watch
 from clementinelead.processes import sockets
+from clementinelead.processes import view_completeness
 from clementinelead.relays import completeness
 from clementinelead.relays import formats
 from clementinelead.relays import intake
@@ -35,18 +36,6 @@
 MAX_BATCH_DATAGRAMS = 64
 """Datagrams handled before other tasks of the event loop run."""
 
-LEAVE_CHECK_INTERVAL_S = 1.0
-"""Interval of the check whether this process may leave the rotation, seconds.
-
-The records of ended processes expire without a change of the member table.
-"""
-
-SAME_START_TOLERANCE_MS = 10_000
-"""Tolerance for side processes that started together with this one.
-
-Milliseconds between incarnations, whose clocks may differ by seconds.
-"""
-
 QUIET_PERIOD_S = 0.7
 """Time without callers' packets after which a drain ends, seconds."""
 
@@ -103,9 +92,12 @@
         )
         self._route_watch = route_watch.RouteWatch(self.node, source)
         generator = self.node.random
-        self._side_count = contact_keys.SideCount()
+        self._view = view_completeness.ViewCompleteness(
+            self.node, self.steering
+        )
+        self._rotation = rotation.Rotation(self.node, self.steering.overload)
         self._contact_holder = contact_keys.ContactHolder(
-            self.node, keys, self._side_count, generator
+            self.node, keys, self._view.side_count, generator
         )
         self._contact_finder = contact_keys.ContactFinder(
             self.node, keys, generator
@@ -116,15 +108,10 @@
         self._scheduled_batch: asyncio.Handle | None = None
         self._batch_due_at = 0.0
         self._was_behind = False
-        self._was_overloaded = False
-        self._next_leave_check = float("-inf")
         self._backlog_log_limit = logs.RateLimiter(MAX_BACKLOG_LINES_PER_S)
         self._known_targets = known_targets.KnownTargets(
             self.node.gossiper.table
         )
-        self._completeness = completeness.Completeness()
-        self._is_joined = False
-        self._started_ms = self.node.gossiper.own.incarnation
         self._loop: asyncio.AbstractEventLoop
         self._caller_socket: datagrams.DatagramSocket
         self._peer_socket: datagrams.DatagramSocket
@@ -229,7 +216,7 @@
                 "side process count",
                 functools.partial(
                     self._contact_finder.read_side_count,
-                    self._side_count,
+                    self._view.side_count,
                     count_deadline,
                 ),
             )
@@ -290,7 +277,7 @@
                 break
             self._send(results)
         self._log_backlog()
-        self._log_overload()
+        self._rotation.log_changes(time.monotonic())
         if not idle:
             self._schedule_batch(0.0)
         elif self.steering.busy:
@@ -327,18 +314,6 @@
             "behind with packets" if self._was_behind else "no longer behind"
         )
 
-    def _log_overload(self) -> None:
-        """Logs when this process leaves the rotation, and when it returns."""
-        overload = self.steering.overload
-        overloaded = overload.is_overloaded(time.monotonic())
-        if overloaded is self._was_overloaded:
-            return
-        self._was_overloaded = overloaded
-        loguru.logger.bind(
-            lossy_share=round(overload.lossy_share, 2),
-            times=overload.leave_count,
-        ).info("overloaded" if overloaded else "no longer overloaded")
-
     def _send(self, results: list[outcomes.Outcome]) -> None:
         for outcome in results:
             match outcome:
@@ -355,56 +330,11 @@
         Args:
             now: Present time, seconds.
         """
-        if now >= self._next_leave_check:
-            self._next_leave_check = now + LEAVE_CHECK_INTERVAL_S
-            self._update_may_leave()
+        self._rotation.on_tick(now)
         self._send(self.steering.on_tick(now))
         if self.steering.busy:
             self._schedule_batch(intake.ACTIVE_TICK_INTERVAL_S)
-        if self.node.joining.joined and not self._is_joined:
-            self._is_joined = True
-            self._completeness.on_joined(now)
-            missing = self.node.count_side_processes(now).missing
-            if missing or self.node.gossiper.tombstones.lost_side_ids:
-                self._completeness.on_died(now)
-        count = self._side_count
-        count.is_complete = self._completeness.was_complete(now)
-        if not count.is_complete:
-            sides = self.node.count_side_processes(now)
-            self._completeness.update_from_count(
-                sides.serving,
-                sides.missing,
-                count.recorded,
-                now,
-                self._all_restarted_together(),
-                self._any_lost_before_join(),
-            )
-        self._apply_completeness()
-
-    def _all_restarted_together(self) -> bool:
-        """Returns whether all side processes have started with this one.
-
-        The incarnation differs from the start if a predecessor has a higher
-        one: the clock has been set back, and proves nothing.
-        """
-        if self.node.gossiper.own.incarnation != self._started_ms:
-            return False
-        return all(
-            abs(record.incarnation - self._started_ms)
-            <= SAME_START_TOLERANCE_MS
-            for record in self.node.gossiper.table.living()
-            if record.role is records.Role.SIDE
-        )
-
-    def _any_lost_before_join(self) -> bool:
-        """Returns whether a side process died before the join and is absent."""
-        lost = self.node.gossiper.tombstones.lost_side_ids
-        return not lost <= self.node.gossiper.table.by_id.keys()
-
-    def _apply_completeness(self) -> None:
-        view = self._completeness
-        self.steering.set_complete_from(view.complete_from)
-        self.steering.set_denials_conclusive_from(view.denials_conclusive_from)
+        self._view.on_tick(now)
 
     def on_routes(self, table: routes.RoutingTable, now: float) -> None:
         """Puts new routes in force.
@@ -424,12 +354,6 @@
         """
         self.steering.set_evacuated_zones(zones)
 
-    def _update_may_leave(self) -> None:
-        """Updates whether this process may leave the rotation if overloaded."""
-        self.steering.overload.may_leave = capacities.may_leave_rotation(
-            self.node.gossiper.own, self.node.gossiper.table.by_id.values()
-        )
-
     def on_members(self, changes: list[members.Change], now: float) -> None:
         """Updates the targets of services whose side processes have changed.
 
@@ -437,14 +361,12 @@
             changes: Changes of membership records of any role.
             now: Present time, seconds.
         """
-        if any(change.new.role is records.Role.BALANCER for change in changes):
-            self._update_may_leave()
+        self._rotation.on_members(changes)
         for change in changes:
             record = change.new
             if record.role is not records.Role.SIDE:
                 continue
-            if self._is_joined:
-                self._delay_resets(change, now)
+            self._view.on_change(change, now)
             loguru.logger.bind(
                 member=record.id,
                 state=record.state.name.lower(),
@@ -455,17 +377,3 @@
             ).info("member changed")
         for service, targets in self._known_targets.update(changes).items():
             self.steering.set_targets(service, targets)
-
-    def _delay_resets(self, change: members.Change, now: float) -> None:
-        """Delays resets while flows may be held by unreachable processes."""
-        record = change.new
-        if record.state is records.State.LEAVING:
-            return  # its target has ended, and with it the flows
-        if record.health is records.Health.DEAD:
-            # A side process that died while cold had no target, or has been
-            # unresponsive for longer than callers wait.
-            if record.state is not records.State.COLD:
-                self._completeness.on_died(now)
-        elif change.old is None:
-            self._completeness.on_appeared(now)
-        self._apply_completeness()
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -143,7 +143,7 @@
 
 def _read_key_with_count(balancer, side_count):
     contacts = (contact_keys.Contact("10.0.0.9", side_count),)
-    balancer._side_count.update(contacts)
+    balancer._view.side_count.update(contacts)
 
 
 def test_reset_soon_after_the_join_if_the_count_is_reached(balancer):
@@ -186,9 +186,9 @@
 def test_own_count_is_published_once_the_view_is_complete(balancer):
     _read_key_with_count(balancer, 2)
     _join(balancer, 100.0)
-    assert balancer._side_count.count_to_publish(1) == 2
+    assert balancer._view.side_count.count_to_publish(1) == 2
     balancer.on_tick(100.0 + completeness.SETTLE_TIME_S + 0.1)
-    assert balancer._side_count.count_to_publish(1) == 1
+    assert balancer._view.side_count.count_to_publish(1) == 1
 
 
 def test_no_reset_while_a_side_process_dead_before_the_join_may_return(
@@ -250,7 +250,7 @@
         )
     side = dataclasses.replace(SIDE, incarnation=started_ms + ahead_ms)
     _merge_record(balancer, side, 99.0)
-    assert balancer._all_restarted_together() is expected
+    assert balancer._view._all_restarted_together() is expected
 
 
 # Guards against resets of flows whose side process died while this process had
