--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -16,24 +16,18 @@
 from clementinelead.relays import former_services
 from clementinelead.relays import frames
 from clementinelead.relays import further_queries
-from clementinelead.relays import opening_retransmissions
 from clementinelead.relays import outcomes
 from clementinelead.relays import overload
 from clementinelead.relays import placing
 from clementinelead.relays import routes
 from clementinelead.relays import searching
+from clementinelead.relays import stale_packets
 from clementinelead.relays import zone_spill
 from clementinelead.telemetry import counters
 
 __all__ = ["Steering"]
 
 EXPIRY_INTERVAL_S = 1.0
-STALE_PACKET_WINDOW_S = 0.2
-"""Time after a pause of the process in which packets may be stale, seconds.
-
-The packets that queued in a socket's buffer meanwhile are read within some
-tens of milliseconds.
-"""
 
 _Kind = frames.Kind
 _Address = tuple[str, int]
@@ -91,10 +85,7 @@
             further_queries.FurtherQueries(further_queries_share, self.counts),
             zone_spill_share,
         )
-        # The start counts as a pause: packets that queued in the socket
-        # meanwhile may be stale retransmissions.
-        self._active_at = float("-inf")
-        self._stale_until = float("-inf")
+        self._stale_packets = stale_packets.StalePackets()
         self._next_expiry = 0.0
 
     # Inputs from the process.
@@ -194,7 +185,7 @@
         Returns:
             The datagrams and packets to send.
         """
-        self._note_activity(now)
+        self._stale_packets.note_activity(now)
         if segment is None or segment.accepts or segment.returned:
             self.counts.add("malformed")
             return []
@@ -202,22 +193,11 @@
         if flow is not None:
             return self._forward(flow, segment, data, now)
         if segment.opens:
-            return self._open(segment, data, now, now < self._stale_until)
+            may_be_open = self._stale_packets.is_possible(now)
+            return self._open(segment, data, now, may_be_open)
         self._search(segment, data, now)
         return []
 
-    def _note_activity(self, now: float) -> None:
-        """Detects that this process was paused.
-
-        Packets that queued meanwhile may be stale retransmissions.
-        """
-        if (
-            now - self._active_at
-            >= opening_retransmissions.FIRST_RETRANSMISSION_S
-        ):
-            self._stale_until = now + STALE_PACKET_WINDOW_S
-        self._active_at = now
-
     def _forward(
         self,
         flow: flow_cache.CachedFlow,
@@ -392,7 +372,7 @@
         Returns:
             The datagrams and packets to send.
         """
-        self._note_activity(now)
+        self._stale_packets.note_activity(now)
         sends = self._placer.on_tick(now) + self._searcher.on_tick(now)
         if now >= self._next_expiry:
             self._next_expiry = now + EXPIRY_INTERVAL_S
