Bound the side processes that are known to have died before the join

Their identifiers were never dropped, while their tombstones are bounded, and a process that has left since its death was refuted stayed among them, so a balancer that joined waited up to 20 s for it before it reset lost flows. They follow the tombstones now.

--- a/clementinelead/memberships/tombstones.py
+++ b/clementinelead/memberships/tombstones.py
@@ -50,17 +50,21 @@
         Args:
             record: Record of a process that is dead or leaving.
         """
-        if not self.is_superseded(record):
-            self._version_by_id.pop(record.id, None)
-            self._version_by_id[record.id] = record.version
-        if len(self._version_by_id) > MAX_TOMBSTONES:
-            del self._version_by_id[next(iter(self._version_by_id))]
+        if self.is_superseded(record):
+            return
+        self._version_by_id.pop(record.id, None)
+        self._version_by_id[record.id] = record.version
+        self.lost_side_ids.discard(record.id)
         was_in_use = record.state in (
             records.State.READY,
             records.State.DRAINING,
         )
         if record.role is records.Role.SIDE and was_in_use:
             self.lost_side_ids.add(record.id)
+        if len(self._version_by_id) > MAX_TOMBSTONES:
+            oldest = next(iter(self._version_by_id))
+            del self._version_by_id[oldest]
+            self.lost_side_ids.discard(oldest)
 
     def is_superseded(self, record: records.Record) -> bool:
         """Returns whether a record is not newer than its process's tombstone.
