--- a/clementinelead/memberships/capacities.py
+++ b/clementinelead/memberships/capacities.py
@@ -12,18 +12,27 @@
 from clementinelead.memberships import records
 
 __all__ = [
-    "DEFAULT_WEIGHT",
     "has_usable_weight",
     "may_leave_rotation",
     "weight",
 ]
 
-DEFAULT_WEIGHT = 1.0
-"""Weight of a process of which none is known."""
-
 MAX_WEIGHT = 655.0
 """Largest weight that a control message can carry."""
 
+UNKNOWN_WEIGHT = 1.0
+"""Weight of a process whose link is not known, and least weight of any other.
+
+Balancers of earlier versions publish it. None may have a smaller link than
+those, as nobody may leave the rotation beside them.
+"""
+
+WEIGHT_DECIMALS = 2
+"""Decimal places of a weight in a control message.
+
+With more, balancers of equal links would each see the others' as larger.
+"""
+
 MAX_RELATIVE_CAPACITY = 0.5
 """Capacity up to which a balancer may leave, as a share of the largest one."""
 
@@ -44,8 +53,9 @@
         1.0
     """
     if role is not records.Role.BALANCER or link_mbps <= 0.0:
-        return DEFAULT_WEIGHT
-    return min(MAX_WEIGHT, link_mbps)
+        return UNKNOWN_WEIGHT
+    known = min(MAX_WEIGHT, max(UNKNOWN_WEIGHT, link_mbps))
+    return round(known, WEIGHT_DECIMALS)
 
 
 def has_usable_weight(record: records.Record) -> bool:
@@ -89,7 +99,7 @@
 
 def _capacity(record: records.Record) -> float:
     """Returns the weight of a record, or the default if it can't be used."""
-    return record.weight if has_usable_weight(record) else DEFAULT_WEIGHT
+    return record.weight if has_usable_weight(record) else UNKNOWN_WEIGHT
 
 
 def _serves(record: records.Record) -> bool:
--- a/clementinelead/memberships/tests/test_capacities.py
+++ b/clementinelead/memberships/tests/test_capacities.py
@@ -81,6 +81,27 @@
     assert _leaving(_zone(0.4, weight)) == [0.4]
 
 
+# Guards against too many balancers that leave: each one of equal links took
+# itself for the smallest, as control messages carry hundredths.
+def test_equal_links_compare_the_same_at_all_balancers():
+    weight = capacities.weight(records.Role.BALANCER, 8.496)
+    as_received = round(weight * 100) / 100
+    leaving = []
+    for n in range(6):
+        zone = _zone(100, 100, *[as_received] * 4)
+        zone[n] = dataclasses.replace(zone[n], weight=100 if n < 2 else weight)
+        leaving.append(capacities.may_leave_rotation(zone[n], zone))
+    assert leaving == [False, False, True, True, True, False]
+
+
+# Guards against a balancer with a link below 1 Mbit/s that leaves the rotation
+# to balancers whose links may be as small.
+@pytest.mark.parametrize("link_mbps", [0.002, 0.4, 1.0])
+def test_smallest_links_count_no_less_than_unknown_ones(link_mbps):
+    weight = capacities.weight(records.Role.BALANCER, link_mbps)
+    assert _leaving(_zone(weight, 1, 1, 1)) == []
+
+
 # Guards against too few balancers in the rotation while some of the zone stop.
 @pytest.mark.parametrize(
     "ending",
--- a/clementinelead/processes/known_targets.py
+++ b/clementinelead/processes/known_targets.py
@@ -52,10 +52,14 @@
                 changed_services[service] = None
                 if not members.has_ended(record):
                     self._targets(service)[record.id] = self._target(record)
-        return {
+        targets_by_service = {
             service: tuple(self._targets(service).values())
             for service in changed_services
         }
+        for service, targets in targets_by_service.items():
+            if not targets:
+                del self._by_service[service]
+        return targets_by_service
 
     def _targets(self, service: str) -> dict[str, candidates.Target]:
         return self._by_service.setdefault(service, {})
@@ -74,11 +78,19 @@
         )
 
     def _update_never_ready(self, change: members.Change) -> None:
-        """Updates which processes stop before their targets are ready."""
+        """Updates which processes stop before their targets are ready.
+
+        Only the newest record of a process is disseminated. After a gap in the
+        sequence the process may have been ready in between.
+        """
         record, old = change.new, change.old
         goes_on = old is not None and old.incarnation == record.incarnation
         draining = record.state is records.State.DRAINING
         if not draining or not goes_on or members.has_ended(record):
             self._never_ready_ids.discard(record.id)
-        elif old is not None and old.state is records.State.COLD:
+        elif (
+            old is not None
+            and old.state is records.State.COLD
+            and old.sequence + 1 == record.sequence
+        ):
             self._never_ready_ids.add(record.id)
--- a/clementinelead/processes/tests/test_relay_balancer.py
+++ b/clementinelead/processes/tests/test_relay_balancer.py
@@ -8,6 +8,7 @@
 import uvloop
 
 from clementinelead.memberships import evacuations
+from clementinelead.memberships import members
 from clementinelead.memberships import records
 from clementinelead.memberships.tests import samples as member_samples
 from clementinelead.processes import contact_keys
@@ -28,6 +29,11 @@
 SIDE = member_samples.SIDE
 
 
+PEER = dataclasses.replace(
+    SIDE, id="peer", role=records.Role.BALANCER, services=(), weight=100.0
+)
+
+
 class EmptySource:
     """A source that never has new routes."""
 
@@ -155,7 +161,7 @@
 
 def _read_key_with_count(balancer, side_count):
     contacts = (contact_keys.Contact("10.0.0.9", side_count),)
-    balancer._side_count.update(contacts)
+    balancer._view.side_count.update(contacts)
 
 
 def test_reset_soon_after_the_join_if_the_count_is_reached(balancer):
@@ -198,9 +204,9 @@
 def test_own_count_is_published_once_the_view_is_complete(balancer):
     _read_key_with_count(balancer, 2)
     _join(balancer, 100.0)
-    assert balancer._side_count.count_to_publish(1) == 2
+    assert balancer._view.side_count.count_to_publish(1) == 2
     balancer.on_tick(100.0 + completeness.SETTLE_TIME_S + 0.1)
-    assert balancer._side_count.count_to_publish(1) == 1
+    assert balancer._view.side_count.count_to_publish(1) == 1
 
 
 def test_no_reset_while_a_side_process_dead_before_the_join_may_return(
@@ -214,11 +220,95 @@
     assert _resets_after_denial(balancer, 120.1) == 1
 
 
+# Guards against resets of flows whose side process died before the join: one of
+# ten or more processes was taken for gone for good after a second.
+@pytest.mark.parametrize(("returned", "resets"), [(False, 0), (True, 1)])
+def test_process_that_died_before_the_join_is_not_taken_for_gone(
+    balancer, returned, resets
+):
+    side_count = 20
+    _read_key_with_count(balancer, side_count + returned)
+    for number in range(1, side_count - 1):
+        side = dataclasses.replace(SIDE, id=f"s{number}", services=())
+        _merge_record(balancer, side, 99.0)
+    dead = _other(records.State.READY, records.Health.DEAD)
+    balancer.node.gossiper.merge((dead,), 99.0)
+    _join(balancer, 100.0)
+    if returned:
+        alive = dataclasses.replace(
+            _other(records.State.READY), services=(), incarnation=2
+        )
+        _merge_record(balancer, alive, 100.1)
+    balancer.on_tick(100.2 + completeness.QUIET_PERIOD_S)
+    assert _resets_after_denial(balancer, 102.0) == resets
+
+
+# Guards against resets of open flows by a balancer whose clock is behind: side
+# processes that have not restarted seemed to have started after it.
+@pytest.mark.parametrize(
+    ("ahead_ms", "predecessor_ahead_ms", "expected"),
+    [
+        (0, None, True),
+        (8_000, None, True),
+        (60_000, None, False),
+        (-60_000, None, False),
+        (0, 1, False),
+        (60_000, 60_000, False),
+    ],
+)
+def test_only_processes_that_started_together_count_as_restarted(
+    balancer, ahead_ms, predecessor_ahead_ms, expected
+):
+    gossiper = balancer.node.gossiper
+    started_ms = gossiper.own.incarnation
+    if predecessor_ahead_ms is not None:
+        incarnation = started_ms + predecessor_ahead_ms
+        gossiper.raise_incarnation_above(
+            dataclasses.replace(gossiper.own, incarnation=incarnation)
+        )
+    side = dataclasses.replace(SIDE, incarnation=started_ms + ahead_ms)
+    _merge_record(balancer, side, 99.0)
+    assert balancer._view._all_restarted_together() is expected
+
+
+# Guards against resets of flows whose side process died while this process had
+# peers and had not joined: it waited for 5 s in place of the return window.
+def test_no_reset_while_a_side_process_that_died_during_the_join_may_return(
+    balancer,
+):
+    _merge_record(balancer, _other(records.State.READY), 99.0)
+    dead = _other(records.State.READY, records.Health.DEAD)
+    _merge_record(balancer, dead, 99.9)
+    _join(balancer, 100.0)
+    assert _resets_after_denial(balancer, 110.0) == 0
+    assert _resets_after_denial(balancer, 120.1) == 1
+
+
+# Guards against an overloaded balancer that stays in the rotation as long as no
+# balancer of its zone changes, because of one that ended two hours ago.
+def test_balancer_may_leave_once_an_ended_one_is_forgotten(balancer):
+    balancer.node.announce()
+    own = balancer.node.gossiper.own
+    assert own.zone == PEER.zone
+    gone = dataclasses.replace(PEER, id="gone", health=records.Health.DEAD)
+    _merge_record(balancer, PEER, 100.0)
+    _merge_record(balancer, gone, 100.0)
+    balancer.on_tick(100.1)
+    assert not balancer.steering.overload.may_leave
+    later = 100.0 + members.TOMBSTONE_LIFETIME_S
+    balancer.node.gossiper.table.expire(later)
+    balancer.on_tick(later)
+    assert balancer.steering.overload.may_leave
+
+
 def _is_abandoned_when_unresponsive(balancer, record):
     """Returns whether a cold side process without replies is abandoned."""
     _merge_record(balancer, record, 100.0)
     side_directory = balancer.steering._directory
-    side_directory.responsiveness.record_query(record.data_address, 100.0)
+    for queried_at in (100.0, 100.2):
+        side_directory.responsiveness.record_query(
+            record.data_address, queried_at
+        )
     now = 100.1 + directory.ABANDON_AFTER_S
     return side_directory.is_abandoned(record.data_address, now)
 
--- a/clementinelead/relays/directory.py
+++ b/clementinelead/relays/directory.py
@@ -26,6 +26,12 @@
 The unresponsive process is then surplus: it has none of their targets.
 """
 
+MIN_MISSED_REPLIES = 2
+"""Fewest consecutive replies that an abandoned process has missed.
+
+A single reply may be lost, and the process is not always queried again soon.
+"""
+
 
 class Directory:
     """Targets by service.
@@ -34,7 +40,8 @@
         zone: Availability zone of this balancer.
         queried_in_zone: Number of targets in it that are queried for a flow,
             None for the usual one.
-        by_service: Targets whose side processes are alive, by service.
+        by_service: Targets whose side processes are alive, by service; no
+            entry for a service without any.
         responsiveness: Which side processes reply to queries.
         overload: Whether most of them miss replies now and then.
         complete_from: Time from which no side process is missing here, seconds.
@@ -65,16 +72,30 @@
             service: Name of the service.
             targets: Targets whose side processes are alive.
         """
-        kept = {target.address for target in targets}
-        for target in self.targets(service):
-            if target.address not in kept:
-                self.responsiveness.discard(target.address)
-        self.by_service[service] = targets
+        before = {target.address for target in self.targets(service)}
+        # Searches that are in progress may query a process that has gone. Its
+        # successor at the same address must not inherit the missing reply.
+        for address in before ^ {target.address for target in targets}:
+            self.responsiveness.discard(address)
+        if targets:
+            self.by_service[service] = targets
+        else:
+            self.by_service.pop(service, None)
         self._same_zone = None
         self._starting = None
         self._never_ready = None
         self._evacuated = None
 
+    def expire(self) -> None:
+        """Drops the queries to processes that are no longer listed."""
+        self.responsiveness.retain(
+            {
+                target.address
+                for targets in self.by_service.values()
+                for target in targets
+            }
+        )
+
     def set_evacuated_zones(self, zones: frozenset[str]) -> None:
         """Replaces the zones whose targets get no new flows.
 
@@ -151,6 +172,8 @@
             limit_s = SURPLUS_ABANDON_AFTER_S
         else:
             limit_s = ABANDON_AFTER_S
+        if self.responsiveness.missed_count(address, now) < MIN_MISSED_REPLIES:
+            return False
         return self.responsiveness.unanswered_s(address, now) >= limit_s
 
     def absence_decidable(self, now: float) -> bool:
