--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -1,50 +1,27 @@
-"""Searches for the side process that holds a flow.
+"""Searches for the side process that holds a flow: their start and their end.
 
-The balancer queries all side processes that may hold the flow. Those that are
-unsure are probed: their targets get the flow's first packet, and return it if
-they do not hold the flow. Probes are sent in waves that double in size, the most
-likely owners first, so that any number of targets is probed within a second.
+The balancer queries all side processes that may hold the flow (see
+``owner_queries``), and probes the targets of those that are unsure (see
+``probing``). A reply that arrives after the end resumes the search (see
+``active_searches``).
 """
 
 import collections.abc
 
+from clementinelead.relays import active_searches
 from clementinelead.relays import directory
 from clementinelead.relays import formats
 from clementinelead.relays import former_services
 from clementinelead.relays import frames
 from clementinelead.relays import outcomes
+from clementinelead.relays import owner_queries
 from clementinelead.relays import possible_owners
-from clementinelead.relays import query_rounds
-from clementinelead.relays import returned_packets
+from clementinelead.relays import probing
 from clementinelead.relays import searches
 from clementinelead.relays import unresolved_flows
 from clementinelead.telemetry import counters
 
-__all__ = ["Searcher"]
-
-PROBE_TIMEOUT_S = 0.06
-"""Time in which a target must return a probe if it lacks the flow, seconds."""
-
-MAX_EARLY_PROBES = 2
-"""Most targets that are probed while the owner may be unreachable.
-
-A flow counts as broken if three packets reach other targets, and none its
-owner, within the time for which packets may be reordered.
-"""
-
-MAX_FIRST_PROBES = 6
-"""Most targets that are probed before ``PROBE_ALL_AFTER_S``.
-
-They are likely to have been queried when the flow was opened.
-"""
-
-PROBE_ALL_AFTER_S = 0.4
-"""Time from the first search for a flow until all targets are probed, seconds.
-
-After a loss of power of all machines every target is unsure until its first
-heartbeat shows that it has just started. Probes of all targets with every
-packet would fill the links of small instances for seconds meanwhile.
-"""
+__all__ = ["RESTART_TIME_S", "Searcher"]
 
 RESTART_TIME_S = 1.0
 """Time in which a side process that is restarted replies again, seconds.
@@ -55,10 +32,6 @@
 MAX_QUEUED_PACKETS = 8
 """Most packets of a flow that are queued during its search."""
 
-MAX_SEARCHES = 4_096
-"""Most concurrent searches; further flows rely on the callers' retransmissions.
-"""
-
 _Kind = frames.Kind
 _Address = tuple[str, int]
 
@@ -85,20 +58,18 @@
         """
         self._format = packet_format
         self._directory = targets
-        self._owners = possible_owners.PossibleOwners(
-            packet_format, targets, former
-        )
         self._counts = counts
         self._report = report
-        self._search_by_key: dict[bytes, searches.Search] = {}
         self._unresolved = unresolved_flows.UnresolvedFlows()
-        self._returned = returned_packets.ReturnedPackets()
-        self._rounds = query_rounds.QueryRounds(targets)
+        self._active = active_searches.ActiveSearches(self._unresolved, counts)
+        owners = possible_owners.PossibleOwners(packet_format, targets, former)
+        self._queries = owner_queries.OwnerQueries(targets, owners)
+        self._prober = probing.Prober(targets, owners, self._unresolved)
 
     @property
     def busy(self) -> bool:
         """Whether a search is in progress or queries are queued."""
-        return bool(self._search_by_key) or self._rounds.has_queued
+        return bool(self._active.by_key) or self._queries.has_queued
 
     def search(
         self,
@@ -119,7 +90,7 @@
             now: Present time, seconds.
         """
         key = segment.key
-        search = self._search_by_key.get(key)
+        search = self._active.by_key.get(key)
         if search is not None:
             if len(search.packets) < MAX_QUEUED_PACKETS:
                 search.packets.append(data)
@@ -149,8 +120,7 @@
             data: The packet.
             now: Present time, seconds.
         """
-        if len(self._search_by_key) >= MAX_SEARCHES:
-            self._counts.add("searches_full")
+        if not self._active.may_begin():
             return
         search = searches.Search(
             segment=segment,
@@ -161,58 +131,18 @@
             queried=set(),
             awaiting_reply=set(),
             unsure_owners=[],
-            # Targets that were slow to return a packet were taken for the
-            # owner for a moment, each in a search of its own.
-            wave_size=max(
-                MAX_EARLY_PROBES, len(self._returned.sources(segment.key))
-            ),
+            wave_size=self._prober.first_wave_size(segment.key),
             probed=set(),
             awaiting_return=set(),
             timed_out=set(),
             not_returned=set(),
         )
-        if not self._query_further(search, now):
+        if not self._queries.query_further(search, now):
             self._counts.add("unknown_service")
             return
-        self._search_by_key[segment.key] = search
+        self._active.by_key[segment.key] = search
         self._counts.add("searches")
 
-    def _query_further(self, search: searches.Search, now: float) -> bool:
-        """Queries side processes that the search has not queried yet.
-
-        These have appeared since it began. If there are none, and all present
-        and former services of the address deny the flow, those of all other
-        services are queried where they may hold it. That waits for a complete
-        directory: the owner is most likely a process that is missing in it.
-
-        Returns:
-            Whether replies are awaited.
-        """
-        if self._query_new(search, now):
-            return True
-        if search.everywhere or not search.all_replied:
-            return False
-        if not self._directory.absence_decidable(now):
-            return False
-        search.everywhere = self._owners.may_be_elsewhere(
-            search.segment, search.services, now
-        )
-        return search.everywhere and self._query_new(search, now)
-
-    def _query_new(self, search: searches.Search, now: float) -> bool:
-        owners, awaited = self._owners.to_query(
-            search.segment, search.services, search.everywhere, now
-        )
-        awaited -= search.queried
-        if not awaited:
-            return False
-        new = [owner for owner in owners if owner[0] not in search.queried]
-        search.queried.update(address for address, _ in new)
-        search.awaiting_reply |= awaited
-        search.deadline = float("inf")  # set when the queries are sent
-        self._rounds.add(search.segment.key, new, now)
-        return True
-
     def on_held(
         self, frame: frames.Frame, source: _Address, now: float
     ) -> list[searches.FoundFlow]:
@@ -226,24 +156,13 @@
         Returns:
             The flows, with their queued packets.
         """
-        self._rounds.record_reply(source, now)
+        self._queries.record_reply(source, now)
         return [
             self._end_found(key, search, frame.service, source, now)
             for key in _keys(frame)
-            if (search := self._last_search(key)) is not None
+            if (search := self._active.last_search(key)) is not None
         ]
 
-    def _last_search(self, key: bytes) -> searches.Search | None:
-        """Returns the search for a flow, or the one whose retry is scheduled.
-
-        A reply that is later than its timeout is as true as any other.
-        """
-        search = self._search_by_key.get(key)
-        last = self._unresolved.get(key)
-        if search is None and last is not None:
-            return last.last_search
-        return search
-
     def _end_found(
         self,
         key: bytes,
@@ -252,7 +171,7 @@
         source: _Address,
         now: float,
     ) -> searches.FoundFlow:
-        self._search_by_key.pop(key, None)
+        self._active.by_key.pop(key, None)
         self._unresolved.remove(key)
         self._report_end(key, search, "found", source[0], now)
         # The probe has already delivered the first packet to its owner.
@@ -279,20 +198,20 @@
         Returns:
             The datagrams and packets to send.
         """
-        self._rounds.record_reply(source, now)
+        self._queries.record_reply(source, now)
         sends: list[outcomes.Outcome] = []
         for key in _keys(frame):
-            search = self._last_search(key)
+            search = self._active.last_search(key)
             if search is None:
                 continue
             if source in search.timed_out:
                 self._directory.overload.record_late_reply()
             if not search.take_reply(source):
                 continue
-            self._resume(key, search, now)
+            self._active.resume(key, search, now)
             unsure = frame.kind is _Kind.UNSURE
             search.any_unsure |= unsure
-            if unsure and source not in self._returned.sources(key):
+            if unsure and not self._prober.has_returned(key, source):
                 search.unsure_owners.append((source, frame.service))
             else:
                 search.absent_count += 1
@@ -300,53 +219,13 @@
                 sends.extend(self._begin_probes(key, search, now))
         return sends
 
-    def _resume(self, key: bytes, search: searches.Search, now: float) -> None:
-        """Goes on with a search that ended before a reply arrived."""
-        if key in self._search_by_key:
-            return
-        self._search_by_key[key] = search
-        search.deadline = now + query_rounds.QUERY_REPLY_TIMEOUT_S
-        self._counts.add("searches_resumed")
-
     def _begin_probes(
         self, key: bytes, search: searches.Search, now: float
     ) -> list[outcomes.Outcome]:
-        """Probes the targets that may hold the flow with its first packet.
-
-        Opening packets are not used as probes, since a target would open a new
-        flow for them. While the owner may be a side process that does not
-        reply, only the most likely targets are probed.
-        """
-        search.unsure_owners = self._owners.by_likelihood(
-            key, search.unsure_owners
-        )
+        """Probes the targets that may hold the flow, the most likely first."""
+        self._prober.sort_owners(key, search)
         return self._probe_next(key, search, now)
 
-    def _max_probes(
-        self, key: bytes, search: searches.Search, now: float
-    ) -> int:
-        """Returns how many more targets may be probed now."""
-        if search.opening:
-            return 0
-        if self._owner_may_return(search, now):
-            limit = MAX_EARLY_PROBES
-        elif now - self._first_search_at(key, search) < PROBE_ALL_AFTER_S:
-            limit = MAX_FIRST_PROBES
-        else:
-            return len(search.unsure_owners)
-        reached = search.probed | self._returned.sources(key)
-        return max(0, limit - len(reached))
-
-    def _first_search_at(self, key: bytes, search: searches.Search) -> float:
-        """Returns since when a flow has been searched for, seconds.
-
-        A target that returns packets late ends a search, as it seems to hold
-        the flow for a moment. Its return tells when that was.
-        """
-        last = self._unresolved.get(key)
-        began_at = search.began_at if last is None else last.began_at
-        return min(began_at, self._returned.first_at(key))
-
     def _owner_may_return(self, search: searches.Search, now: float) -> bool:
         """Returns whether a process that does not reply may soon do so."""
         responsiveness = self._directory.responsiveness
@@ -359,23 +238,11 @@
         self, key: bytes, search: searches.Search, now: float
     ) -> list[outcomes.Outcome]:
         """Probes the next wave of targets, or ends the search without any."""
-        count = min(search.wave_size, self._max_probes(key, search, now))
-        wave = search.unsure_owners[:count]
-        if not wave:
-            if self._query_further(search, now):
-                return []
-            return self._end_search(key, search, now)
-        del search.unsure_owners[:count]
-        search.wave_size *= 2
-        search.deadline = now + PROBE_TIMEOUT_S
-        sends: list[outcomes.Outcome] = []
-        for address, number in wave:
-            search.probed.add(address)
-            search.awaiting_return.add(address)
-            self._directory.responsiveness.record_query(address, now)
-            message = frames.encode(_Kind.PROBE, number, key, search.packets[0])
-            sends.append(outcomes.ToPeer(address, message))
-        return sends
+        owner_may_return = self._owner_may_return(search, now)
+        sends = self._prober.probe_next(key, search, owner_may_return, now)
+        if sends or self._queries.query_further(search, now):
+            return sends
+        return self._end_search(key, search, now)
 
     def _end_search(
         self, key: bytes, search: searches.Search, now: float
@@ -387,7 +254,7 @@
         retry at once. If a reply is missing, or the directory may be
         incomplete, the caller gets no answer and a retry is scheduled.
         """
-        del self._search_by_key[key]
+        del self._active.by_key[key]
         lost = search.all_replied and self._is_exhaustive(search, now)
         if lost and not search.segment.resets:
             self._unresolved.remove(key)
@@ -417,7 +284,7 @@
         """Repeats the failed searches that are due."""
         decidable = self._directory.absence_decidable(now)
         for last in self._unresolved.due_searches(decidable, now):
-            if last.segment.key not in self._search_by_key:
+            if last.segment.key not in self._active.by_key:
                 self._counts.add("searched_again")
                 self._begin(last.segment, last.services, last.packets[0], now)
 
@@ -437,21 +304,11 @@
             The datagrams and packets to send, or None if no search for the
             flow is in progress.
         """
-        self._returned.record(key, source, now)
-        search = self._search_by_key.get(key)
+        search = self._active.by_key.get(key)
+        wave_ended = self._prober.record_return(key, search, source, now)
         if search is None:
             return None
-        if source in search.not_returned:
-            search.not_returned.discard(source)
-            search.absent_count += 1
-            return []
-        if source not in search.awaiting_return:
-            return []
-        search.awaiting_return.discard(source)
-        search.absent_count += 1
-        if search.awaiting_return:
-            return []
-        return self._probe_next(key, search, now)
+        return self._probe_next(key, search, now) if wave_ended else []
 
     def on_tick(self, now: float) -> list[outcomes.Outcome]:
         """Sends due queries; continues searches whose deadline has passed.
@@ -462,12 +319,8 @@
         Returns:
             The datagrams and packets to send.
         """
-        sends, queried = self._rounds.take_due(now)
-        for key in queried & self._search_by_key.keys():
-            self._search_by_key[key].deadline = (
-                now + query_rounds.QUERY_REPLY_TIMEOUT_S
-            )
-        for key, search in list(self._search_by_key.items()):
+        sends = self._queries.take_due(self._active.by_key, now)
+        for key, search in list(self._active.by_key.items()):
             if now >= search.deadline:
                 sends.extend(self._on_deadline(key, search, now))
         # Last, so that a due search begins before another late reply resumes
@@ -494,14 +347,14 @@
 
         A scheduled retry is cancelled too, and earlier returns are dropped.
         """
-        self._search_by_key.pop(key, None)
+        self._active.by_key.pop(key, None)
         self._unresolved.remove(key)
-        self._returned.discard(key)
+        self._prober.discard(key)
 
     def expire(self, now: float) -> None:
         """Drops the retries and returns that have expired."""
         self._unresolved.expire(now)
-        self._returned.expire(now)
+        self._prober.expire(now)
 
     def _report_end(
         self,
