Count resumed searches towards MAX_SEARCHES

A late reply resumed its search without a look at the limit, so that an outage could leave more searches in progress than the limit allows. Without room the reply is recorded and the search stays ended; the flow is searched for again by its retry or with the caller's next packet. Each reply that finds no room is counted as searches_full.

--- a/clementinelead/relays/active_searches.py
+++ b/clementinelead/relays/active_searches.py
@@ -8,7 +8,9 @@
 __all__ = ["MAX_SEARCHES", "ActiveSearches"]
 
 MAX_SEARCHES = 4_096
-"""Most concurrent searches; further flows rely on the callers' retransmissions.
+"""Most concurrent searches, those included that a late reply has resumed.
+
+Further flows rely on the callers' retransmissions.
 """
 
 
@@ -38,7 +40,7 @@
         self._counts = counts
 
     def may_begin(self) -> bool:
-        """Returns whether another search may begin; counts if it may not."""
+        """Returns whether there is room for a search; counts if there is none."""
         if len(self.by_key) < MAX_SEARCHES:
             return True
         self._counts.add("searches_full")
@@ -56,16 +58,25 @@
             return last.last_search
         return search
 
-    def resume(self, key: bytes, search: searches.Search, now: float) -> None:
+    def resume(self, key: bytes, search: searches.Search, now: float) -> bool:
         """Goes on with a search that ended before a reply arrived.
 
+        Without room for it the search stays ended: the flow is searched for
+        again by its retry or with the caller's next packet.
+
         Args:
             key: Flow key.
             search: The last search for the flow.
             now: Present time, seconds.
+
+        Returns:
+            Whether the search is in progress.
         """
         if key in self.by_key:
-            return
+            return True
+        if not self.may_begin():
+            return False
         self.by_key[key] = search
         search.deadline = now + query_rounds.QUERY_REPLY_TIMEOUT_S
         self._counts.add("searches_resumed")
+        return True
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -208,14 +208,13 @@
                 self._directory.overload.record_late_reply()
             if not search.take_reply(source):
                 continue
-            self._active.resume(key, search, now)
             unsure = frame.kind is _Kind.UNSURE
             search.any_unsure |= unsure
             if unsure and not self._prober.has_returned(key, source):
                 search.unsure_owners.append((source, frame.service))
             else:
                 search.absent_count += 1
-            if search.idle:
+            if self._active.resume(key, search, now) and search.idle:
                 sends.extend(self._begin_probes(key, search, now))
         return sends
 
--- a/clementinelead/relays/tests/test_slow_replies.py
+++ b/clementinelead/relays/tests/test_slow_replies.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from clementinelead.relays import active_searches
 from clementinelead.relays.tests import network
 from clementinelead.relays.tests import test_probing
 
@@ -81,3 +82,27 @@
     net, arrivals, owner_by_key = _network(targets, delay_s, target_delay_s)
     _send_until_found(net, arrivals, owner_by_key)
     _assert_found_in_time(net, arrivals, owner_by_key)
+
+
+# Guards against searches beyond the limit, which late replies resumed at once
+# after an outage, and against the loss of the flows that have to wait.
+def test_resumed_searches_count_towards_the_limit(monkeypatch):
+    limit = 3
+    monkeypatch.setattr(active_searches, "MAX_SEARCHES", limit)
+    net, arrivals, owner_by_key = _network(12, delay_s=0.05)
+    balancer = net.balancer_by_address[("balancer0", 1)]
+    most = 0
+    for _ in range(50):
+        for key, owner in owner_by_key.items():
+            if all(address != owner for _, address in arrivals.of(key)):
+                test_probing.send_data(net, key, owner)
+        for _ in range(100):
+            net.run(network.STEP_S)
+            most = max(most, len(balancer._searcher._active.by_key))
+    assert most == limit
+    assert balancer.counts.by_cause["searches_full"]
+    for key, owner in owner_by_key.items():
+        assert owner in [address for _, address in arrivals.of(key)]
+    assert not any(
+        network.Format().from_target(data).resets for data in net.to_caller
+    )
