Reset lost flows sooner after a loss of all hosts

After a loss of power of all hosts some stay away, so the count of side processes is incomplete, and balancers waited for 1 s without a new one before the unanimous denials of all others counted. Callers of lost flows waited for that. Denials are certain only once targets have announced a new start, so half a second, the time of two initial syncs, is enough for them; every other conclusion waits as before.

test_denials_count_after_a_full_restart_with_some_missing now has the shorter wait as its bound; test_member_list_stays_incomplete_while_denials_count failed before.

--- a/clementinelead/relays/completeness.py
+++ b/clementinelead/relays/completeness.py
@@ -18,6 +18,15 @@
 Processes that start together appear within some hundred milliseconds.
 """
 
+LOSS_QUIET_PERIOD_S = 0.5
+"""The same for unanimous denials after a restart of all processes, seconds.
+
+A side process denies a flow with certainty only if its target has just started
+too, so unanimous denials show a loss of the hosts. What starts later has lost
+its flows as well, and callers of lost flows need not wait for it. The time is
+that of two initial syncs, which show processes that have kept running.
+"""
+
 MAX_MISSING_SHARE = 0.05
 """Share of the earlier side processes that may be missing for good.
 
@@ -110,17 +119,15 @@
             return
         if missing or serving > expected or not expected:
             return
-        is_quiet = (
-            not lost_before_join and now - self._appeared_at >= QUIET_PERIOD_S
-        )
+        quiet_s = 0.0 if lost_before_join else now - self._appeared_at
         max_missing = expected * MAX_MISSING_SHARE
         if expected >= MIN_COUNT_FOR_ONE_MISSING:
             max_missing = max(1.0, max_missing)
         enough = serving >= expected - max_missing
-        if serving == expected or (is_quiet and enough):
+        if serving == expected or (quiet_s >= QUIET_PERIOD_S and enough):
             self.complete_from = now
         elif (
-            is_quiet
+            quiet_s >= LOSS_QUIET_PERIOD_S
             and all_restarted
             and serving >= expected * (1.0 - MAX_LOST_SHARE)
         ):
