--- a/clementinelead/memberships/tests/test_gossip.py
+++ b/clementinelead/memberships/tests/test_gossip.py
@@ -12,6 +12,7 @@
 from clementinelead.memberships import members
 from clementinelead.memberships import options
 from clementinelead.memberships import records
+from clementinelead.memberships import tombstones
 from clementinelead.memberships.tests import samples
 from clementinelead.memberships.tests import test_authentication
 from clementinelead.messages import controls
@@ -275,3 +276,17 @@
     left = dataclasses.replace(dead, id="left", state=records.State.LEAVING)
     starting.merge((dead, idle, left), 0.0)
     assert starting.tombstones.lost_side_ids == {"gone"}
+
+
+# Guards against memory that grows with each side process that ever died, and
+# against waiting for one that has left since its death was refuted.
+def test_lost_side_processes_are_bounded_and_do_not_include_left_ones():
+    dead = dataclasses.replace(samples.SIDE, health=records.Health.DEAD)
+    left = dataclasses.replace(dead, sequence=2, state=records.State.LEAVING)
+    ended = tombstones.PeerTombstones()
+    for record in (dead, left, dead):
+        ended.record_end(record)
+    assert not ended.lost_side_ids
+    for number in range(tombstones.MAX_TOMBSTONES + 100):
+        ended.record_end(dataclasses.replace(dead, id=f"s{number}"))
+    assert len(ended.lost_side_ids) == tombstones.MAX_TOMBSTONES
