Let stand-in targets differ in slots, service time and queue

Cause: all stand-in targets had two slots, one range of service times and a queue without limit. No scenario could set the capacity or see a rejection. Change: the numbers are fields of a Behaviour whose defaults are the earlier values.

--- a/clementinelead/platform/standins/targets.py
+++ b/clementinelead/platform/standins/targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import json
 import random
 import socket
@@ -11,20 +12,34 @@
 from clementinelead.platform.standins import packets
 from clementinelead.processes import http_client
 
-__all__ = ["Audit", "Target"]
+__all__ = ["Audit", "Behaviour", "Target"]
 
-SERVICE_TIME_RANGE_S = (0.004, 0.03)
 HEARTBEAT_INTERVAL_S = 0.4
 DRAIN_RETRY_INTERVAL_S = 0.1
 CALL_TIMEOUT_S = 1.0
 SEQUENCE_BITS = 30
 MAX_DATAGRAM_BYTES = 2_048
-MAX_CONCURRENT_REQUESTS = 2
 DRAIN_TIMEOUT_S = 3.0
 EXTRA_SERVING_TIME_RANGE_S = (0.0, 3.0)
 """Time that a target serves on after its drain timeout, as real targets do."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Behaviour:
+    """How a target serves requests.
+
+    Attributes:
+        slots: Requests that it serves at once.
+        service_time_range_s: Shortest and longest service time, seconds.
+        queue_limit: Requests that it queues; it rejects further ones with an
+            answer. None for no limit.
+    """
+
+    slots: int = 2
+    service_time_range_s: tuple[float, float] = (0.004, 0.03)
+    queue_limit: int | None = None
+
+
 class Audit(typing.Protocol):
     """Records what targets observe.
 
@@ -55,6 +70,9 @@
         """
 
 
+_DEFAULT_BEHAVIOUR = Behaviour()
+
+
 class Target:
     """A target beside a side process.
 
@@ -75,6 +93,7 @@
         audit: Audit,
         generator: random.Random,
         zone: str,
+        behaviour: Behaviour = _DEFAULT_BEHAVIOUR,
     ):
         self.name = name
         self.service = service
@@ -86,7 +105,9 @@
         self._random = generator
         self._zone = zone
         self._reply_by_request: dict[str, packets.Packet | None] = {}
-        self._slots = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
+        self._behaviour = behaviour
+        self._slots = asyncio.Semaphore(behaviour.slots)
+        self._unanswered_requests: set[str] = set()
         self._state = "ready"
         self._draining_since: float | None = None
         self._sequence = 0
@@ -100,6 +121,7 @@
         self.serving = True
         self.flows.clear()
         self._reply_by_request.clear()
+        self._unanswered_requests.clear()
         self._state = "ready"
         self._draining_since = None
         self._sequence = 0
@@ -192,7 +214,7 @@
             "zone": self._zone,
             "version": "v1",
             "warmup_left_ms": 0,
-            "capacity": MAX_CONCURRENT_REQUESTS,
+            "capacity": self._behaviour.slots,
             "state": state,
             "sequence": self._sequence,
             "born": self._started_ms,
@@ -239,6 +261,14 @@
         elif packet.flags & packets.FIN:
             self._reply(packet, packets.FIN | packets.ACK)
 
+    @property
+    def _is_full(self) -> bool:
+        """Whether it rejects a further request."""
+        limit = self._behaviour.queue_limit
+        if limit is None:
+            return False
+        return len(self._unanswered_requests) >= self._behaviour.slots + limit
+
     def _on_request(self, packet: packets.Packet, now: float) -> None:
         request, service = packet.data.decode().split()
         if request in self._reply_by_request:
@@ -246,13 +276,21 @@
             if reply is not None:
                 self._send(packets.encode(reply))
             return
+        if self._is_full:
+            text = f"rejected {request}".encode()
+            reply = self._reply(packet, packets.ACK, text)
+            self._reply_by_request[request] = reply
+            return
         self._reply_by_request[request] = None
+        self._unanswered_requests.add(request)
         self._audit.record_run(request, service, self.service, now)
         self._spawn(self._run_request(packet, request))
 
     async def _run_request(self, packet: packets.Packet, request: str) -> None:
         async with self._slots:
-            await asyncio.sleep(self._random.uniform(*SERVICE_TIME_RANGE_S))
+            range_s = self._behaviour.service_time_range_s
+            await asyncio.sleep(self._random.uniform(*range_s))
+        self._unanswered_requests.discard(request)
         text = f"done {request}".encode()
         reply = self._reply(packet, packets.ACK, text)
         self._reply_by_request[request] = reply
