Check in the soak that priorities are kept beside a target

Change: nine more callers, two thirds of them on an urgent route, compete for one more target. After each request its caller sends an acknowledgement without data, which the side process forwards at once. A target that has it without the request knows that the request is held. A wait counts only while the processes on its path run undisturbed.

--- a/bench/soak/audit.py
+++ b/bench/soak/audit.py
@@ -3,6 +3,9 @@
 import collections
 import dataclasses
 
+from bench.soak import displacements as displacements_module
+from clementinelead.platform.standins import packets
+
 __all__ = ["Audit"]
 
 
@@ -11,6 +14,7 @@
     """Collects violations of invariants while a soak runs.
 
     Attributes:
+        displacements: Check of the order of priorities, None without one.
         violations: Descriptions of violations, with the time of each.
         answer_times_s: Monotonic times at which requests were answered,
             seconds.
@@ -18,6 +22,8 @@
         outcomes: Number of attempts by outcome.
     """
 
+    displacements: displacements_module.Displacements | None = None
+
     def __post_init__(self) -> None:
         self.violations: list[str] = []
         self.answer_times_s: list[float] = []
@@ -38,6 +44,15 @@
         if request in self._refused_requests:
             self.record_violation(f"{request} ran after it was refused", now)
 
+    def record_packet(
+        self, target: str, packet: packets.Packet, now: float
+    ) -> None:
+        """Records a packet of a flow that a target holds."""
+        if self.displacements is None:
+            return
+        for text in self.displacements.on_packet(target, packet, now):
+            self.record_violation(text, now)
+
     def record_refusal(self, request: str, now: float) -> None:
         """Records that a caller got a refusal: the request must not run."""
         self.outcomes["refused"] += 1
@@ -48,7 +63,6 @@
     def record_answer(self, request: str, answer: str, now: float) -> None:
         """Records the answer that a caller received, and checks its text."""
         self.outcomes["answered"] += 1
-        self.answer_times_s.append(now)
         if answer != f"done {request}":
             self.record_violation(f"{request} was answered {answer!r}", now)
 
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -1,16 +1,18 @@
 """Callers: open flows through the router, send requests, check answers."""
 
 import asyncio
+import dataclasses
 import random
 import socket
 import time
 import typing
 
 from bench.soak import audit as audit_module
+from bench.soak import displacements
 from bench.soak import router as router_module
 from clementinelead.platform.standins import packets
 
-__all__ = ["Caller"]
+__all__ = ["Caller", "Competition"]
 
 OPEN_TIMEOUT_S = 1.4
 ANSWER_TIMEOUT_S = 1.5
@@ -19,11 +21,28 @@
 MAX_REQUESTS_PER_FLOW = 12
 MAX_OPEN_RETRIES = 2
 REQUEST_PAUSE_RANGE_S = (0.05, 0.4)
+COMPETING_PAUSE_RANGE_S = (0.0, 0.005)
 IDLE_CHECK_S = 0.2
 
 IsFlowHeld = typing.Callable[[tuple[int, int, int, int]], bool]
 
 
+@dataclasses.dataclass(frozen=True)
+class Competition:
+    """How a caller competes with callers of another priority.
+
+    Its requests are not counted in the share of answered requests: there are
+    several times as many as those of the other callers.
+
+    Attributes:
+        displacements: Check of the order of priorities.
+        urgent: Whether the caller's route has the higher priority.
+    """
+
+    displacements: displacements.Displacements
+    urgent: bool
+
+
 class _RefusedError(Exception):
     """The flow was reset."""
 
@@ -41,6 +60,7 @@
         is_flow_held: IsFlowHeld,
         audit: audit_module.Audit,
         generator: random.Random,
+        competition: Competition | None = None,
     ):
         self._name = name
         self._number = int.from_bytes(socket.inet_aton(address), "big")
@@ -52,6 +72,10 @@
         self._is_flow_held = is_flow_held
         self._audit = audit
         self._random = generator
+        self._competition = competition
+        self._pause_range_s = (
+            COMPETING_PAUSE_RANGE_S if competition else REQUEST_PAUSE_RANGE_S
+        )
         self._port = 1_024
         self._request_count = 0
         self._seq = 0
@@ -142,9 +166,7 @@
             return
         for number in range(requests):
             if number:
-                await asyncio.sleep(
-                    self._random.uniform(*REQUEST_PAUSE_RANGE_S)
-                )
+                await asyncio.sleep(self._random.uniform(*self._pause_range_s))
                 request = self._next_request()
             if not await self._send_request(request, ack):
                 return
@@ -152,7 +174,8 @@
 
     def _next_request(self) -> str:
         self._request_count += 1
-        self._audit.request_times_s.append(time.monotonic())
+        if self._competition is None:
+            self._audit.request_times_s.append(time.monotonic())
         return f"{self._name}.{self._request_count}"
 
     async def _open(self, request: str) -> int | None:
@@ -212,11 +235,34 @@
         if answer is None:
             self._audit.outcomes["no answer"] += 1
             return False
+        now = time.monotonic()
         self._audit.record_answer(
-            f"{request}/{self._port}", answer.data.decode(), time.monotonic()
+            f"{request}/{self._port}", answer.data.decode(), now
         )
+        if self._competition is None:
+            self._audit.answer_times_s.append(now)
+        else:
+            self._competition.displacements.record_answer(
+                flow, self._router.choose(flow), now
+            )
         return True
 
+    def _send_acknowledgement(self, ack: int, data: bytes) -> None:
+        """Shows the target which request it is to get; see displacements."""
+        if self._competition is None:
+            return
+        flow = self._flow()
+        end = self._seq + len(data)
+        self._competition.displacements.record_sent(
+            flow,
+            end,
+            self._competition.urgent,
+            self._router.choose(flow),
+            time.monotonic(),
+        )
+        packet = packets.Packet(packets.ACK, end, ack, *flow)
+        self._router.forward(flow, packets.encode(packet))
+
     async def _exchange(
         self,
         flags: int,
@@ -249,6 +295,8 @@
                 retransmission = len(send_times_s) - len(due_times_s) - 1
                 opening = flags == packets.SYN
                 self._send(flags, retransmission if opening else ack, data)
+                if data and not retransmission:
+                    self._send_acknowledgement(ack, data)
             next_s = due_times_s[0] if due_times_s else start_s + timeout_s
             wait_s = max(0.0, next_s - time.monotonic())
             try:
--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -10,7 +10,9 @@
 from bench import ports as ports_module
 from bench.soak import audit as audit_module
 from bench.soak import callers
+from bench.soak import competition as competition_module
 from bench.soak import config_probes
+from bench.soak import displacements
 from bench.soak import programs
 from bench.soak import proxy as proxy_module
 from bench.soak import router as router_module
@@ -34,6 +36,26 @@
 IDLE_ROUTE_PRIORITY = 1
 """Priority of idle routes; that of the others is 2."""
 
+URGENT_CALLERS_OF_THREE = 2
+"""Callers of the urgent route among three competing ones.
+
+Six of nine are more than the three requests that are in progress at a time, so
+urgent requests always wait, and usual ones have no more than their turns.
+"""
+
+TARGET_SETTLE_S = 3.0
+"""Time in which a target's flows may count as of an earlier start, seconds.
+
+Its heartbeats are rejected for two intervals if it was draining before.
+"""
+
+ODD_HEARTBEAT_SETTLE_S = 6.0
+"""Time in which an odd heartbeat may end requests, seconds.
+
+The side process may be paused for 4 s before it handles the heartbeat. Its
+target is reinstated with its third heartbeat after that.
+"""
+
 
 @dataclasses.dataclass(frozen=True)
 class Sizes:
@@ -50,6 +72,8 @@
         stalls: Whether open connections to the store stall; likewise.
         odd_values: Whether other writers leave odd values; likewise.
         idle_flows: Number of flows that idle through all faults; likewise.
+        competing_callers: Number of callers of two priorities that compete for
+            one more target, 0 for no such target; likewise.
     """
 
     balancers: int = 3
@@ -60,6 +84,10 @@
     stalls: bool = True
     odd_values: bool = True
     idle_flows: int = 12
+    competing_callers: int = 9
+
+
+_DEFAULT_COMPETITION = competition_module.Settings()
 
 
 class Environment:
@@ -67,6 +95,7 @@
 
     Attributes:
         random: Generator of all random draws.
+        displacements: Check of the order of priorities.
         audit: Collector of violations and outcomes.
         sizes: Number of each part.
         port_by_name: Ports that all addresses share.
@@ -79,9 +108,17 @@
         store_faults: Faults of the store and the connections to it.
     """
 
-    def __init__(self, folder: pathlib.Path, sizes: Sizes, seed: int):
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        sizes: Sizes,
+        seed: int,
+        competition: competition_module.Settings = _DEFAULT_COMPETITION,
+    ):
+        self._competition = competition
         self.random = random.Random(seed)
-        self.audit = audit_module.Audit()
+        self.displacements = displacements.Displacements(self._is_steady)
+        self.audit = audit_module.Audit(self.displacements)
         self.sizes = sizes
         self._folder = folder
         self._network = ports_module.loopback().rsplit(".", 1)[0]
@@ -99,21 +136,31 @@
             self._program("balancer", number, self._address(1 + number))
             for number in range(sizes.balancers)
         ]
+        self._balancer_by_address = {
+            self._address(1 + number): program
+            for number, program in enumerate(self.balancers)
+        }
+        services = [
+            SERVICES[number % 3 // 2] for number in range(sizes.targets)
+        ]
+        if sizes.competing_callers:
+            services += [competition_module.SERVICE] * competition.target_count
         self.sides = [
-            self._program("side", number, self._address(50 + number))
-            for number in range(sizes.targets)
+            self._program("side", number, self._address(50 + number), service)
+            for number, service in enumerate(services)
         ]
         self.targets = [
             targets_module.Target(
                 f"t{number}",
-                SERVICES[number % 3 // 2],
+                service,
                 self._address(50 + number),
                 self.port_by_name,
                 self.audit,
                 self.random,
                 ZONES[number % len(ZONES)],
+                self._behaviour(service),
             )
-            for number in range(sizes.targets)
+            for number, service in enumerate(services)
         ]
         self.router = router_module.Router(
             [self._address(1 + number) for number in range(sizes.balancers)],
@@ -125,12 +172,18 @@
         self._recovered = asyncio.Event()
         self._idle_flows: list[asyncio.Task[None]] = []
         self._idle_routes = 0
+        self._odd_heartbeat_at: dict[str, float] = {}
+
+    def _behaviour(self, service: str) -> targets_module.Behaviour:
+        if service == competition_module.SERVICE:
+            return self._competition.behaviour
+        return targets_module.Behaviour()
 
     def _address(self, number: int) -> str:
         return f"{self._network}.{number}"
 
     def _program(
-        self, role: str, number: int, address: str
+        self, role: str, number: int, address: str, service: str | None = None
     ) -> programs.Program:
         name = f"{role}{number}"
         path = self._folder / f"{name}.toml"
@@ -139,7 +192,7 @@
             name,
             address,
             zone=ZONES[number % len(ZONES)],
-            service=SERVICES[number % 3 // 2] if role == "side" else None,
+            service=service,
             internal_ports=(self._internal_port, self._internal_port + 5),
             seeds=tuple(
                 (self._address(1 + seed), self.port_by_name["control"])
@@ -179,6 +232,11 @@
             )
             for port in idle_ports
         ]
+        if self.sizes.competing_callers:
+            # The urgent route stays the first one, so the order is known
+            # whichever version is in force.
+            priority = idle_routes % competition_module.USUAL_PRIORITY
+            routes += competition_module.routes(self._competition, priority)
         version = self.store.version + self.random.randint(1, 4)
         self.store.put(version, {"routes": routes, "services": []})
         self._dropped_routes.on_change(frozenset(idle_ports), time.monotonic())
@@ -201,10 +259,7 @@
             self._address(100 + self.sizes.callers),
             self.port_by_name["datagrams"],
             SERVICE_ENDPOINTS[0][0],
-            {
-                self._address(1 + number): program
-                for number, program in enumerate(self.balancers)
-            },
+            self._balancer_by_address,
             self._dropped_routes,
             self.store_faults,
             self.audit,
@@ -213,6 +268,7 @@
         for number in range(self.sizes.callers):
             caller = self._caller(f"c{number}", number)
             self.spawn(caller.run(persistent=number % 2 == 0))
+        self._start_competing_callers()
         first = self.sizes.callers + 1
         for number in range(first, first + self.sizes.idle_flows):
             holding = self._caller(f"i{number}", number).hold_flow(
@@ -220,6 +276,51 @@
             )
             self._idle_flows.append(asyncio.create_task(holding))
 
+    def _start_competing_callers(self) -> None:
+        first = self.sizes.callers + 1 + self.sizes.idle_flows
+        for number in range(self.sizes.competing_callers):
+            urgent = number % 3 < URGENT_CALLERS_OF_THREE
+            endpoint = competition_module.ENDPOINTS[0 if urgent else 1]
+            caller = callers.Caller(
+                f"p{number}",
+                self._address(100 + first + number),
+                self.port_by_name["datagrams"],
+                (*endpoint, competition_module.SERVICE),
+                self.router,
+                self.is_flow_held,
+                self.audit,
+                random.Random(number),
+                callers.Competition(self.displacements, urgent),
+            )
+            self.spawn(caller.run(persistent=True))
+
+    def _is_steady(self, balancer: str, target: str, since: float) -> bool:
+        """Returns whether a target's path has been undisturbed.
+
+        Args:
+            balancer: Address of the balancer.
+            target: Name of the target.
+            since: Begin of the time, monotonic seconds.
+        """
+        now = time.monotonic()
+        number = next(
+            number
+            for number, one in enumerate(self.targets)
+            if one.name == target
+        )
+        settled_at = max(
+            self.targets[number].started_at + TARGET_SETTLE_S,
+            self._odd_heartbeat_at.get(target, float("-inf"))
+            + ODD_HEARTBEAT_SETTLE_S,
+        )
+        path = (self.sides[number], self._balancer_by_address[balancer])
+        undisturbed_s = min(program.undisturbed_s(now) for program in path)
+        return settled_at < since and now - undisturbed_s < since
+
+    def record_odd_heartbeat(self, target: str) -> None:
+        """Records that a target's side process gets an odd heartbeat."""
+        self._odd_heartbeat_at[target] = time.monotonic()
+
     def _caller(self, name: str, number: int) -> callers.Caller:
         service = 1 if number % 4 == 3 else 0
         return callers.Caller(
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -175,6 +175,7 @@
 ) -> None:
     """Sends a request of another writer to the address of the heartbeats."""
     target = environment.random.choice(environment.targets)
+    environment.record_odd_heartbeat(target.name)
     await http_client.call(
         (target.address, environment.port_by_name["control"]),
         "PUT",
--- a/bench/soak/router.py
+++ b/bench/soak/router.py
@@ -61,7 +61,16 @@
             self._failures_by_address[address] += 1
 
     def forward(self, flow: tuple[int, int, int, int], data: bytes) -> None:
-        """Sends a packet to the flow's balancer.
+        """Sends a packet to the flow's balancer."""
+        address = (self.choose(flow), self._port_by_name["datagrams"])
+        try:
+            self._socket.sendto(data, address)
+        except OSError:
+            # The balancer's port is closed; the caller retransmits.
+            self.failed_sends += 1
+
+    def choose(self, flow: tuple[int, int, int, int]) -> str:
+        """Returns the address of the flow's balancer.
 
         All balancers are candidates while less than half of them are ready.
         """
@@ -69,12 +78,7 @@
         if 2 * len(candidates) < len(self._balancers):
             candidates = self._balancers
         text = repr(flow).encode()
-        chosen = max(
+        return max(
             candidates,
             key=lambda address: xxhash.xxh64_intdigest(text + address.encode()),
         )
-        try:
-            self._socket.sendto(data, (chosen, self._port_by_name["datagrams"]))
-        except OSError:
-            # The balancer's port is closed; the caller retransmits.
-            self.failed_sends += 1
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -79,7 +79,7 @@
         await environment.stop()
     return (
         environment.audit.violations,
-        dict(environment.audit.outcomes),
+        {**environment.audit.outcomes, **environment.displacements.waits},
         injected,
     )
 
--- a/clementinelead/platform/standins/node_files.py
+++ b/clementinelead/platform/standins/node_files.py
@@ -69,7 +69,12 @@
 
 
 def route_entry(
-    name: str, address: tuple[str, int], service: str, priority: int = 2
+    name: str,
+    address: tuple[str, int],
+    service: str,
+    priority: int = 2,
+    objective_ms: int = 100,
+    timeout_ms: int = 1000,
 ) -> dict[str, object]:
     """Returns a route of the operator's configuration, ready for JSON.
 
@@ -78,6 +83,8 @@
         address: IP address and port of the service.
         service: Service that the route leads to.
         priority: Priority of its requests, 0 is the highest.
+        objective_ms: Latency objective of its requests, milliseconds.
+        timeout_ms: Time budget of its requests, milliseconds.
     """
     host, port = address
     return {
@@ -85,8 +92,8 @@
         "host": host,
         "prefix": f"/{port}/",
         "service": service,
-        "target_latency_ms": 100,
-        "timeout_ms": 1000,
+        "target_latency_ms": objective_ms,
+        "timeout_ms": timeout_ms,
         "priority": priority,
         "type": "idempotent",
     }
--- a/clementinelead/platform/standins/targets.py
+++ b/clementinelead/platform/standins/targets.py
@@ -61,6 +61,17 @@
             now: Present time, seconds.
         """
 
+    def record_packet(
+        self, target: str, packet: packets.Packet, now: float
+    ) -> None:
+        """Records a packet of a flow that a target holds.
+
+        Args:
+            target: Name of the target.
+            packet: The packet.
+            now: Present time, seconds.
+        """
+
     def record_violation(self, text: str, now: float) -> None:
         """Records the violation of a guarantee.
 
@@ -81,6 +92,7 @@
         service: Service that it serves.
         address: IP address of its side process and of itself.
         serving: Whether an incarnation is running.
+        started_at: Start of the latest incarnation, monotonic seconds.
         flows: Sequence number in the target's packets, by flow.
     """
 
@@ -99,6 +111,7 @@
         self.service = service
         self.address = address
         self.serving = False
+        self.started_at = float("-inf")
         self.flows: dict[tuple[int, int, int, int], int] = {}
         self._ports = ports
         self._audit = audit
@@ -119,6 +132,7 @@
     def start(self) -> None:
         """Starts a new incarnation: opens its sockets, sends heartbeats."""
         self.serving = True
+        self.started_at = time.monotonic()
         self.flows.clear()
         self._reply_by_request.clear()
         self._unanswered_requests.clear()
@@ -254,6 +268,7 @@
         if packet.flow not in self.flows:
             self._send(bytes((data[0] | packets.RETURNED,)) + data[1:])
             return
+        self._audit.record_packet(self.name, packet, now)
         if packet.flags & packets.SYN:
             self._reply(packet, packets.SYN | packets.ACK)
         elif packet.data:
