--- a/clementinelead/relays/tests/test_restarts.py
+++ b/clementinelead/relays/tests/test_restarts.py
@@ -63,7 +63,7 @@
     return _check(run, restarted_at, astray_since=restarted_at)
 
 
-_NONE = {"reset": [], "not found": [], "astray": []}
+_NONE: dict[str, list[bytes]] = {"reset": [], "not found": [], "astray": []}
 
 
 # Guards against open flows that are lost, reset or sent astray while processes
