Add the bench scenario overload: goodput by priority at 1 to 10 times the capacity

Cause: overload150 has one priority and one load. Change: two balancers, three targets with one slot and their side processes run as in the soak; callers with an arrival rate offer 1, 2, 5 and 10 times the capacity for 8 s each, a quarter of it urgent, with one retry after a refusal or a rejection.

--- a/bench/run.py
+++ b/bench/run.py
@@ -13,6 +13,7 @@
 from bench.scenarios import hints
 from bench.scenarios import loads
 from bench.scenarios import memberships
+from bench.scenarios import overload
 from bench.scenarios import relays
 from bench.scenarios import services
 from bench.scenarios import slopes
@@ -37,6 +38,7 @@
     "load90": loads.load90,
     "load90-one-slot": loads.load90_one_slot,
     "outage": configs.outage,
+    "overload": overload.overload,
     "overload150": loads.overload150,
     "membership": memberships.membership,
     "partition": memberships.partition,
--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -276,6 +276,10 @@
             )
             self._idle_flows.append(asyncio.create_task(holding))
 
+    def caller_address(self, number: int) -> tuple[str, int]:
+        """Returns the IP address and port of a caller."""
+        return self._address(100 + number), self.port_by_name["datagrams"]
+
     def _start_competing_callers(self) -> None:
         first = self.sizes.callers + 1 + self.sizes.idle_flows
         for number in range(self.sizes.competing_callers):
@@ -283,8 +287,7 @@
             endpoint = competition_module.ENDPOINTS[0 if urgent else 1]
             caller = callers.Caller(
                 f"p{number}",
-                self._address(100 + first + number),
-                self.port_by_name["datagrams"],
+                *self.caller_address(first + number),
                 (*endpoint, competition_module.SERVICE),
                 self.router,
                 self.is_flow_held,
@@ -325,8 +328,7 @@
         service = 1 if number % 4 == 3 else 0
         return callers.Caller(
             name,
-            self._address(100 + number),
-            self.port_by_name["datagrams"],
+            *self.caller_address(number),
             (*SERVICE_ENDPOINTS[service], SERVICES[service]),
             self.router,
             self.is_flow_held,
