Stop repeating the opening packet of a refused flow in replays

Cause: a refused call counts as awaited until its retry, so the simulated caller repeated the opening packet 0.2 s after the refusal. The balancer searched for such flows and placed some of them, which nobody uses. Change: a flow that its caller has ended sends no opening packet. Test: test_refused_opening_is_not_repeated; it fails without the change.

--- a/clementinelead/replays/caller_flows.py
+++ b/clementinelead/replays/caller_flows.py
@@ -160,7 +160,9 @@
         return flow
 
     def _send_opening(self, flow: sessions.CallerFlow, copies: int) -> None:
-        if flow.is_awaited() and not flow.opened:
+        """Sends the opening packet; not for a flow that has been refused."""
+        unfinished = flow.key in self.by_key and flow.is_awaited()
+        if unfinished and not flow.opened:
             opening = packets.build_packet(
                 flow.key, packets.OPENS, acknowledgement=copies
             )
--- a/clementinelead/replays/tests/test_caller_flows.py
+++ b/clementinelead/replays/tests/test_caller_flows.py
@@ -160,3 +160,12 @@
     assert loads.RequestKind("x", 1.0, 2.0).late_worth == 0.5
     assert {STREAM.late_worth, ORDER.late_worth} == {0.3}
     assert STREAM.priority > ORDER.priority
+
+
+# Guards against replays that place flows whose callers were told to go.
+def test_refused_opening_is_not_repeated():
+    network = _Network(_arrival(ORDER))
+    network.event_queue.run(0.0)
+    network.reply(network.openings()[0][1].key, packets.RESETS)
+    network.event_queue.run(0.29)
+    assert len(network.select(lambda each: each.opens)) == 1
