--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -16,6 +16,7 @@
 from clementinelead.relays import opening_retransmissions
 from clementinelead.relays import outcomes
 from clementinelead.relays import pending_flows
+from clementinelead.relays import refusals
 from clementinelead.relays import routes
 from clementinelead.relays import zone_spill
 from clementinelead.telemetry import counters
@@ -33,17 +34,10 @@
 
 _Kind = frames.Kind
 _Address = tuple[str, int]
-_Search = collections.abc.Callable[
-    [formats.Segment, frozenset[str], bytes, float], None
-]
 
 
 class Placer:
-    """Places new flows, and holds back those that no target accepts yet.
-
-    Attributes:
-        version: Version of the routes in force, for the log.
-    """
+    """Places new flows, and holds back those that no target accepts yet."""
 
     def __init__(
         self,
@@ -51,7 +45,7 @@
         targets: directory.Directory,
         counts: counters.CounterSet,
         report: collections.abc.Callable[[outcomes.Decision], None],
-        search: _Search,
+        search: refusals.Search,
         further: further_queries.FurtherQueries,
         zone_spill_share: float = 0.0,
     ):
@@ -68,17 +62,16 @@
             zone_spill_share: Share of a route's objective up to which flows
                 stay in the balancer's zone, 0 for no preference.
         """
-        self.version = 0
         self._zone = zone_spill.ZonePreference(zone_spill_share)
-        self._format = packet_format
         self._directory = targets
         self._counts = counts
-        self._report = report
-        self._search = search
         self._further = further
+        self._refuser = refusals.Refuser(packet_format, counts, report, search)
         self._placement_by_key: dict[bytes, pending_flows.Placement] = {}
         self._queries = load_queries.LoadQueries(targets, counts)
-        self._admission = admission.Admission(counts, self._report_decision)
+        self._admission = admission.Admission(
+            counts, self._refuser.report_placement
+        )
 
     def set_backlogged(self, backlogged: bool) -> None:
         """Sets whether packets queue up faster than they are handled.
@@ -89,6 +82,10 @@
         """
         self._queries.recent.backlogged = backlogged
 
+    def set_version(self, version: int) -> None:
+        """Sets the version of the routes in force, for the log."""
+        self._refuser.version = version
+
     @property
     def busy(self) -> bool:
         """Whether any flow is pending."""
@@ -198,7 +195,7 @@
         self._queries.recent.add_placement(address)
         placement.deadline = now + ACCEPT_TIMEOUT_S
         self._directory.responsiveness.record_query(address, now)
-        self._report_decision(key, placement, "sent", now)
+        self._refuser.report_placement(key, placement, "sent", now)
         message = frames.encode(
             _Kind.PLACE,
             placement.number,
@@ -223,7 +220,7 @@
             return []
         queries = self._queries.query_targets(key, placement, now)
         if queries:
-            self._report_decision(key, placement, "asked further", now)
+            self._refuser.report_placement(key, placement, "asked further", now)
         return queries
 
     def _query_or_hold(
@@ -364,7 +361,7 @@
             return []
         if placement.chosen is not None:
             self._counts.add("accept_overdue")
-            self._report_decision(key, placement, "not answered", now)
+            self._refuser.report_placement(key, placement, "not answered", now)
             placement.chosen = None
         # Missing replies are still accepted, but no longer delay the choice.
         for address in placement.awaiting_reply:
@@ -380,65 +377,13 @@
         now: float,
         estimate: backlogs.Estimate | None = None,
     ) -> list[outcomes.Outcome]:
-        """Refuses a flow that no target accepts, so the caller can retry.
-
-        A flow that may be open by now is searched for instead; the search
-        resets it if no side process holds it.
-
-        Args:
-            key: Flow key.
-            placement: Its placement.
-            now: Present time, seconds.
-            estimate: When it could be answered, if that is too late.
-        """
+        """Ends a placement, see ``refusals.Refuser.give_up``."""
         del self._placement_by_key[key]
         self._admission.release(placement)
-        segment = self._format.from_caller(placement.packet)
-        assert segment is not None, "opening packet was parsed before"
-        retransmitted = (
-            now - placement.began_at
-            >= opening_retransmissions.FIRST_RETRANSMISSION_S
-        )
-        if retransmitted or placement.may_be_open or placement.delivered_to:
-            self._report_decision(key, placement, "searched for", now)
-            services = frozenset((placement.service,))
-            self._search(segment, services, placement.packet, now)
-            return []
-        inputs: dict[str, object] = {
-            "service": placement.service,
-            "age_ms": round((now - placement.began_at) * 1000, 1),
-        }
-        if estimate is not None:
-            inputs |= estimate.log_inputs()
-            return [self.refuse(segment, "not answerable in time", inputs)]
-        return [self.refuse(segment, "no target accepts", inputs)]
+        return self._refuser.give_up(key, placement, now, estimate)
 
     def refuse(
         self, segment: formats.Segment, cause: str, inputs: dict[str, object]
     ) -> outcomes.Outcome:
-        """Returns the reset that refuses a new flow, and reports the decision.
-
-        Args:
-            segment: Header of the opening packet.
-            cause: Reason of the refusal, for the log.
-            inputs: Inputs of the decision, for the log.
-        """
-        self._counts.add("refused")
-        inputs = {**inputs, "cause": cause, "version": self.version}
-        self._report(
-            outcomes.Decision("placement", "refused", segment.key, inputs)
-        )
-        return outcomes.ToCaller(
-            self._format.caller_address(segment.key),
-            self._format.reset_packet(segment),
-        )
-
-    def _report_decision(
-        self,
-        key: bytes,
-        placement: pending_flows.Placement,
-        outcome: str,
-        now: float,
-    ) -> None:
-        inputs = {"version": self.version, **placement.log_inputs(now)}
-        self._report(outcomes.Decision("placement", outcome, key, inputs))
+        """Refuses a new flow, see ``refusals.Refuser.refuse``."""
+        return self._refuser.refuse(segment, cause, inputs)
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -109,7 +109,7 @@
             return
         self.table = table
         self._by_address = table.by_address
-        self._placer.version = table.version
+        self._placer.set_version(table.version)
 
     def set_targets(
         self, service: str, targets: tuple[candidates.Target, ...]
