--- a/clementinelead/replays/competing_patterns.py
+++ b/clementinelead/replays/competing_patterns.py
@@ -8,7 +8,14 @@
 from clementinelead.replays import loads
 from clementinelead.replays import scales
 
-__all__ = ["CALLERS", "KIND_LOADS", "kill_in_burst", "orders_burst", "targets"]
+__all__ = [
+    "CALLERS",
+    "KIND_LOADS",
+    "kill_in_burst",
+    "new_flows",
+    "orders_burst",
+    "targets",
+]
 
 ZONES = ("a", "b", "c", "d")
 
@@ -56,6 +63,13 @@
 KILLED_AT = 1 / 4
 """Time of the kill of all balancers, as a share of the load."""
 
+NEW_FLOWS_QUEUE = 12
+"""Requests that may wait at a target in ``new_flows``.
+
+A target with a shorter queue rejects requests before its side process finds it
+busy, so that no flow waits at a balancer.
+"""
+
 BALANCER_PROCESSOR_SHARE = 0.1
 LISTENING_DELAY_S = 0.5
 SERVING_DELAY_S = 1.5
@@ -133,6 +147,37 @@
     return _load("orders-burst", scale, generator, factor)
 
 
+def new_flows(
+    scale: scales.Scale, generator: np.random.Generator
+) -> loads.Load:
+    """Returns a load at a constant rate whose requests have a flow each.
+
+    A utilisation of 10 stands for ten times the capacity.
+    """
+    all_targets = tuple(
+        dataclasses.replace(target, queue=NEW_FLOWS_QUEUE)
+        for target in targets(scale)
+    )
+    kind_loads = tuple(
+        dataclasses.replace(each, requests_per_flow=None) for each in KIND_LOADS
+    )
+
+    def factor(kind: str, zone: str, now: float) -> float:
+        return 1.0
+
+    arrivals = class_arrivals.draw(
+        kind_loads, all_targets, scale, factor, 1.0, generator
+    )
+    return loads.Load(
+        "new-flows",
+        tuple(each.kind for each in kind_loads),
+        all_targets,
+        arrivals,
+        callers=CALLERS,
+        fast_side_ticks=True,
+    )
+
+
 def kill_in_burst(
     scale: scales.Scale, generator: np.random.Generator
 ) -> loads.Load:
--- a/clementinelead/replays/patterns.py
+++ b/clementinelead/replays/patterns.py
@@ -306,6 +306,7 @@
     mixed_patterns.warm_up,
     competing_patterns.orders_burst,
     competing_patterns.kill_in_burst,
+    competing_patterns.new_flows,
     uneven_patterns.walking_crest,
     uneven_patterns.half_speed,
     tail_patterns.heavy_tail,
