Give lower priorities an eighth of the placements under any load

Cause: a flow of a lower priority yields while one of a higher priority waits, and targets keep their room for the highest priority. At 5 and 10 times the capacity no lower priority was served. test_competing_flows did not see it: it overrode a method that the transport no longer has, so its priorities were equal. It now sets them in the load. Change: after 7 placements of the highest priority a new flow of a lower one queries targets at once, the lower priorities in turn. A target that a due flow finds busy keeps its next room for it for up to 0.1 s. Without routes of different priority nothing changes.

--- a/clementinelead/relays/admission.py
+++ b/clementinelead/relays/admission.py
@@ -1,24 +1,23 @@
 """Priority and admission of new flows under more load than targets can serve.
 
 A balancer decides which of its waiting flows may query targets, and refuses
-new flows that no target could answer within their time budget. A side process
-keeps room at its target for flows of the highest priority. The load pattern is
-new flows that arrive at up to ten times the rate at which targets serve them.
+new flows that no target could answer within their time budget. The load
+pattern is new flows that arrive at up to ten times the rate at which targets
+serve them.
 """
 
 import collections.abc
 
-import msgspec
 import xxhash
 
 from clementinelead.relays import backlogs
 from clementinelead.relays import frames
 from clementinelead.relays import pending_flows
+from clementinelead.relays import placement_shares
 from clementinelead.relays import routes
-from clementinelead.relays import workload
 from clementinelead.telemetry import counters
 
-__all__ = ["Admission", "ReservedRoom", "refusal_delay_s"]
+__all__ = ["Admission", "refusal_delay_s"]
 
 REFUSAL_SPREAD_S = 0.05
 """Time over which refusals are spread by the flow's hash, seconds.
@@ -26,20 +25,6 @@
 Callers that are refused at the same moment would come back together.
 """
 
-MIN_EVIDENCE_SHARE = 0.5
-"""Share of its objective that a flow must have left to find targets busy.
-
-A target is sooner busy for a flow with less time, so a flow that has waited
-says nothing about new ones.
-"""
-
-LOWER_PRIORITY_SHARE = 0.6
-"""Share of the objective that flows below the highest priority may need.
-
-Flows of the highest priority may need ``workload.MAX_OBJECTIVE_SHARE``.
-Measured in ``docs/design/admission.md``.
-"""
-
 _REFUSAL_SEED = 0x41
 _Report = collections.abc.Callable[
     [bytes, pending_flows.Placement, str, float], None
@@ -63,28 +48,6 @@
     return min(route.priority, routes.LOWEST_PRIORITY)
 
 
-class ReservedRoom(msgspec.Struct, frozen=True):
-    """Room at a target that is kept for flows of the highest priority.
-
-    Attributes:
-        priorities: Priorities of the routes to its service, ascending.
-    """
-
-    priorities: tuple[int, ...] = ()
-
-    def objective_share(self, route: routes.Route | None) -> float:
-        """Returns the share of its objective that a new flow may need.
-
-        Args:
-            route: Route of the flow, None if it is not known.
-        """
-        if route is None or len(self.priorities) < 2:
-            return workload.MAX_OBJECTIVE_SHARE
-        if route.priority <= self.priorities[0]:
-            return workload.MAX_OBJECTIVE_SHARE
-        return LOWER_PRIORITY_SHARE
-
-
 class Admission:
     """Decides which pending flows of a balancer may query targets.
 
@@ -131,7 +94,7 @@
         """
         backlog = self._backlog_by_service.get(placement.service)
         if backlog is not None:
-            backlog.record_placed(now)
+            backlog.record_placed(_rank(placement.route), now)
         self.release(placement)
 
     def hold(
@@ -145,20 +108,47 @@
                 targets again.
             now: Present time, seconds.
         """
-        is_new = not placement.waiting
-        self._wait(placement)
-        if not is_new:
+        claimed = placement.claims
+        decides = claimed or not placement.waiting
+        has_time = self._has_time(placement, now)
+        if claimed and has_time:
+            self._hold_claim(placement, now)
             return
-        least_ms = MIN_EVIDENCE_SHARE * placement.route.objective_ms
-        if placement.remaining_ms(now) < least_ms:
+        self._end_claim(placement)
+        self._wait(placement)
+        if not decides or not (has_time or claimed):
             return
-        backlog = self._backlog_by_service[placement.service]
-        route_id = (_rank(placement.route), placement.route.address)
-        backlog.saturated_at_by_route[route_id] = now
+        if has_time:
+            backlog = self._backlog_by_service[placement.service]
+            route_id = (_rank(placement.route), placement.route.address)
+            backlog.saturated_at_by_route[route_id] = now
         if self._estimate_if_late(placement, now) is not None:
             self.release(placement)
             self._prepare_refusal(key, placement, now)
 
+    @staticmethod
+    def _has_time(placement: pending_flows.Placement, now: float) -> bool:
+        """Returns whether most of a flow's objective is left."""
+        share = placement_shares.MIN_EVIDENCE_SHARE
+        least_ms = share * placement.route.objective_ms
+        return placement.remaining_ms(now) >= least_ms
+
+    def _hold_claim(
+        self, placement: pending_flows.Placement, now: float
+    ) -> None:
+        """Lets a flow that is due query again while targets keep room."""
+        placement.retry_delay_s = pending_flows.FIRST_HOLD_DELAY_S
+        placement.deadline = min(
+            now + placement.retry_delay_s, placement.give_up_at
+        )
+        self._wait(placement)
+
+    def _end_claim(self, placement: pending_flows.Placement) -> None:
+        """Records that a flow no longer takes its priority's share."""
+        if placement.claims:
+            placement.claims = False
+            self._backlog_by_service[placement.service].claims -= 1
+
     def _wait(self, placement: pending_flows.Placement) -> None:
         """Records that a flow waits until its deadline to query targets."""
         backlog = self._backlog_by_service.setdefault(
@@ -177,12 +167,14 @@
         Args:
             placement: The flow.
         """
-        if not placement.waiting:
+        backlog = self._backlog_by_service.get(placement.service)
+        if backlog is None:
             return
-        placement.waiting = False
-        backlog = self._backlog_by_service[placement.service]
-        backlog.remove(_rank(placement.route))
-        if not backlog.count_by_priority:
+        self._end_claim(placement)
+        if placement.waiting:
+            placement.waiting = False
+            backlog.remove(_rank(placement.route))
+        if not backlog.count_by_priority and not backlog.claims:
             del self._backlog_by_service[placement.service]
 
     def update_due(
@@ -225,6 +217,10 @@
             return False
         rank = _rank(placement.route)
         backlog.record_arrival(rank, now)
+        if not placement.may_be_open and backlog.claim(rank, now):
+            self._counts.add("share_claimed")
+            placement.claims = True
+            return False
         until = now + placement.retry_delay_s
         no_room = backlog.higher_is_due(rank, until) or backlog.is_saturated(
             rank, placement.route.address, now
@@ -248,7 +244,8 @@
         """Decides whether a flow whose pause is over must wait on.
 
         It must while a flow of a higher priority of the same service waits
-        and is due within the flow's next pause.
+        and is due within the flow's next pause, unless it takes the share of
+        lower priorities.
 
         Args:
             key: Flow key.
@@ -261,7 +258,9 @@
         backlog = self._backlog_by_service.get(placement.service)
         until = now + placement.retry_delay_s
         rank = _rank(placement.route)
-        if backlog is None or not backlog.higher_is_due(rank, until):
+        if backlog is None or placement.claims:
+            return False
+        if not backlog.higher_is_due(rank, until):
             return False
         self._counts.add("yielded")
         if not placement.waiting:
--- a/clementinelead/relays/backlogs.py
+++ b/clementinelead/relays/backlogs.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from clementinelead.relays import placement_shares
+from clementinelead.relays import routes
 from clementinelead.relays import workload
 
 __all__ = ["Backlog", "Estimate"]
@@ -105,12 +107,17 @@
         due_by_priority: Time at which the next one queries targets, seconds.
         saturated_at_by_route: Time at which a new flow of a route last found
             all targets busy, seconds; by priority and address of the route.
+        claims: Flows that take the share of lower priorities now.
     """
 
     def __init__(self) -> None:
         self.count_by_priority: dict[int, int] = {}
         self.due_by_priority: dict[int, float] = {}
         self.saturated_at_by_route: dict[tuple[int, bytes], float] = {}
+        self.claims = 0
+        self._share = placement_shares.PlacementShare()
+        self._highest = routes.LOWEST_PRIORITY
+        self._claimed_at_by_priority: dict[int, float] = {}
         self._placed_at = float("-inf")
         self._placing_since = float("-inf")
         self._slices: collections.deque[_Slice] = collections.deque()
@@ -121,11 +128,13 @@
         if piece.least_load_ms is None or load_ms < piece.least_load_ms:
             piece.least_load_ms = load_ms
 
-    def record_placed(self, now: float) -> None:
+    def record_placed(self, priority: int, now: float) -> None:
         """Records that a target has accepted a flow.
 
         After an outage of all targets the rate is measured afresh.
         """
+        self._highest = min(self._highest, priority)
+        self._share.record_placed(priority == self._highest)
         if now - self._placed_at > MAX_PLACEMENT_GAP_S:
             self._placing_since = now
         self._placed_at = now
@@ -133,9 +142,40 @@
 
     def record_arrival(self, priority: int, now: float) -> None:
         """Records a new flow."""
+        self._highest = min(self._highest, priority)
         arrived = self._current_slice(now).arrived_by_priority
         arrived[priority] = arrived.get(priority, 0) + 1
 
+    def claim(self, priority: int, now: float) -> bool:
+        """Decides whether a new flow takes the share of lower priorities.
+
+        They take turns. The caller counts ``claims`` down.
+
+        Args:
+            priority: Priority of the flow.
+            now: Present time, seconds.
+
+        Returns:
+            Whether it does, and so does not yield to higher priorities.
+        """
+        if priority == self._highest or self.claims >= self._share.due:
+            return False
+        claimed_at = self._claimed_at_by_priority
+        lower = {
+            other
+            for piece in self._slices
+            for other in piece.arrived_by_priority
+            if other > self._highest
+        }
+        first = min(
+            lower, key=lambda each: (claimed_at.get(each, -math.inf), each)
+        )
+        if first != priority:
+            return False
+        claimed_at[priority] = now
+        self.claims += 1
+        return True
+
     def _current_slice(self, now: float) -> _Slice:
         """Returns the slice of the present time, and drops outdated ones."""
         while self._slices and now - self._slices[0].began_at > RATE_WINDOW_S:
--- a/clementinelead/relays/pending_flows.py
+++ b/clementinelead/relays/pending_flows.py
@@ -65,6 +65,8 @@
         paused: Whether it queries no target until its deadline.
         refusing: Whether it is to be refused at its deadline if it still
             can't be answered within its time budget.
+        claims: Whether it takes the share of the placements that lower
+            priorities are due.
     """
 
     route: routes.Route
@@ -87,6 +89,7 @@
     waiting: bool = False
     paused: bool = False
     refusing: bool = False
+    claims: bool = False
 
     def remaining_ms(self, now: float) -> int:
         """Returns what is left of the latency objective, milliseconds.
--- a/clementinelead/relays/query_replies.py
+++ b/clementinelead/relays/query_replies.py
@@ -104,7 +104,7 @@
                 new flow now.
             now: Present time, seconds.
             objective_share: Largest share of the objective for waiting and
-                service, see ``admission.ReservedRoom``.
+                service, see ``placement_shares.ReservedRoom``.
         """
         kind = _Kind.LOAD
         load_ms = frames.NOT_ACCEPTING
--- a/clementinelead/relays/target_relay.py
+++ b/clementinelead/relays/target_relay.py
@@ -10,13 +10,13 @@
 
 import collections.abc
 
-from clementinelead.relays import admission
 from clementinelead.relays import announcements
 from clementinelead.relays import formats
 from clementinelead.relays import frames
 from clementinelead.relays import held_flows
 from clementinelead.relays import outcomes
 from clementinelead.relays import outstanding_packets
+from clementinelead.relays import placement_shares
 from clementinelead.relays import query_replies
 from clementinelead.relays import request_gate
 from clementinelead.relays import routes
@@ -90,7 +90,7 @@
         self._format = packet_format
         self._service = service
         self._route_by_address: dict[bytes, routes.Route] = {}
-        self._room = admission.ReservedRoom()
+        self._room = placement_shares.ReservedRoom()
         self._service_number = frames.service_number(service)
         self._report = report
         self._flows = held_flows.HeldFlows(self.workload)
@@ -167,7 +167,7 @@
         self._route_by_address = table.by_address
         if not self.stopping:
             self._gate.set_priorities(table.priorities(self._service))
-        self._room = admission.ReservedRoom(table.priorities(self._service))
+        self._room.set_priorities(table.priorities(self._service))
 
     def route_of(self, key: bytes) -> routes.Route | None:
         """Returns the route of a flow, None if no route in force has it.
@@ -277,7 +277,7 @@
                         self.accepting,
                         self._limit_allows_flow(now),
                         now,
-                        self._room.objective_share(self.route_of(frame.key)),
+                        self._objective_share(frame, now),
                     )
                 ]
             case _Kind.QUERY_HELD:
@@ -290,6 +290,14 @@
         first_flows_known = self.startup.all_flows_recorded(now)
         return self._limit.allows_flow(first_flows_known, now)
 
+    def _objective_share(self, frame: frames.Frame, now: float) -> float:
+        """Returns the share of its objective that a new flow may need."""
+        route = self.route_of(frame.key)
+        share = self._room.objective_share(route, now)
+        if self.workload.busy(frame.value, now, share):
+            self._room.record_busy(route, frame.value, now)
+        return share
+
     def _on_opening_packet(
         self, frame: frames.Frame, source: _Address, now: float
     ) -> list[outcomes.Outcome]:
@@ -309,10 +317,11 @@
             objective_ms = frame.value
             if objective_ms and self.workload.busy(objective_ms, now):
                 return self._defer(frame, source, "deferred", now)
-            share = self._room.objective_share(self.route_of(key))
+            share = self._objective_share(frame, now)
             if objective_ms and self.workload.busy(objective_ms, now, share):
                 return self._defer(frame, source, "deferred_room_kept", now)
             self._flows.begin_accept(key, now)
+            self._room.record_placed(self.route_of(key))
         self._outstanding.add_opening(key, source, now)
         self._limit.add_flow(now)
         return [outcomes.ToTarget(frame.payload)]
--- a/clementinelead/relays/tests/test_admission.py
+++ b/clementinelead/relays/tests/test_admission.py
@@ -8,6 +8,7 @@
 from clementinelead.relays import backlogs
 from clementinelead.relays import frames
 from clementinelead.relays import outcomes
+from clementinelead.relays import placement_shares
 from clementinelead.relays import routes
 from clementinelead.relays import workload
 from clementinelead.relays.tests import network
@@ -253,7 +254,10 @@
 
 def _objective_between_ms(side, now):
     """Returns an objective that only the highest priority may need."""
-    shares = (admission.LOWER_PRIORITY_SHARE, workload.MAX_OBJECTIVE_SHARE)
+    shares = (
+        placement_shares.LOWER_PRIORITY_SHARE,
+        workload.MAX_OBJECTIVE_SHARE,
+    )
     for objective_ms in range(1, 5000):
         if not side.workload.busy(objective_ms, now, shares[1]):
             assert side.workload.busy(objective_ms, now, shares[0])
@@ -292,7 +296,53 @@
     backlog.add(1)
     for step in range(60):
         now = 100.0 + step * 0.01
-        backlog.record_placed(now)
+        backlog.record_placed(1, now)
         if step * 0.01 <= 0.59 - age_s:
             backlog.record_load(150, now)
     assert (backlog.estimate(1, 0.2, now) is not None) == known
+
+
+# Guards against lower priorities that find no room under any load, and against
+# room that is kept for flows which do not come back.
+def test_target_keeps_room_for_a_lower_priority_that_is_due():
+    side, now = _side(_table(), requests=6)
+    objective_ms = _objective_between_ms(side, now) + 1
+    for number in range(placement_shares.HIGHEST_PER_LOWER):
+        key = network.flow_key(8000 + number, HIGH)
+        payload = network.packet(key, packets.OPENS)
+        place = frames.encode(frames.Kind.PLACE, NUMBER, key, payload, 9999)
+        side.on_frame(place, ("balancer0", 1), now)
+    long_ms = 3 * objective_ms
+    assert _answer(side, HIGH, long_ms, now) is frames.Kind.LOAD
+    assert _answer(side, LOW, OBJECTIVE_MS, now) is frames.Kind.BUSY
+    assert _answer(side, HIGH, long_ms, now) is frames.Kind.BUSY
+    place = frames.Kind.PLACE
+    assert _answer(side, HIGH, long_ms, now, place) is frames.Kind.DEFERRED
+    later = now + placement_shares.CLAIM_S + 0.01
+    assert _answer(side, HIGH, long_ms, later) is frames.Kind.LOAD
+    assert _answer(side, LOW, long_ms, later, place) == 0
+
+
+# Guards against a lower priority that takes the share of all others.
+def test_lower_priorities_take_their_share_in_turn():
+    backlog = backlogs.Backlog()
+    turns = []
+    for step in range(200):
+        now = 100.0 + step * 0.01
+        backlog.record_placed(1, now)
+        for priority in (1, 2, 3):
+            backlog.record_arrival(priority, now)
+            if backlog.claim(priority, now):
+                turns.append(priority)
+                backlog.claims -= 1
+                backlog.record_placed(priority, now)
+    assert len(turns) == 200 // placement_shares.HIGHEST_PER_LOWER
+    assert turns[:4] == [2, 3, 2, 3]
+
+
+def test_equal_priorities_have_no_share_to_claim():
+    backlog = backlogs.Backlog()
+    for _ in range(100):
+        backlog.record_arrival(2, 100.0)
+        backlog.record_placed(2, 100.0)
+        assert not backlog.claim(2, 100.0)
--- a/clementinelead/replays/tests/test_competing_flows.py
+++ b/clementinelead/replays/tests/test_competing_flows.py
@@ -1,14 +1,14 @@
 """Two kinds of requests of different priority above all capacity."""
 
+import collections
 import functools
 
 import numpy as np
 import pytest
 
-from clementinelead.relays import routes
+from clementinelead.relays import placement_shares
 from clementinelead.replays import calls
 from clementinelead.replays import loads
-from clementinelead.replays import relayed
 from clementinelead.replays import simulations
 
 MIN_GOODPUT_SHARE = 0.9
@@ -29,42 +29,15 @@
 )
 WORK_S = {"orders": 0.029, "status": 0.022}
 SHARE = {"orders": 0.22, "status": 0.78}
-PRIORITY = {"orders": 1, "status": 2}
 KINDS = (
-    loads.RequestKind("orders", 0.302, 2.4, 2.0),
-    loads.RequestKind("status", 0.253, 1.9, 1.0),
+    loads.RequestKind("orders", 0.302, 2.4, 2.0, priority=1),
+    loads.RequestKind("status", 0.253, 1.9, 1.0, priority=2),
 )
 CAPACITY_PER_S = sum(1 / target.slowness for target in TARGETS) / sum(
     SHARE[name] * WORK_S[name] for name in WORK_S
 )
 
 
-class _Transport(relayed.RelayedTransport):
-    """Gives the routes their priorities."""
-
-    def _configure(self, balancer):
-        super()._configure(balancer)
-        table = balancer.steering.table
-        prioritised = routes.RoutingTable(
-            2,
-            tuple(
-                routes.Route(
-                    route.name,
-                    route.address,
-                    route.shares,
-                    route.objective_ms,
-                    route.timeout_ms,
-                    PRIORITY[route.name],
-                )
-                for route in table.routes
-            ),
-            table.idle_timeout_s,
-        )
-        balancer.steering.set_routes(prioritised)
-        for side in self._side_by_address.values():
-            side.target_relay.set_routes(prioritised)
-
-
 class _ReturningCall(calls.Call):
     """A call that is tried again some time after a refusal."""
 
@@ -98,7 +71,6 @@
 
 def _run(factor, seconds, call=calls.Call):
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(relayed, "RelayedTransport", _Transport)
         patch.setattr(calls, "Call", call)
         return simulations.replay(_load(factor, seconds), "relayed", 1)
 
@@ -115,11 +87,15 @@
 
 
 @functools.cache
+def _steady_run(factor):
+    return _run(lambda _: factor, SECONDS)
+
+
 def _steady(factor):
     """Returns the worth in time of each kind after the first moments."""
-    run = _run(lambda _: factor, SECONDS)
+    run = _steady_run(factor)
     return {
-        kind: _worth_in_time(run, kind, SETTLED_S, SECONDS) for kind in PRIORITY
+        kind: _worth_in_time(run, kind, SETTLED_S, SECONDS) for kind in WORK_S
     }
 
 
@@ -133,6 +109,20 @@
     assert above["orders"] >= MIN_GOODPUT_SHARE * at_capacity["orders"]
 
 
+# Guards against lower priorities that get nothing, or more than their share.
+@pytest.mark.parametrize("factor", [5.0, 10.0])
+def test_lower_priority_gets_its_share_of_the_answers(factor):
+    served = collections.Counter(
+        outcome.arrival.kind
+        for outcome in _steady_run(factor).outcomes
+        if outcome.result is calls.Result.SERVED
+        and SETTLED_S <= outcome.arrival.at_s + outcome.duration_s < SECONDS
+    )
+    due = 1 / (1 + placement_shares.HIGHEST_PER_LOWER)
+    share = served["status"] / served.total()
+    assert 0.8 * due <= share <= 1.2 * due
+
+
 # Guards against refusals that go on after a burst, as callers come back.
 def test_service_is_as_before_soon_after_a_burst():
     def factor(at_s):
@@ -140,7 +130,7 @@
 
     run = _run(factor, 8.0, _ReturningCall)
     # Callers return twice, and their flows wait for up to 1.2 s.
-    for kind in PRIORITY:
+    for kind in WORK_S:
         before = _worth_in_time(run, kind, 0.0, 1.0)
         after = _worth_in_time(run, kind, 7.0, 8.0)
         assert after >= 0.8 * before, kind
