--- a/clementinelead/relays/opening_packets.py
+++ b/clementinelead/relays/opening_packets.py
@@ -2,11 +2,11 @@
 
 import collections.abc
 
-from clementinelead.relays import admission
 from clementinelead.relays import frames
 from clementinelead.relays import held_flows
 from clementinelead.relays import outcomes
 from clementinelead.relays import outstanding_packets
+from clementinelead.relays import placement_shares
 from clementinelead.relays import query_replies
 from clementinelead.relays import routes
 from clementinelead.relays import startup_recovery
@@ -54,7 +54,7 @@
             counts: Counts decisions by cause.
             log: Logs decisions.
         """
-        self.room = admission.ReservedRoom()
+        self.room = placement_shares.ReservedRoom()
         self._flows = flows
         self._outstanding = outstanding
         self._startup = startup
@@ -74,13 +74,18 @@
         first_flows_known = self._startup.all_flows_recorded(now)
         return self._limit.allows_flow(first_flows_known, now)
 
-    def objective_share(self, key: bytes) -> float:
+    def objective_share(self, frame: frames.Frame, now: float) -> float:
         """Returns the share of its objective that a new flow may wait.
 
         Args:
-            key: Flow key.
+            frame: Load query or opening packet of the flow.
+            now: Present time, seconds.
         """
-        return self.room.objective_share(self._route_of(key))
+        route = self._route_of(frame.key)
+        share = self.room.objective_share(route, now)
+        if self._workload.busy(frame.value, now, share):
+            self.room.record_busy(route, frame.value, now)
+        return share
 
     def on_packet(
         self, frame: frames.Frame, source: _Address, now: float
@@ -111,10 +116,11 @@
             objective_ms = frame.value
             if objective_ms and self._workload.busy(objective_ms, now):
                 return self._defer(frame, source, "deferred", now)
-            share = self.objective_share(key)
+            share = self.objective_share(frame, now)
             if objective_ms and self._workload.busy(objective_ms, now, share):
                 return self._defer(frame, source, "deferred_room_kept", now)
             self._flows.begin_accept(key, now)
+            self.room.record_placed(self._route_of(key))
         self._outstanding.add_opening(key, source, now)
         self._limit.add_flow(now)
         return [outcomes.ToTarget(frame.payload)]
--- a/clementinelead/relays/target_relay.py
+++ b/clementinelead/relays/target_relay.py
@@ -10,7 +10,6 @@
 
 import collections.abc
 
-from clementinelead.relays import admission
 from clementinelead.relays import announcements
 from clementinelead.relays import caller_packets
 from clementinelead.relays import formats
@@ -195,7 +194,7 @@
         self._route_by_address = table.by_address
         if not self.stopping:
             self._gate.set_priorities(table.priorities(self._service))
-        self._opening_handler.room = admission.ReservedRoom(
+        self._opening_handler.room.set_priorities(
             table.priorities(self._service)
         )
 
@@ -307,7 +306,7 @@
                         self.accepting,
                         self._opening_handler.limit_allows_flow(now),
                         now,
-                        self._opening_handler.objective_share(frame.key),
+                        self._opening_handler.objective_share(frame, now),
                     )
                 ]
             case _Kind.QUERY_HELD:
--- a/clementinelead/replays/competing_patterns.py
+++ b/clementinelead/replays/competing_patterns.py
@@ -9,7 +9,7 @@
 from clementinelead.replays import scales
 from clementinelead.replays import zoned_loads
 
-__all__ = ["KIND_LOADS", "kill_in_burst", "orders_burst"]
+__all__ = ["KIND_LOADS", "kill_in_burst", "new_flows", "orders_burst"]
 
 FAST_SLOWNESS = 0.55
 USUAL_SLOWNESS = 1.2
@@ -43,6 +43,13 @@
 KILLED_AT = 1 / 4
 """Time of the kill of all balancers, as a share of the load."""
 
+NEW_FLOWS_QUEUE = 12
+"""Requests that may wait at a target in ``new_flows``.
+
+A target with a shorter queue rejects requests before its side process finds it
+busy, so that no flow waits at a balancer.
+"""
+
 BALANCER_PROCESSOR_SHARE = 0.1
 LISTENING_DELAY_S = 0.5
 SERVING_DELAY_S = 1.5
@@ -95,6 +102,29 @@
     return _load("orders-burst", scale, generator, factor)
 
 
+def new_flows(
+    scale: scales.Scale, generator: np.random.Generator
+) -> loads.Load:
+    """Returns a load at a constant rate whose requests have a flow each.
+
+    A utilisation of 10 stands for ten times the capacity.
+    """
+    all_targets = tuple(
+        dataclasses.replace(target, queue=NEW_FLOWS_QUEUE)
+        for target in zoned_loads.targets(scale, _slowness)
+    )
+    kind_loads = tuple(
+        dataclasses.replace(each, requests_per_flow=None) for each in KIND_LOADS
+    )
+
+    def factor(kind: str, zone: str, now: float) -> float:
+        return 1.0
+
+    return zoned_loads.create(
+        "new-flows", kind_loads, all_targets, scale, factor, 1.0, generator
+    )
+
+
 def kill_in_burst(
     scale: scales.Scale, generator: np.random.Generator
 ) -> loads.Load:
