Kill in both rounds, and test restarts with late replies

Each round kills at least one process now. Adds the two scenarios with datagrams of 50 ms, and seeds that failed before the probes went on: rolling, 12 targets, seed 6, and 35 targets, seed 0.

--- a/clementinelead/relays/tests/test_restarts.py
+++ b/clementinelead/relays/tests/test_restarts.py
@@ -50,13 +50,14 @@
     restarted_at = 0.0
     for pause_s in (1.0, run.rng.uniform(0.3, 3.0)):
         run.run(pause_s)
+        alive = [name for name in run.processes if run.is_alive(name)]
         share = run.rng.choice([0.2, 0.5, 1.0])
-        for address in run.processes:
-            if run.is_alive(address) and run.rng.random() < share:
-                run.kill(address)
-                down_s = run.rng.uniform(0.15, 0.9)
-                run.after(down_s, run.start, address)
-                restarted_at = max(restarted_at, run.net.now + down_s)
+        count = max(1, round(share * len(alive)))
+        for address in run.rng.sample(alive, min(count, len(alive))):
+            run.kill(address)
+            down_s = run.rng.uniform(0.15, 0.9)
+            run.after(down_s, run.start, address)
+            restarted_at = max(restarted_at, run.net.now + down_s)
     run.run(restarted_at - run.net.now)
     # What a process knows of its probes is lost with it, so packets may go
     # astray while others are killed.
@@ -67,10 +68,11 @@
 
 
 # Guards against open flows that are lost, reset or sent astray while processes
-# restart as planned.
-@pytest.mark.parametrize("targets", [12, 35])
-def test_open_flows_are_found_in_rolling_restarts(targets):
-    assert roll(targets, seed=1) == _NONE
+# restart as planned. The seeds but for the first failed while a silent process
+# held back the probes of flows that many targets had got.
+@pytest.mark.parametrize(("targets", "seed"), [(12, 1), (12, 6), (35, 0)])
+def test_open_flows_are_found_in_rolling_restarts(targets, seed):
+    assert roll(targets, seed) == _NONE
 
 
 # Guards against the same if processes are killed while others search.
@@ -78,3 +80,12 @@
 @pytest.mark.parametrize("seed", range(4))
 def test_open_flows_are_found_after_kills_in_two_rounds(targets, seed):
     assert kill_twice(targets, seed) == _NONE
+
+
+# Guards against the same while every reply is later than its timeout. Copies of
+# a packet that has reached its target may arrive at others then.
+@pytest.mark.parametrize("scenario", [roll, kill_twice])
+@pytest.mark.parametrize("seed", range(3))
+def test_open_flows_are_found_by_late_replies(scenario, seed):
+    broken = scenario(12, seed, delay_s=0.05)
+    assert (broken["reset"], broken["not found"]) == ([], [])
