--- a/clementinelead/processes/view_completeness.py
+++ b/clementinelead/processes/view_completeness.py
@@ -107,7 +107,7 @@
 
     def _apply(self) -> None:
         view = self._completeness
-        self._decisions.set_complete_from(view.complete_from)
+        self._decisions.set_complete_from(view.complete_from, view.some_missing)
         self._decisions.set_denials_conclusive_from(
             view.denials_conclusive_from
         )
