Take the reply of a side process that responds again

A search does not wait for the reply of a side process that has missed replies for long, and ignored the reply when it came: an unsure process that was back counted as if it denied the flow, and the open flow was reset once all others had denied it. Such a reply counts now like a late one.

test_target_of_a_process_that_responds_again_is_probed failed before: the caller got a reset; now the target gets the packet.

--- a/clementinelead/relays/owner_queries.py
+++ b/clementinelead/relays/owner_queries.py
@@ -71,6 +71,9 @@
         new = [owner for owner in owners if owner[0] not in search.queried]
         search.queried.update(address for address, _ in new)
         search.awaiting_reply |= awaited
+        search.not_awaited.update(
+            address for address, _ in new if address not in awaited
+        )
         search.deadline = float("inf")  # set when the queries are sent
         self._rounds.add(search.segment.key, new, now)
         return True
--- a/clementinelead/relays/searches.py
+++ b/clementinelead/relays/searches.py
@@ -20,6 +20,8 @@
         deadline: Time of the next step if replies are still missing, seconds.
         queried: Side processes that were queried.
         awaiting_reply: Those of them that have not replied.
+        not_awaited: Those of them whose reply is not waited for, as they have
+            not replied to others for long.
         unsure_owners: Side processes whose target may hold the flow, and that
             were not probed yet.
         probed: Side processes whose targets got the first packet.
@@ -46,6 +48,7 @@
     awaiting_return: set[tuple[str, int]]
     timed_out: set[tuple[str, int]]
     not_returned: set[tuple[str, int]]
+    not_awaited: set[tuple[str, int]] = msgspec.field(default_factory=set)
     everywhere: bool = False
     absent_count: int = 0
     any_unsure: bool = False
@@ -75,6 +78,10 @@
         if source in self.timed_out:
             self.timed_out.discard(source)
             return True
+        if source in self.not_awaited:
+            # It responds again, and its target may hold the flow.
+            self.not_awaited.discard(source)
+            return True
         return False
 
     @property
--- a/clementinelead/relays/tests/test_searching.py
+++ b/clementinelead/relays/tests/test_searching.py
@@ -146,6 +146,26 @@
     assert _is_reset_without(balancer, unresponsive, late)
 
 
+# Guards against the reset of an open flow at a target whose side process had
+# not replied to others for long, but replies to the search.
+def test_target_of_a_process_that_responds_again_is_probed(balancer):
+    responding = ("side1", 1)
+    _starting(balancer, responding)
+    balancer.set_complete_from(BEGIN)
+    for queried_at in (BEGIN, BEGIN + 0.1):
+        balancer._directory.responsiveness.record_query(responding, queried_at)
+    now = BEGIN + directory.ABANDON_AFTER_S + 0.2
+    key = _search(balancer, 1, now)
+    queried = _queried_sides(balancer, now + 0.004)
+    queried.remove(responding)
+    unsure = frames.encode(frames.Kind.UNSURE, SERVICE, key, key)
+    sends = balancer.on_frame(unsure, responding, now + 0.005)
+    denial = frames.encode(frames.Kind.ABSENT, SERVICE, key, key)
+    for address in queried:
+        sends += balancer.on_frame(denial, address, now + 0.006)
+    assert [send.address for send in sends] == [responding]
+
+
 # Guards against an open flow that is not searched for again while its owner
 # restarts, since each late reply of another process postponed the next search.
 def test_late_replies_do_not_postpone_the_next_search():
