Count no pauses towards the soak's limit of a stop

Its log has no line from 00:23:23.19 to 26.80, begins to drain at 26.845 and ends at 29.82, with the kill no later than 30.02: SIGTERM came 6 s before that, between 23.82 and 24.02, while the process was paused. It ran for only about 3.1 of the 6 s. The drain was open that long because the soak's own probes, one each 0.2 s, reached the balancer throughout; a drain then takes up to 5 s.

Program.terminate now counts only the time in which the process is not paused. A process that is paused when 6 s have passed was killed without a fault; it now has to end like others. A pause that begins between two processes no longer counts as one of the next process, which it does not stop.

The three new test cases failed before this change: a fault for a process that drains for 0.5 s after a pause, none for a process that never ends and is paused when the limit passes, and a process that counts as paused while it runs.

--- a/bench/soak/programs.py
+++ b/bench/soak/programs.py
@@ -13,6 +13,8 @@
 
 RESTART_DELAY_S = 0.3
 TERMINATE_TIMEOUT_S = 6.0
+"""Limit of the time that a stop takes, without pauses, seconds."""
+
 INTERPRETER_START_CPU_S = 0.2
 """Limit of the CPU time in which the interpreter loads, seconds.
 
@@ -43,6 +45,8 @@
         self._process: subprocess.Popen[bytes] | None = None
         self._ended = False
         self._disturbed_at = float("-inf")
+        self._paused_at = 0.0
+        self._ended_pauses_s = 0.0
 
     async def run(self) -> None:
         """Starts the process, restarts it after each exit, until cancelled."""
@@ -67,7 +71,18 @@
         """
         return 0.0 if self.paused else now - self._disturbed_at
 
+    def _paused_s(self, now: float) -> float:
+        """Returns the total time of all pauses up to now, seconds."""
+        current_s = now - self._paused_at if self.paused else 0.0
+        return self._ended_pauses_s + current_s
+
+    def _end_pause(self) -> None:
+        self._ended_pauses_s = self._paused_s(time.monotonic())
+        self.paused = False
+
     def _start(self) -> None:
+        # A pause that began after the former process ended stops nothing.
+        self._end_pause()
         self._disturbed_at = time.monotonic()
         self._end_requested = False
         log = self._settings.with_suffix(".log").open("ab")
@@ -102,21 +117,27 @@
 
     def kill(self) -> None:
         """Kills the process that this object started; it is restarted."""
-        self.paused = False
+        self._end_pause()
         self.send(signal.SIGKILL)
 
     async def terminate(self) -> float:
         """Sends SIGTERM, and SIGKILL after ``TERMINATE_TIMEOUT_S``.
 
+        A paused process can't handle SIGTERM, so only the time in which it is
+        not paused counts towards the limit.
+
         Returns:
-            Time until the process ended, seconds.
+            Time until the process ended, with pauses, seconds.
         """
         start_s = time.monotonic()
+        paused_before_s = self._paused_s(start_s)
         process = self._process
         self.send(signal.SIGTERM)
         while process is not None and process.poll() is None:
-            if time.monotonic() - start_s > TERMINATE_TIMEOUT_S:
-                if not self.paused and self._process is process:
+            now = time.monotonic()
+            paused_s = self._paused_s(now) - paused_before_s
+            if now - start_s - paused_s > TERMINATE_TIMEOUT_S:
+                if self._process is process:
                     self.faults.append(f"{self.name} did not end when stopped")
                 self.kill()
             await asyncio.sleep(0.02)
@@ -124,11 +145,12 @@
 
     async def pause(self, seconds: float) -> None:
         """Suspends the process with SIGSTOP for a time in seconds."""
+        self._paused_at = time.monotonic()
         self.paused = True
         self.send(signal.SIGSTOP)
         await asyncio.sleep(seconds)
         self.send(signal.SIGCONT)
-        self.paused = False
+        self._end_pause()
 
 
 def _loads_interpreter(pid: int) -> bool:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -116,3 +116,38 @@
         await asyncio.sleep(1.0)
 
     assert run_program(tmp_path, monkeypatch, text, reload)[:1] == faults
+
+
+# The first case guards against "did not end when stopped" of processes that
+# are paused meanwhile, the second against processes that never end, even if
+# they are paused when the limit passes.
+@pytest.mark.parametrize(
+    ("pause_s", "drain_s", "faults"),
+    [(1.9, 0.5, []), (2.5, 60.0, ["p0 did not end when stopped"])],
+)
+def test_pause_does_not_count_towards_limit_of_stop(
+    tmp_path, monkeypatch, pause_s, drain_s, faults
+):
+    async def terminate(program):
+        pause = asyncio.create_task(program.pause(pause_s))
+        await asyncio.sleep(0.1)
+        await program.terminate()
+        await pause
+
+    monkeypatch.setattr(programs, "TERMINATE_TIMEOUT_S", 2.0)
+    drain = f"lambda *_: (time.sleep({drain_s}), sys.exit())"
+    text = f"signal.signal(signal.SIGTERM, {drain})"
+    assert run_program(tmp_path, monkeypatch, text, terminate)[:1] == faults
+
+
+# Guards against a stop without a limit, because a process counts as paused.
+def test_pause_between_processes_does_not_pause_the_next(tmp_path, monkeypatch):
+    async def pause_after_kill(program):
+        program.kill()
+        await asyncio.sleep(0.1)
+        pause = asyncio.create_task(program.pause(3.0))
+        await asyncio.sleep(2.0)
+        assert not program.paused
+        await pause
+
+    assert run_program(tmp_path, monkeypatch, "", pause_after_kill) == []
