Apply admission only to services with different priorities

Refusal in advance took effect for any service with waiting flows, also where no configuration asks for it. Admission now keeps a backlog, refuses and orders flows only for services whose routes in force have different priorities (RoutingTable.priorities_by_service, linear in the routes). A backlog from routes of before has no effect, and prepared refusals are withdrawn.

Bounds of the other tests are unchanged; they use routes of two priorities already.

--- a/clementinelead/relays/admission.py
+++ b/clementinelead/relays/admission.py
@@ -58,7 +58,8 @@
 class Admission:
     """Decides which pending flows of a balancer may query targets.
 
-    Its state covers services with waiting flows only and starts afresh with
+    It takes effect for services whose routes have different priorities. Its
+    state covers services with waiting flows only and starts afresh with
     the process.
     """
 
@@ -80,9 +81,32 @@
         self._counts = counts
         self._report = report
         self._backlog_by_service: dict[str, backlogs.Backlog] = {}
+        self._competing: frozenset[str] = frozenset()
 
     # Events.
 
+    def set_routes(self, table: routes.RoutingTable) -> None:
+        """Applies the routes in force; linear in their number.
+
+        Args:
+            table: The routes.
+        """
+        self._competing = frozenset(
+            service
+            for service, priorities in table.priorities_by_service.items()
+            if len(priorities) > 1
+        )
+
+    def _backlog_in_force(self, service: str) -> backlogs.Backlog | None:
+        """Returns the backlog of a service if flows compete for it.
+
+        A backlog from routes of before remains until its flows are no longer
+        pending, but has no effect.
+        """
+        if service not in self._competing:
+            return None
+        return self._backlog_by_service.get(service)
+
     def record_answer(
         self, placement: pending_flows.Placement, load_ms: int, now: float
     ) -> None:
@@ -122,6 +146,9 @@
                 targets again.
             now: Present time, seconds.
         """
+        if placement.service not in self._competing:
+            placement.paused = True
+            return
         claimed = placement.claims
         decides = claimed or not placement.waiting
         has_time = self._has_time(placement, now)
@@ -226,7 +253,7 @@
         Returns:
             Whether it may not.
         """
-        backlog = self._backlog_by_service.get(placement.service)
+        backlog = self._backlog_in_force(placement.service)
         if backlog is None:
             return False
         host = self._format.caller_host(key)
@@ -272,7 +299,7 @@
         Returns:
             Whether its deadline has been postponed.
         """
-        backlog = self._backlog_by_service.get(placement.service)
+        backlog = self._backlog_in_force(placement.service)
         until = now + placement.retry_delay_s
         rank = _rank(placement)
         if backlog is None or placement.claims:
@@ -320,7 +347,7 @@
             None if the flow may be answered within its time budget, or may
             have reached a target.
         """
-        backlog = self._backlog_by_service.get(placement.service)
+        backlog = self._backlog_in_force(placement.service)
         if backlog is None or placement.may_be_open or placement.delivered_to:
             return None
         objective_s = placement.remaining_ms(now) / 1000
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -82,9 +82,14 @@
         """
         self._queries.recent.backlogged = backlogged
 
-    def set_version(self, version: int) -> None:
-        """Sets the version of the routes in force, for the log."""
-        self._refuser.version = version
+    def set_routes(self, table: routes.RoutingTable) -> None:
+        """Applies the routes in force: version for the log, and priorities.
+
+        Args:
+            table: The routes.
+        """
+        self._refuser.version = table.version
+        self._admission.set_routes(table)
 
     @property
     def busy(self) -> bool:
--- a/clementinelead/relays/route_checks.py
+++ b/clementinelead/relays/route_checks.py
@@ -204,12 +204,7 @@
 
 def _priority_notes(table: routes.RoutingTable) -> _Findings:
     """Yields the services whose routes have different priorities."""
-    priorities_by_service: dict[str, set[int]] = {}
-    for route in table.routes:
-        for share in route.shares:
-            priorities = priorities_by_service.setdefault(share.service, set())
-            priorities.add(route.priority)
-    for service, priorities in priorities_by_service.items():
+    for service, priorities in table.priorities_by_service.items():
         if len(priorities) == 1:
             continue
         listed = ", ".join(str(priority) for priority in sorted(priorities))
--- a/clementinelead/relays/routes.py
+++ b/clementinelead/relays/routes.py
@@ -153,6 +153,16 @@
         }
         return tuple(sorted(found))
 
+    @property
+    def priorities_by_service(self) -> dict[str, set[int]]:
+        """The priorities of the routes that name a service, by service."""
+        priorities_by_service: dict[str, set[int]] = {}
+        for route in self.routes:
+            for share in route.shares:
+                found = priorities_by_service.setdefault(share.service, set())
+                found.add(route.priority)
+        return priorities_by_service
+
     @property
     def service_by_number(self) -> dict[int, str]:
         """The names of all services, keyed by their numbers in datagrams."""
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -100,7 +100,7 @@
             return
         self.table = table
         self._by_address = table.by_address
-        self._placer.set_version(table.version)
+        self._placer.set_routes(table)
 
     def set_targets(
         self, service: str, targets: tuple[candidates.Target, ...]
--- a/clementinelead/relays/tests/test_admission.py
+++ b/clementinelead/relays/tests/test_admission.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import msgspec
 import pytest
 
 from clementinelead.relays import admission
@@ -144,6 +145,34 @@
     assert key not in crowd.resets
 
 
+# Guards against a part that takes effect where no configuration asks for it:
+# with equal priorities, every packet is handled as without it.
+def test_no_flow_is_refused_in_advance_with_equal_priorities():
+    crowd = _Crowd(2, 2)
+    crowd.overload()
+    crowd.run(0.1)
+    assert crowd.counts["refused_in_advance"] == 0
+    assert not crowd.balancer._placer._admission._backlog_by_service
+
+
+# Guards against refusals and backlogs that rely on routes of before.
+def test_flows_are_not_refused_in_advance_once_priorities_are_equal():
+    crowd = _Crowd()
+    crowd.overload()
+    before = crowd.counts["refused_in_advance"]
+    assert before
+    table = msgspec.structs.replace(_table(2, 2), version=3)
+    crowd.balancer.set_routes(table)
+    for number in range(2000, 2100):
+        crowd.open(number)
+        crowd.open(number, LOW)
+    crowd.run(0.1)
+    assert crowd.counts["refused_in_advance"] == before
+    crowd.run(1.5)
+    assert not crowd.balancer._placer.busy
+    assert not crowd.balancer._placer._admission._backlog_by_service
+
+
 # Guards against refusals by a balancer that knows neither rates nor loads.
 def test_balancer_that_has_just_started_refuses_nothing_in_advance():
     crowd = _Crowd()
