Keep the pause of a held flow when a late reply arrives

A held flow awaits no reply, so a late BUSY or an unusable LOAD counted as the last missing reply: the flow queried four further targets at once, skipped the backoff and postponed a prepared refusal. A late LOAD also placed a flow of a lower priority before waiting flows of a higher one. A late reply now starts no query before the end of the pause; a late LOAD still places the flow at once unless it yields. Applies with any priorities.

--- a/clementinelead/relays/admission.py
+++ b/clementinelead/relays/admission.py
@@ -299,21 +299,30 @@
         Returns:
             Whether its deadline has been postponed.
         """
-        backlog = self._backlog_in_force(placement.service)
-        until = now + placement.retry_delay_s
-        rank = _rank(placement)
-        if backlog is None or placement.claims:
-            return False
-        if not backlog.higher_is_due(rank, until):
+        if not self.yields(placement, now):
             return False
         self._counts.add("yielded")
         if not placement.waiting:
             self._report(key, placement, "yields", now)
+        until = now + placement.retry_delay_s
         placement.deadline = min(until, placement.give_up_at)
         placement.retry_delay_s *= pending_flows.HOLD_BACKOFF_FACTOR
         self._wait(placement)
         return True
 
+    def yields(self, placement: pending_flows.Placement, now: float) -> bool:
+        """Returns whether a flow of a higher priority is due before a flow.
+
+        Args:
+            placement: The flow.
+            now: Present time, seconds.
+        """
+        backlog = self._backlog_in_force(placement.service)
+        if backlog is None or placement.claims:
+            return False
+        until = now + placement.retry_delay_s
+        return backlog.higher_is_due(_rank(placement), until)
+
     def refuses(
         self, placement: pending_flows.Placement, now: float
     ) -> backlogs.Estimate | None:
--- a/clementinelead/relays/load_queries.py
+++ b/clementinelead/relays/load_queries.py
@@ -128,6 +128,22 @@
         placement.deadline = now + LOAD_REPLY_TIMEOUT_S
         return queries
 
+    def may_become_ready(self, placement: pending_flows.Placement) -> bool:
+        """Returns whether a target of the service may soon accept a flow.
+
+        That holds for a target that is starting or that left the opening
+        packet unanswered. It also holds for a service without any target in
+        the directory, as all of them may be starting.
+
+        Args:
+            placement: The flow.
+        """
+        if not self._directory.targets(placement.service):
+            return True
+        targets = self._directory.placement_targets(placement.service)
+        starting = any(target.starting for target in targets)
+        return starting or bool(placement.tried)
+
     def record_reply(
         self, frame: frames.Frame, source: tuple[str, int], now: float
     ) -> None:
--- a/clementinelead/relays/pending_flows.py
+++ b/clementinelead/relays/pending_flows.py
@@ -107,11 +107,29 @@
         waited_ms = (now - self.began_at) * 1000
         return max(1, int(self.route.objective_ms - waited_ms))
 
+    @property
+    def rests(self) -> bool:
+        """Whether the flow sends nothing until its deadline."""
+        return self.paused or self.refusing
+
     @property
     def give_up_at(self) -> float:
         """Time at which the flow is refused if no target accepts, seconds."""
         return self.began_at + min(MAX_WAIT_S, self.route.timeout_ms / 1000)
 
+    def start_pause(self, now: float) -> None:
+        """Forgets the replies, and sets when the targets are queried again.
+
+        Args:
+            now: Present time, seconds.
+        """
+        self.load_by_address.clear()
+        self.tried.clear()
+        self.busy.clear()
+        self.timed_out.clear()
+        self.deadline = min(now + self.retry_delay_s, self.give_up_at)
+        self.retry_delay_s *= HOLD_BACKOFF_FACTOR
+
     def is_expired(self, now: float) -> bool:
         """Returns whether the flow has waited too long and must be refused."""
         return now >= self.give_up_at
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -167,9 +167,11 @@
             return []
         if source not in placement.queried:
             return []
+        self._admission.record_answer(placement, frame.value, now)
+        if placement.rests:
+            return self._on_late_load(frame, source, placement, now)
         placement.awaiting_reply.discard(source)
         placement.load_by_address[source] = frame.value
-        self._admission.record_answer(placement, frame.value, now)
         if frame.kind is _Kind.BUSY:
             placement.busy.add(source)
         if not placement.awaiting_reply:
@@ -177,20 +179,55 @@
         placement.deadline = min(placement.deadline, now + LOAD_REPLY_GRACE_S)
         return []
 
+    def _on_late_load(
+        self,
+        frame: frames.Frame,
+        source: _Address,
+        placement: pending_flows.Placement,
+        now: float,
+    ) -> list[outcomes.Outcome]:
+        """Handles a reply to a held flow, which queries no target meanwhile.
+
+        The flow is sent to the target if that has room, unless it yields to a
+        flow of a higher priority. Otherwise its pause goes on.
+        """
+        if frame.kind is _Kind.BUSY or self._admission.yields(placement, now):
+            return []
+        placement.load_by_address[source] = frame.value
+        if self._best(placement, now) is None:
+            del placement.load_by_address[source]
+            return []
+        return self._send(frame.key, placement, source, now)
+
+    def _best(
+        self, placement: pending_flows.Placement, now: float
+    ) -> _Address | None:
+        """Returns the best target that has replied, None without any."""
+        return self._zone.choose(
+            placement, self._directory.same_zone, self._directory.evacuated, now
+        )
+
     def _send_to_best(
         self, key: bytes, placement: pending_flows.Placement, now: float
     ) -> list[outcomes.Outcome]:
         """Sends the opening packet to the best target that has replied."""
         placement.paused = False
-        same_zone = self._directory.same_zone
-        address = self._zone.choose(
-            placement, same_zone, self._directory.evacuated, now
-        )
+        address = self._best(placement, now)
         if address is None:
             return self._query_or_hold(key, placement, now)
         queries = self._query_further(key, placement, address, now)
-        if queries:
-            return queries
+        return queries or self._send(key, placement, address, now)
+
+    def _send(
+        self,
+        key: bytes,
+        placement: pending_flows.Placement,
+        address: _Address,
+        now: float,
+    ) -> list[outcomes.Outcome]:
+        """Sends the opening packet to a target that has replied."""
+        placement.paused = False
+        same_zone = self._directory.same_zone
         zone_outcome = self._zone.outcome(placement, address, same_zone)
         if zone_outcome is not None:
             self._counts.add(zone_outcome)
@@ -243,34 +280,17 @@
         if placement.awaiting_reply:
             placement.deadline = now + load_queries.LOAD_REPLY_TIMEOUT_S
             return []
-        may_accept_later = placement.busy or placement.timed_out
-        if not may_accept_later and not self._may_become_ready(placement):
+        if not (
+            placement.busy
+            or placement.timed_out
+            or self._queries.may_become_ready(placement)
+        ):
             return self._give_up(key, placement, now)
         self._counts.add("held_back")
-        placement.load_by_address.clear()
-        placement.tried.clear()
-        placement.busy.clear()
-        placement.timed_out.clear()
-        placement.deadline = min(
-            now + placement.retry_delay_s, placement.give_up_at
-        )
-        placement.retry_delay_s *= pending_flows.HOLD_BACKOFF_FACTOR
+        placement.start_pause(now)
         self._admission.hold(key, placement, now)
         return []
 
-    def _may_become_ready(self, placement: pending_flows.Placement) -> bool:
-        """Returns whether a target of the service may soon accept the flow.
-
-        That holds for a target that is starting or that left the opening
-        packet unanswered. It also holds for a service without any target in
-        the directory, as all of them may be starting.
-        """
-        if not self._directory.targets(placement.service):
-            return True
-        targets = self._directory.placement_targets(placement.service)
-        starting = any(target.starting for target in targets)
-        return starting or bool(placement.tried)
-
     def on_accepted(self, key: bytes, now: float) -> None:
         """Ends the placement of a flow whose opening packet was answered.
 
--- a/clementinelead/relays/tests/test_admission.py
+++ b/clementinelead/relays/tests/test_admission.py
@@ -197,6 +197,27 @@
     assert key not in crowd.resets
 
 
+# Guards against late replies that put a refusal off.
+def test_late_reply_does_not_postpone_a_refusal():
+    crowd = _Crowd()
+    crowd.overload()
+    crowd.run(backlogs.SATURATION_S + 0.01)
+    number = next(
+        number
+        for number in range(2000, 3000)
+        if admission.refusal_delay_s(network.flow_key(number, HIGH)) > 0.02
+    )
+    key = crowd.open(number)
+    placement = crowd.balancer._placer._placement_by_key[key]
+    assert placement.refusing
+    refused_at = placement.deadline
+    crowd.run(0.01)
+    late = frames.encode(frames.Kind.BUSY, NUMBER, key, value=150)
+    assert not crowd.balancer.on_frame(late, SIDE, crowd.now)
+    assert placement.refusing
+    assert placement.deadline == refused_at
+
+
 # Guards against flows of a lower priority that take the room which waiting
 # flows of a higher priority are about to ask for.
 def test_lower_priority_queries_no_target_while_a_higher_one_waits():
@@ -213,6 +234,18 @@
     assert crowd.counts["placed"] == 2
 
 
+# Guards against late replies that let a held flow of a lower priority take the
+# room which a waiting flow of a higher priority is about to ask for.
+def test_late_reply_places_no_lower_priority_while_a_higher_one_waits():
+    crowd = _Crowd()
+    low = crowd.open(1, LOW)
+    high = crowd.open(2, HIGH)
+    late = frames.encode(frames.Kind.LOAD, NUMBER, low, value=150)
+    assert not crowd.balancer.on_frame(late, SIDE, crowd.now)
+    late = frames.encode(frames.Kind.LOAD, NUMBER, high, value=150)
+    assert crowd.balancer.on_frame(late, SIDE, crowd.now)
+
+
 @pytest.mark.parametrize("priorities", [(2, 2), (2, 1), (255, 3000)])
 def test_flows_do_not_yield_to_the_same_or_a_lower_priority(priorities):
     crowd = _Crowd(*priorities)
