Bound the cost of a new flow when many routes found no room

is_saturated read one entry for each route that had found all targets busy since the service's backlog began.

--- a/clementinelead/relays/admission.py
+++ b/clementinelead/relays/admission.py
@@ -161,8 +161,8 @@
             return
         if has_time:
             backlog = self._backlog_by_service[placement.service]
-            route_id = (_rank(placement), placement.route.address)
-            backlog.saturated_at_by_route[route_id] = now
+            address = placement.route.address
+            backlog.record_saturated(_rank(placement), address, now)
         if self._estimate_if_late(placement, now) is not None:
             self.release(placement)
             self._prepare_refusal(key, placement, now)
--- a/clementinelead/relays/backlogs.py
+++ b/clementinelead/relays/backlogs.py
@@ -107,16 +107,19 @@
     Attributes:
         count_by_priority: Waiting flows.
         due_by_priority: Time at which the next one queries targets, seconds.
-        saturated_at_by_route: Time at which a new flow of a route last found
-            all targets busy, seconds; by priority and address of the route.
         claims: Flows that take the share of lower priorities now.
     """
 
     def __init__(self) -> None:
         self.count_by_priority: dict[int, int] = {}
         self.due_by_priority: dict[int, float] = {}
-        self.saturated_at_by_route: dict[tuple[int, bytes], float] = {}
         self.claims = 0
+        # Times at which a new flow last found all targets busy, seconds.
+        self._saturated_at_by_priority: dict[int, float] = {}
+        # By address of the route; the oldest first.
+        self._saturated_at_by_address: collections.OrderedDict[bytes, float] = (
+            collections.OrderedDict()
+        )
         self._share = placement_shares.PlacementShare()
         self._callers = caller_shares.CallerShare()
         self._highest = routes.LOWEST_PRIORITY
@@ -237,21 +240,39 @@
             for higher, due in self.due_by_priority.items()
         )
 
+    def record_saturated(
+        self, priority: int, address: bytes, now: float
+    ) -> None:
+        """Records that a new flow found all targets busy.
+
+        Args:
+            priority: Priority of the route.
+            address: Address of the route.
+            now: Present time, seconds.
+        """
+        self._saturated_at_by_priority[priority] = now
+        by_address = self._saturated_at_by_address
+        by_address[address] = now
+        by_address.move_to_end(address)
+        while now - next(iter(by_address.values())) > SATURATION_S:
+            by_address.popitem(last=False)
+
     def is_saturated(self, priority: int, address: bytes, now: float) -> bool:
         """Returns whether flows of a route need not query targets.
 
         That holds if all targets were busy for a flow of the same route, or
-        of a higher priority, to which flows of this route yield.
+        of a higher priority, to which flows of this route yield. Linear in the
+        number of priorities, whatever the number of routes.
 
         Args:
             priority: Priority of the route.
             address: Address of the route.
             now: Present time, seconds.
         """
-        return any(
-            now - saturated_at <= SATURATION_S
-            for (other, at), saturated_at in self.saturated_at_by_route.items()
-            if other < priority or at == address
+        own_at = self._saturated_at_by_address.get(address, -math.inf)
+        return now - own_at <= SATURATION_S or any(
+            other < priority and now - saturated_at <= SATURATION_S
+            for other, saturated_at in self._saturated_at_by_priority.items()
         )
 
     def estimate(
--- a/clementinelead/relays/tests/test_admission.py
+++ b/clementinelead/relays/tests/test_admission.py
@@ -1,6 +1,7 @@
 """Priority and admission of new flows at the balancer and at the target."""
 
 import dataclasses
+import sys
 
 import msgspec
 import pytest
@@ -296,6 +297,63 @@
     assert not balancer._placer._admission._backlog_by_service
 
 
+def _instructions_for_new_flow(routes_before):
+    """Counts the bytecodes for a flow of a route after others found no room."""
+    crowd = _Crowd()
+    share = (routes.Share(network.SERVICE, 1),)
+    addresses = [n.to_bytes(2) for n in range(routes_before + 1)]
+    table = routes.RoutingTable(
+        3,
+        tuple(routes.Route("r", at, share, priority=1) for at in addresses)
+        + _table().routes,
+        60.0,
+    )
+    crowd.balancer.set_routes(table)
+    for number, at in enumerate(addresses[:-1]):
+        crowd.open(number, at)
+    crowd.run(backlogs.SATURATION_S + 0.005)
+    key = network.flow_key(9000, addresses[-1])
+    opening = network.packet(key, packets.OPENS)
+    instructions = 0
+
+    def count(frame, event, argument):
+        nonlocal instructions
+        frame.f_trace_opcodes = True
+        instructions += event == "opcode"
+        return count
+
+    before = sys.gettrace()
+    sys.settrace(count)
+    try:
+        [query] = crowd.balancer.on_packet(opening, crowd.now)
+    finally:
+        sys.settrace(before)
+    assert frames.decode(query.data).kind is frames.Kind.QUERY_LOAD
+    assert instructions > 0
+    return instructions
+
+
+# Guards against a new flow whose cost grows with the routes that found no room.
+def test_cost_of_a_new_flow_does_not_grow_with_the_routes():
+    few, many = map(_instructions_for_new_flow, (30, 3000))
+    assert many <= 1.1 * few
+
+
+# Guards against refusals that rely on routes of no or of a lower precedence,
+# and against memory that grows with all routes that ever found no room.
+def test_new_flow_relies_on_its_own_route_and_higher_priorities():
+    backlog = backlogs.Backlog()
+    for number in range(100):
+        backlog.record_saturated(2, number.to_bytes(2), 100.0)
+    backlog.record_saturated(4, LOW, 100.0 + 2 * backlogs.SATURATION_S)
+    now = 100.0 + 2.5 * backlogs.SATURATION_S
+    assert backlog.is_saturated(4, LOW, now)
+    assert backlog.is_saturated(6, HIGH, now)
+    assert not backlog.is_saturated(4, HIGH, now)
+    assert not backlog.is_saturated(2, bytes(2), now)
+    assert list(backlog._saturated_at_by_address) == [LOW]
+
+
 def _answer(side, at, objective_ms, now, kind=frames.Kind.QUERY_LOAD):
     key = network.flow_key(9000, at)
     payload = network.packet(key, packets.OPENS)
