Don't spend the budget of further queries without further targets

asks_further counted a flow and took it from the service's budget before placing looked for targets that were not queried yet. With at most four targets every candidate was counted as asked further although no query was sent, and other flows of the service lost their share. The check for such targets now comes between the choice of a candidate and the budget.

Further queries are sent as before.

--- a/clementinelead/relays/further_queries.py
+++ b/clementinelead/relays/further_queries.py
@@ -44,16 +44,15 @@
         if self._share > 0:
             self._budgets.add_flow(service, now)
 
-    def asks_further(
+    def is_candidate(
         self,
         placement: pending_flows.Placement,
         address: tuple[str, int],
         now: float,
     ) -> bool:
-        """Returns whether to ask further targets before the choice of one.
+        """Returns whether a flow is one of those with the poorest prospects.
 
-        That is done at most once for a flow, and not while a target that was
-        asked is busy: further messages would then delay the flows of others.
+        That is the case at most once for a flow.
 
         Args:
             placement: The flow, without a chosen target.
@@ -65,6 +64,21 @@
         if not self._is_high(placement.load_by_address[address], now):
             return False
         placement.asked_further = True
+        return True
+
+    def asks_further(
+        self, placement: pending_flows.Placement, now: float
+    ) -> bool:
+        """Returns whether to ask further targets before the choice of one.
+
+        That is not done while a target that was asked is busy: further
+        messages would then delay the flows of others. The flow is counted, and
+        taken from the budget of its service.
+
+        Args:
+            placement: A candidate for which there are further targets.
+            now: Present time, seconds.
+        """
         cause = "targets_busy" if placement.busy else None
         if cause is None and not self._budgets.spend(placement.service, now):
             cause = "out_of_budget"
--- a/clementinelead/relays/load_queries.py
+++ b/clementinelead/relays/load_queries.py
@@ -35,20 +35,35 @@
         self._counts = counts
 
     def _unqueried(
+        self, placement: pending_flows.Placement
+    ) -> list[candidates.Target]:
+        """Returns the accepting targets that were not queried."""
+        queried = placement.awaiting_reply | placement.timed_out
+        queried |= set(placement.load_by_address)
+        return [
+            target
+            for target in self._directory.placement_targets(placement.service)
+            if target.accepting and target.address not in queried
+        ]
+
+    def has_unqueried(self, placement: pending_flows.Placement) -> bool:
+        """Returns whether there are targets that a flow can still query.
+
+        Args:
+            placement: The flow.
+        """
+        return bool(self._unqueried(placement))
+
+    def _ranked_unqueried(
         self, key: bytes, placement: pending_flows.Placement, now: float
     ) -> tuple[list[candidates.Target], list[candidates.Target]]:
         """Returns accepting targets that were not queried, and suspected ones.
 
         Both lists are in the flow's rendezvous order.
         """
-        queried = placement.awaiting_reply | placement.timed_out
-        queried |= set(placement.load_by_address)
         responsive: list[candidates.Target] = []
         suspects: list[candidates.Target] = []
-        targets = self._directory.placement_targets(placement.service)
-        for target in candidates.ranked(key, targets):
-            if not target.accepting or target.address in queried:
-                continue
+        for target in candidates.ranked(key, self._unqueried(placement)):
             suspect = self._directory.responsiveness.is_suspect(
                 target.address, now
             )
@@ -77,7 +92,7 @@
             Whether all of these loads are recent enough; if not, the placement
             is unchanged.
         """
-        responsive, _ = self._unqueried(key, placement, now)
+        responsive, _ = self._ranked_unqueried(key, placement, now)
         load_by_address = {}
         for target in self._select(responsive):
             load = self.recent.load_ms(target.address, now)
@@ -104,7 +119,7 @@
             placement: Its placement; the queried targets are added to it.
             now: Present time, seconds.
         """
-        responsive, suspects = self._unqueried(key, placement, now)
+        responsive, suspects = self._ranked_unqueried(key, placement, now)
         chosen = self._select(responsive)
         due = [
             target
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -256,13 +256,15 @@
     ) -> list[outcomes.Outcome]:
         """Returns load queries to further targets, if the flow gets them."""
         # A backlogged balancer spares its processor time.
-        if self._queries.recent.backlogged:
-            return []
-        if not self._further.asks_further(placement, address, now):
+        if (
+            self._queries.recent.backlogged
+            or not self._further.is_candidate(placement, address, now)
+            or not self._queries.has_unqueried(placement)
+            or not self._further.asks_further(placement, now)
+        ):
             return []
         queries = self._queries.query_targets(key, placement, now)
-        if queries:
-            self._refuser.report_placement(key, placement, "asked further", now)
+        self._refuser.report_placement(key, placement, "asked further", now)
         return queries
 
     def _query_or_hold(
--- a/clementinelead/relays/tests/test_further_queries.py
+++ b/clementinelead/relays/tests/test_further_queries.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from clementinelead.relays import candidates
 from clementinelead.relays import flow_cache
 from clementinelead.relays import load_queries
 from clementinelead.relays import placing
@@ -204,6 +205,22 @@
     assert net.openings == 100 + WARM_FLOWS
 
 
+# Guards against a budget that is spent, and a count, for flows without any
+# further target.
+def test_flow_without_further_targets_is_not_counted_as_asked_further():
+    net = _Network(targets=candidates.MAX_QUERIED)
+    net.warm_up_threshold()
+    net.load_all(3)
+    for number in range(20):
+        net.open(number)
+        net.run(0.05)
+    assert _further(net.counts) == 0
+    assert net.openings == 20 + WARM_FLOWS
+    further = net.balancer_by_address[("balancer0", 1)]._placer._further
+    budget = further._budgets._by_service[network.SERVICE]
+    assert not any(queries for _, _, queries in budget._intervals)
+
+
 def _drain(net):
     net.send_heartbeat(0, sequence=2, draining=True)
 
