--- a/clementinelead/relays/pending_flows.py
+++ b/clementinelead/relays/pending_flows.py
@@ -2,10 +2,18 @@
 
 import msgspec
 
+from clementinelead.relays import formats
 from clementinelead.relays import frames
+from clementinelead.relays import opening_retransmissions
 from clementinelead.relays import routes
 
-__all__ = ["Placement", "best_target", "first_of_lowest", "usable_costs"]
+__all__ = [
+    "Placement",
+    "best_target",
+    "first_of_lowest",
+    "new_placement",
+    "usable_costs",
+]
 
 FIRST_HOLD_DELAY_S = 0.03
 """Delay before a held flow queries the targets again, seconds."""
@@ -154,6 +162,40 @@
         }
 
 
+def new_placement(
+    segment: formats.Segment,
+    route: routes.Route,
+    data: bytes,
+    now: float,
+    may_be_open: bool,
+) -> Placement:
+    """Returns a new flow that has queried no target.
+
+    Args:
+        segment: Header of the opening packet.
+        route: Route of the flow.
+        data: The opening packet.
+        now: Present time, seconds; the first deadline.
+        may_be_open: Whether the flow may have been opened before. A copy of an
+            opening packet shows that, too.
+    """
+    service = route.select_service(segment.key)
+    return Placement(
+        route=route,
+        service=service,
+        number=frames.service_number(service),
+        packet=data,
+        began_at=now - opening_retransmissions.min_wait_s(segment.copies),
+        deadline=now,
+        queried=[],
+        awaiting_reply=set(),
+        load_by_address={},
+        tried=[],
+        busy=set(),
+        may_be_open=may_be_open or segment.copies > 0,
+    )
+
+
 def best_target(
     placement: Placement,
     same_zone: frozenset[tuple[str, int]],
--- a/clementinelead/relays/placing.py
+++ b/clementinelead/relays/placing.py
@@ -13,7 +13,6 @@
 from clementinelead.relays import frames
 from clementinelead.relays import further_queries
 from clementinelead.relays import load_queries
-from clementinelead.relays import opening_retransmissions
 from clementinelead.relays import outcomes
 from clementinelead.relays import pending_flows
 from clementinelead.relays import refusals
@@ -122,23 +121,12 @@
         if key in self._placement_by_key:
             self._counts.add("opening_repeated")
             return []
-        service = route.select_service(key)
-        placement = pending_flows.Placement(
-            route=route,
-            service=service,
-            number=frames.service_number(service),
-            packet=data,
-            began_at=now - opening_retransmissions.min_wait_s(segment.copies),
-            deadline=now + load_queries.LOAD_REPLY_TIMEOUT_S,
-            queried=[],
-            awaiting_reply=set(),
-            load_by_address={},
-            tried=[],
-            busy=set(),
-            may_be_open=may_be_open or segment.copies > 0,
+        placement = pending_flows.new_placement(
+            segment, route, data, now, may_be_open
         )
+        placement.deadline = now + load_queries.LOAD_REPLY_TIMEOUT_S
         self._placement_by_key[key] = placement
-        self._further.add_flow(service, now)
+        self._further.add_flow(placement.service, now)
         if self._admission.delays(key, placement, now):
             return []
         if self._queries.use_recent(key, placement, now):
