--- a/clementinelead/relays/pending_flows.py
+++ b/clementinelead/relays/pending_flows.py
@@ -2,10 +2,18 @@
 
 import msgspec
 
+from clementinelead.relays import formats
 from clementinelead.relays import frames
+from clementinelead.relays import opening_retransmissions
 from clementinelead.relays import routes
 
-__all__ = ["Placement", "best_target", "first_of_lowest", "usable_costs"]
+__all__ = [
+    "Placement",
+    "best_target",
+    "first_of_lowest",
+    "new_placement",
+    "usable_costs",
+]
 
 FIRST_HOLD_DELAY_S = 0.03
 """Delay before a held flow queries the targets again, seconds."""
@@ -107,11 +115,29 @@
         waited_ms = (now - self.began_at) * 1000
         return max(1, int(self.route.objective_ms - waited_ms))
 
+    @property
+    def rests(self) -> bool:
+        """Whether the flow sends nothing until its deadline."""
+        return self.paused or self.refusing
+
     @property
     def give_up_at(self) -> float:
         """Time at which the flow is refused if no target accepts, seconds."""
         return self.began_at + min(MAX_WAIT_S, self.route.timeout_ms / 1000)
 
+    def start_pause(self, now: float) -> None:
+        """Forgets the replies, and sets when the targets are queried again.
+
+        Args:
+            now: Present time, seconds.
+        """
+        self.load_by_address.clear()
+        self.tried.clear()
+        self.busy.clear()
+        self.timed_out.clear()
+        self.deadline = min(now + self.retry_delay_s, self.give_up_at)
+        self.retry_delay_s *= HOLD_BACKOFF_FACTOR
+
     def is_expired(self, now: float) -> bool:
         """Returns whether the flow has waited too long and must be refused."""
         return now >= self.give_up_at
@@ -136,6 +162,40 @@
         }
 
 
+def new_placement(
+    segment: formats.Segment,
+    route: routes.Route,
+    data: bytes,
+    now: float,
+    may_be_open: bool,
+) -> Placement:
+    """Returns a new flow that has queried no target.
+
+    Args:
+        segment: Header of the opening packet.
+        route: Route of the flow.
+        data: The opening packet.
+        now: Present time, seconds; the first deadline.
+        may_be_open: Whether the flow may have been opened before. A copy of an
+            opening packet shows that, too.
+    """
+    service = route.select_service(segment.key)
+    return Placement(
+        route=route,
+        service=service,
+        number=frames.service_number(service),
+        packet=data,
+        began_at=now - opening_retransmissions.min_wait_s(segment.copies),
+        deadline=now,
+        queried=[],
+        awaiting_reply=set(),
+        load_by_address={},
+        tried=[],
+        busy=set(),
+        may_be_open=may_be_open or segment.copies > 0,
+    )
+
+
 def best_target(
     placement: Placement,
     same_zone: frozenset[tuple[str, int]],
--- a/clementinelead/relays/tests/test_admission.py
+++ b/clementinelead/relays/tests/test_admission.py
@@ -1,7 +1,9 @@
 """Priority and admission of new flows at the balancer and at the target."""
 
 import dataclasses
+import sys
 
+import msgspec
 import pytest
 
 from clementinelead.relays import admission
@@ -144,6 +146,33 @@
     assert key not in crowd.resets
 
 
+# Guards against a part that takes effect where no configuration asks for it:
+# with equal priorities, every packet is handled as without it.
+def test_no_flow_is_refused_in_advance_with_equal_priorities():
+    crowd = _Crowd(2, 2)
+    crowd.overload()
+    crowd.run(0.1)
+    assert crowd.counts["refused_in_advance"] == 0
+    assert not crowd.balancer._placer._admission._backlog_by_service
+
+
+# Guards against refusals and backlogs that rely on routes of before.
+def test_flows_are_not_refused_in_advance_once_priorities_are_equal():
+    crowd = _Crowd()
+    crowd.overload()
+    before = crowd.counts["refused_in_advance"]
+    assert before
+    crowd.balancer.set_routes(msgspec.structs.replace(_table(2, 2), version=3))
+    for number in range(2000, 2100):
+        crowd.open(number)
+        crowd.open(number, LOW)
+    crowd.run(0.1)
+    assert crowd.counts["refused_in_advance"] == before
+    crowd.run(1.5)
+    assert not crowd.balancer._placer.busy
+    assert not crowd.balancer._placer._admission._backlog_by_service
+
+
 # Guards against refusals by a balancer that knows neither rates nor loads.
 def test_balancer_that_has_just_started_refuses_nothing_in_advance():
     crowd = _Crowd()
@@ -168,6 +197,22 @@
     assert key not in crowd.resets
 
 
+# Guards against late replies that put a refusal off.
+def test_late_reply_does_not_postpone_a_refusal():
+    crowd = _Crowd()
+    crowd.overload()
+    crowd.run(backlogs.SATURATION_S + 0.01)
+    key = crowd.open(2000)
+    placement = crowd.balancer._placer._placement_by_key[key]
+    refused_at = placement.deadline
+    crowd.run(0.01)
+    assert placement.refusing and crowd.now < refused_at
+    late = frames.encode(frames.Kind.BUSY, NUMBER, key, value=150)
+    assert not crowd.balancer.on_frame(late, SIDE, crowd.now)
+    assert placement.refusing
+    assert placement.deadline == refused_at
+
+
 # Guards against flows of a lower priority that take the room which waiting
 # flows of a higher priority are about to ask for.
 def test_lower_priority_queries_no_target_while_a_higher_one_waits():
@@ -184,6 +229,16 @@
     assert crowd.counts["placed"] == 2
 
 
+# Guards against late replies that let a held flow of a lower priority take the
+# room which a waiting flow of a higher priority is about to ask for.
+def test_late_reply_places_no_lower_priority_while_a_higher_one_waits():
+    crowd = _Crowd()
+    low, high = crowd.open(1, LOW), crowd.open(2, HIGH)
+    for key, placed in ((low, False), (high, True)):
+        late = frames.encode(frames.Kind.LOAD, NUMBER, key, value=150)
+        assert bool(crowd.balancer.on_frame(late, SIDE, crowd.now)) == placed
+
+
 @pytest.mark.parametrize("priorities", [(2, 2), (2, 1), (255, 3000)])
 def test_flows_do_not_yield_to_the_same_or_a_lower_priority(priorities):
     crowd = _Crowd(*priorities)
@@ -234,6 +289,56 @@
     assert not balancer._placer._admission._backlog_by_service
 
 
+def _instructions_for_new_flow(routes_before):
+    """Counts the bytecodes for a flow of a route after others found no room."""
+    crowd = _Crowd()
+    high, low = _table().routes
+    addresses = [n.to_bytes(2) for n in range(routes_before + 1)]
+    several = [msgspec.structs.replace(high, address=at) for at in addresses]
+    crowd.balancer.set_routes(routes.RoutingTable(3, (*several, low), 60.0))
+    for number, at in enumerate(addresses[:-1]):
+        crowd.open(number, at)
+    crowd.run(backlogs.SATURATION_S + 0.005)
+    key = network.flow_key(9000, addresses[-1])
+    opening = network.packet(key, packets.OPENS)
+    events = []
+
+    def count(frame, event, argument):
+        frame.f_trace_opcodes = True
+        events.append(event)
+        return count
+
+    before = sys.gettrace()
+    sys.settrace(count)
+    try:
+        [query] = crowd.balancer.on_packet(opening, crowd.now)
+    finally:
+        sys.settrace(before)
+    assert frames.decode(query.data).kind is frames.Kind.QUERY_LOAD
+    return events.count("opcode")
+
+
+# Guards against a new flow whose cost grows with the routes that found no room.
+def test_cost_of_a_new_flow_does_not_grow_with_the_routes():
+    few, many = map(_instructions_for_new_flow, (30, 3000))
+    assert 0 < many <= 1.1 * few
+
+
+# Guards against refusals that rely on routes of no or of a lower precedence,
+# and against memory that grows with all routes that ever found no room.
+def test_new_flow_relies_on_its_own_route_and_higher_priorities():
+    backlog = backlogs.Backlog()
+    for number in range(100):
+        backlog.record_saturated(2, number.to_bytes(2), 100.0)
+    backlog.record_saturated(4, LOW, 100.0 + 2 * backlogs.SATURATION_S)
+    now = 100.0 + 2.5 * backlogs.SATURATION_S
+    assert backlog.is_saturated(4, LOW, now)
+    assert backlog.is_saturated(6, HIGH, now)
+    assert not backlog.is_saturated(4, HIGH, now)
+    assert not backlog.is_saturated(2, bytes(2), now)
+    assert list(backlog._saturated_at_by_address) == [LOW]
+
+
 def _answer(side, at, objective_ms, now, kind=frames.Kind.QUERY_LOAD):
     key = network.flow_key(9000, at)
     payload = network.packet(key, packets.OPENS)
--- a/clementinelead/relays/tests/test_placing.py
+++ b/clementinelead/relays/tests/test_placing.py
@@ -79,6 +79,32 @@
     assert not balancer.busy
 
 
+# Guards against held flows that query targets without a pause while replies
+# are late, and against flows that are never placed if all replies are late.
+@pytest.mark.parametrize(
+    ("kind", "load_ms", "sent"),
+    [
+        (frames.Kind.BUSY, 400, []),
+        (frames.Kind.LOAD, frames.NOT_ACCEPTING, []),
+        (frames.Kind.LOAD, 40, [frames.Kind.PLACE]),
+    ],
+)
+def test_late_reply_does_not_end_the_pause_of_a_held_flow(kind, load_ms, sent):
+    net = network.Network(targets=8)
+    balancer = net.balancer_by_address[("balancer0", 1)]
+    net.unreachable.update(net.side_by_address)
+    key = network.flow_key(1)
+    net.send(network.packet(key, packets.OPENS))
+    net.run(0.075)
+    placement = balancer._placer._placement_by_key[key]
+    assert placement.paused
+    deadline = placement.deadline
+    late = frames.encode(kind, placement.number, key, value=load_ms)
+    sends = balancer.on_frame(late, placement.queried[0], net.now)
+    assert [frames.decode(send.data).kind for send in sends] == sent
+    assert sent or placement.deadline == deadline
+
+
 def test_flow_is_not_refused_while_a_target_may_have_opened_it():
     # The first target's answer is delayed, and the second one accepts nothing:
     # a refusal would reset a flow that is open at the first target.
