Keep the processes that searches wait for in compact sets

Each search kept its own sets of all queried side processes: 76 kB a search at 1,000 targets, so 4,096 searches would take 312 MB, more than a balancer has. The sets of all searches now share one table of addresses and take a bit per address. The table is replaced when most of its processes have gone.

--- a/clementinelead/relays/owner_queries.py
+++ b/clementinelead/relays/owner_queries.py
@@ -65,12 +65,15 @@
         owners, awaited = self._owners.to_query(
             search.segment, search.services, search.everywhere, now
         )
-        awaited -= search.queried
+        awaited.difference_update(search.queried)
         if not awaited:
             return False
         new = [owner for owner in owners if owner[0] not in search.queried]
-        search.queried.update(address for address, _ in new)
         search.awaiting_reply |= awaited
+        search.queried |= search.awaiting_reply
+        search.queried |= [
+            address for address, _ in new if address not in awaited
+        ]
         search.deadline = float("inf")  # set when the queries are sent
         self._rounds.add(search.segment.key, new, now)
         return True
--- a/clementinelead/relays/probing.py
+++ b/clementinelead/relays/probing.py
@@ -183,7 +183,7 @@
         """
         if search.opening:
             return 0
-        reached = search.probed | self._returned.sources(key)
+        reached = {*search.probed, *self._returned.sources(key)}
         if owner_may_return and len(reached) <= MAX_EARLY_PROBES:
             limit = MAX_EARLY_PROBES
         elif now - self._first_search_at(key, search) < PROBE_ALL_AFTER_S:
--- a/clementinelead/relays/searches.py
+++ b/clementinelead/relays/searches.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from clementinelead.relays import address_sets
 from clementinelead.relays import formats
 from clementinelead.relays import outcomes
 from clementinelead.relays import possible_owners
@@ -38,14 +39,14 @@
     packets: list[bytes]
     began_at: float
     deadline: float
-    queried: set[tuple[str, int]]
-    awaiting_reply: set[tuple[str, int]]
+    queried: address_sets.AddressSet
+    awaiting_reply: address_sets.AddressSet
     unsure_owners: list[possible_owners.Owner]
     wave_size: int
-    probed: set[tuple[str, int]]
-    awaiting_return: set[tuple[str, int]]
-    timed_out: set[tuple[str, int]]
-    not_returned: set[tuple[str, int]]
+    probed: address_sets.AddressSet
+    awaiting_return: address_sets.AddressSet
+    timed_out: address_sets.AddressSet
+    not_returned: address_sets.AddressSet
     everywhere: bool = False
     absent_count: int = 0
     any_unsure: bool = False
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -9,6 +9,7 @@
 import collections.abc
 
 from clementinelead.relays import active_searches
+from clementinelead.relays import address_sets
 from clementinelead.relays import directory
 from clementinelead.relays import formats
 from clementinelead.relays import former_services
@@ -60,6 +61,7 @@
         self._directory = targets
         self._counts = counts
         self._report = report
+        self._addresses = address_sets.AddressTable()
         self._unresolved = unresolved_flows.UnresolvedFlows()
         self._active = active_searches.ActiveSearches(self._unresolved, counts)
         owners = possible_owners.PossibleOwners(packet_format, targets, former)
@@ -122,20 +124,21 @@
         """
         if not self._active.may_begin():
             return
+        table = self._addresses
         search = searches.Search(
             segment=segment,
             services=services,
             packets=[data],
             began_at=now,
             deadline=float("inf"),
-            queried=set(),
-            awaiting_reply=set(),
+            queried=address_sets.AddressSet(table),
+            awaiting_reply=address_sets.AddressSet(table),
             unsure_owners=[],
             wave_size=self._prober.first_wave_size(segment.key),
-            probed=set(),
-            awaiting_return=set(),
-            timed_out=set(),
-            not_returned=set(),
+            probed=address_sets.AddressSet(table),
+            awaiting_return=address_sets.AddressSet(table),
+            timed_out=address_sets.AddressSet(table),
+            not_returned=address_sets.AddressSet(table),
         )
         if not self._queries.query_further(search, now):
             self._counts.add("unknown_service")
@@ -351,8 +354,10 @@
         self._prober.discard(key)
 
     def expire(self, now: float) -> None:
-        """Drops the retries and returns that have expired."""
+        """Drops the retries, returns and addresses that have expired."""
         self._unresolved.expire(now)
+        if self._addresses.is_oversized(self._directory.count):
+            self._addresses = address_sets.AddressTable()
         self._prober.expire(now)
 
     def _report_end(
--- a/clementinelead/relays/tests/test_searching.py
+++ b/clementinelead/relays/tests/test_searching.py
@@ -1,9 +1,12 @@
 """Searches for the owners of flows: batching, retries and resets."""
 
 import dataclasses
+import tracemalloc
 
 import pytest
 
+from clementinelead.relays import active_searches
+from clementinelead.relays import address_sets
 from clementinelead.relays import candidates
 from clementinelead.relays import directory
 from clementinelead.relays import former_services
@@ -408,3 +411,38 @@
     balancer.set_complete_from(BEGIN + 0.1)
     balancer.on_tick(BEGIN + 0.1)
     assert not _queried_sides(balancer, BEGIN + 0.104)
+
+
+# Guards against searches that need more memory than a process has: each kept
+# its own sets of all targets.
+def test_memory_of_many_searches_is_bounded_for_many_targets(balancer):
+    searches = active_searches.MAX_SEARCHES // 8
+    _list_targets(balancer, 1_000)
+    tracemalloc.start()
+    for number in range(searches):
+        _search(balancer, number, BEGIN)
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(balancer._searcher._active.by_key) == searches
+    assert used < 64e6 / 8
+
+
+def _list_targets(balancer, count):
+    balancer.set_targets(
+        network.SERVICE,
+        tuple(
+            candidates.Target(f"s{n}", (f"s{n}", 1), "z", True, False)
+            for n in range(count)
+        ),
+    )
+
+
+# Guards against a table that grows with every replaced process, for weeks.
+def test_addresses_of_processes_that_have_gone_are_dropped(balancer):
+    for number in range(2 * address_sets.MAX_SURPLUS):
+        address = (f"s{number}", 1)
+        target = candidates.Target("s", address, "z", True, False)
+        balancer.set_targets(network.SERVICE, (target,))
+        _search(balancer, number, BEGIN)
+    balancer._searcher.expire(BEGIN)
+    assert not balancer._searcher._addresses.addresses
