Share the record of an unsure process among searches

Each search kept its own record of each side process that is unsure, as all are after a restart of the side processes. The searches that one reply names now share it.

--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -203,6 +203,7 @@
         """
         self._queries.record_reply(source, now)
         sends: list[outcomes.Outcome] = []
+        owner = (source, frame.service)  # shared by the searches
         for key in _keys(frame):
             search = self._active.last_search(key)
             if search is None:
@@ -214,7 +215,7 @@
             unsure = frame.kind is _Kind.UNSURE
             search.any_unsure |= unsure
             if unsure and not self._prober.has_returned(key, source):
-                search.unsure_owners.append((source, frame.service))
+                search.unsure_owners.append(owner)
             else:
                 search.absent_count += 1
             if self._active.resume(key, search, now) and search.idle:
--- a/clementinelead/relays/tests/test_searching.py
+++ b/clementinelead/relays/tests/test_searching.py
@@ -427,6 +427,30 @@
     assert used < 64e6 / 8
 
 
+# Guards against the same after a restart of all side processes: each search
+# kept its own record of each process that is unsure.
+def test_memory_of_searches_is_bounded_for_many_unsure_processes(balancer):
+    searches = active_searches.MAX_SEARCHES // 32
+    _list_targets(balancer, 1_000)
+    tracemalloc.start()
+    for number in range(searches):
+        _search(balancer, number, BEGIN)
+    queries = balancer.on_tick(BEGIN + 0.004)
+    while queries:
+        query = queries.pop()
+        if query.address == ("s0", 1):  # its replies are missing
+            continue
+        keys = frames.decode(query.data)
+        unsure = frames.encode(
+            frames.Kind.UNSURE, SERVICE, keys.key, keys.payload
+        )
+        balancer.on_frame(unsure, query.address, BEGIN + 0.01)
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(balancer._searcher._active.by_key) == searches
+    assert used < 64e6 / 32
+
+
 def _list_targets(balancer, count):
     balancer.set_targets(
         network.SERVICE,
