Refuse new flows beside side processes that are unsure after a restart

For 60 s after its start beside a running target, a side process is unsure about each flow that it has no record of. A new flow that no target takes is searched for if a copy of its opening packet may have been placed elsewhere. Opening packets are not probed, so the search never ended with a refusal and the caller heard nothing until it gave up.

The reply now carries the age of the side process, in the value field, which earlier builds send as 0 and ignore. A process that has run for longer than an opening packet can be under way (10 s) has recorded the flow if its target holds it, so its reply counts as a denial. It is no denial if the flow is recorded or its opening packet is unanswered (age 0), or if this balancer was paused in the 10 s before the search, as the packet may have been queued meanwhile. The time in which such callers hear nothing falls from 60 s to 10 s after the start.

The test of the refusal failed before. Each of the other tests fails without the condition that it guards (checked by removing it).

--- a/clementinelead/relays/frames.py
+++ b/clementinelead/relays/frames.py
@@ -38,7 +38,7 @@
     QUERY_HELD = 9  # balancer: query for the flows of a list that are held
     HELD = 10  # side process: the target holds these flows
     ABSENT = 11  # side process: the target does not hold these flows
-    UNSURE = 12  # side process: the target may hold these flows
+    UNSURE = 12  # side process: the target may hold these flows; its age or 0
     BUSY = 13  # side process: as LOAD; a new flow should wait
     DEFERRED = 14  # side process: opening packet not sent to the busy target
 
@@ -62,8 +62,8 @@
     Attributes:
         kind: Kind of the datagram.
         service: Number of the service, see ``service_number``.
-        value: Load or latency objective, milliseconds, or the initial sequence
-            number of a target, depending on ``kind``.
+        value: Load, latency objective or age of a process, milliseconds, or
+            the initial sequence number of a target, depending on ``kind``.
         key: Flow key.
         payload: Packet, or keys of several flows, see ``join_keys``.
     """
@@ -98,7 +98,7 @@
         service: Number of the service.
         key: Flow key, at most 255 bytes.
         payload: Packet, or keys of several flows, see ``join_keys``.
-        value: Load, latency objective or sequence number, 32 bits.
+        value: Load, latency objective, age or sequence number, 32 bits.
     """
     header = _HEADER.pack(_MAGIC, kind, 0, len(key), service, value)
     return header + key + payload
--- a/clementinelead/relays/query_replies.py
+++ b/clementinelead/relays/query_replies.py
@@ -125,25 +125,36 @@
     ) -> list[outcomes.Outcome]:
         """Replies which of the queried flows the target holds.
 
+        Flows that may have been opened before this process started are named
+        in a datagram with the age of this process, see
+        ``searches.Search.denies``.
+
         Args:
             frame: The query, with several flow keys.
             source: Address of the balancer.
             now: Present time, seconds.
 
         Returns:
-            One datagram per status; none if the query is malformed.
+            One datagram per status and age; none if the query is malformed.
         """
         keys = frames.split_keys(frame.payload, len(frame.key))
         if keys is None:
             self._counts.add("malformed_frame")
             return []
-        keys_by_kind: dict[frames.Kind, list[bytes]] = {}
+        keys_by_status: dict[tuple[frames.Kind, int], list[bytes]] = {}
         for key in keys:
             kind = self._holding_status(key, now)
-            keys_by_kind.setdefault(kind, []).append(key)
+            # A recorded flow may be open, however old this process is.
+            recorded = (
+                key in self._flows.by_key
+                or self._outstanding.opening_sender(key) is not None
+            )
+            unsure = kind is _Kind.UNSURE
+            age_ms = self._startup.age_ms(now) if unsure and not recorded else 0
+            keys_by_status.setdefault((kind, age_ms), []).append(key)
         return [
-            reply(kind, frame, source, frames.join_keys(keys_of_kind))
-            for kind, keys_of_kind in keys_by_kind.items()
+            reply(kind, frame, source, frames.join_keys(named), age_ms)
+            for (kind, age_ms), named in keys_by_status.items()
         ]
 
     def _holding_status(self, key: bytes, now: float) -> frames.Kind:
--- a/clementinelead/relays/searches.py
+++ b/clementinelead/relays/searches.py
@@ -9,6 +9,14 @@
 
 __all__ = ["FoundFlow", "Search"]
 
+OPENING_AGE_S = 10.0
+"""Time for which an opening packet may be sent, queued and searched for.
+
+Callers send copies for 0.6 s and give up after 1.4 s. A balancer places the
+flow for up to 1.2 s and repeats the search for up to 5 s. The rest allows for
+queues in sockets and links.
+"""
+
 
 class Search(msgspec.Struct):
     """A search for the owner of a flow.
@@ -32,6 +40,8 @@
         not_returned: Probed ones whose target has not returned the packet in
             time.
         any_unsure: Whether a side process has replied that it is unsure.
+        may_be_stale: Whether the first packet may have been queued for longer
+            than ``OPENING_AGE_S`` while this process was paused.
     """
 
     segment: formats.Segment
@@ -50,6 +60,7 @@
     everywhere: bool = False
     absent_count: int = 0
     any_unsure: bool = False
+    may_be_stale: bool = True
 
     @property
     def all_replied(self) -> bool:
@@ -87,6 +98,20 @@
         """
         return self.segment.opens
 
+    def denies(self, age_ms: int) -> bool:
+        """Returns whether an unsure side process does not hold the flow.
+
+        A process records all flows that are opened after its start. It may
+        lack only those that were opened before, and no opening packet of this
+        flow is as old as the process.
+
+        Args:
+            age_ms: Time for which the process has run, milliseconds; 0 if it
+                is unknown or the flow is recorded.
+        """
+        fresh = self.opening and not self.may_be_stale
+        return fresh and age_ms >= OPENING_AGE_S * 1000
+
     def log_inputs(self, target: str | None, now: float) -> dict[str, object]:
         """Returns the inputs of the decision that ended the search, for the log.
 
--- a/clementinelead/relays/searching.py
+++ b/clementinelead/relays/searching.py
@@ -19,6 +19,7 @@
 from clementinelead.relays import possible_owners
 from clementinelead.relays import probing
 from clementinelead.relays import searches
+from clementinelead.relays import stale_packets
 from clementinelead.relays import unresolved_flows
 from clementinelead.telemetry import counters
 
@@ -47,6 +48,7 @@
         former: former_services.FormerServices,
         counts: counters.CounterSet,
         report: collections.abc.Callable[[outcomes.Decision], None],
+        stale: stale_packets.StalePackets,
     ):
         """Creates a searcher without searches.
 
@@ -56,7 +58,9 @@
             former: Services that routes no longer name.
             counts: Receives the counts of decisions by cause.
             report: Called with each decision, for the log.
+            stale: Whether packets may have been queued for long.
         """
+        self._stale = stale
         self._format = packet_format
         self._directory = targets
         self._counts = counts
@@ -139,6 +143,9 @@
             awaiting_return=address_sets.AddressSet(table),
             timed_out=address_sets.AddressSet(table),
             not_returned=address_sets.AddressSet(table),
+            may_be_stale=self._stale.possible_since(
+                now - searches.OPENING_AGE_S, now
+            ),
         )
         if not self._queries.query_further(search, now):
             self._counts.add("unknown_service")
@@ -213,6 +220,7 @@
             if not search.take_reply(source):
                 continue
             unsure = frame.kind is _Kind.UNSURE
+            unsure = unsure and not search.denies(frame.value)
             search.any_unsure |= unsure
             if unsure and not self._prober.has_returned(key, source):
                 search.unsure_owners.append(owner)
--- a/clementinelead/relays/stale_packets.py
+++ b/clementinelead/relays/stale_packets.py
@@ -44,3 +44,16 @@
             now: Present time, seconds.
         """
         return now < self._stale_until
+
+    def possible_since(self, time: float, now: float) -> bool:
+        """Returns whether a packet processed since a time may be stale.
+
+        Args:
+            time: The time, seconds.
+            now: Present time, seconds.
+        """
+        paused = (
+            now - self._active_at
+            >= opening_retransmissions.FIRST_RETRANSMISSION_S
+        )
+        return paused or time < self._stale_until
--- a/clementinelead/relays/startup_recovery.py
+++ b/clementinelead/relays/startup_recovery.py
@@ -33,6 +33,7 @@
             started_ms: Start of this process, milliseconds since 1970.
         """
         self.no_predecessor = False
+        self._started_at = now
         self._started_ms = started_ms
         self._started_with_target = False
         self._absent_at_start = False
@@ -40,6 +41,14 @@
         self._recovered_at = now + FLOW_RECOVERY_S
         self._replaced_at: float | None = None
 
+    def age_ms(self, now: float) -> int:
+        """Returns for how long this process has run, milliseconds.
+
+        Args:
+            now: Present time, seconds.
+        """
+        return max(0, int((now - self._started_at) * 1000))
+
     def on_incarnation(
         self,
         heartbeat: announcements.Heartbeat,
--- a/clementinelead/relays/steering.py
+++ b/clementinelead/relays/steering.py
@@ -73,8 +73,14 @@
             zone, zone_spill.queried_in_zone(zone_spill_share)
         )
         self._cache = flow_cache.FlowCache()
+        self._stale_packets = stale_packets.StalePackets()
         self._searcher = searching.Searcher(
-            packet_format, self._directory, former, self.counts, report
+            packet_format,
+            self._directory,
+            former,
+            self.counts,
+            report,
+            self._stale_packets,
         )
         self._placer = placing.Placer(
             packet_format,
@@ -85,7 +91,6 @@
             further_queries.FurtherQueries(further_queries_share, self.counts),
             zone_spill_share,
         )
-        self._stale_packets = stale_packets.StalePackets()
         self._next_expiry = 0.0
 
     # Inputs from the process.
