Share the queries of a round among side processes

A query round named each flow once for each side process, and encoded the same datagrams anew for each. Flows with the same side processes now share one list, and side processes that are asked for the same flows share the datagrams.

--- a/clementinelead/relays/query_rounds.py
+++ b/clementinelead/relays/query_rounds.py
@@ -1,6 +1,7 @@
 """Batching of queries for the owners of flows, many flows per datagram."""
 
 import collections.abc
+import itertools
 
 from clementinelead.relays import directory
 from clementinelead.relays import frames
@@ -15,6 +16,7 @@
 """Time in which the side processes must reply to a query, seconds."""
 
 _Address = tuple[str, int]
+_Owner = tuple[_Address, int]
 
 
 class QueryRounds:
@@ -32,7 +34,8 @@
             targets: The targets of all services.
         """
         self._directory = targets
-        self._keys_by_owner: dict[tuple[_Address, int], list[bytes]] = {}
+        # Flows share their owners, as each has hundreds of them.
+        self._keys_by_owners: dict[tuple[_Owner, ...], list[bytes]] = {}
         self._due_at = float("inf")
         self._awaiting_reply: set[_Address] = set()
         self._round_until = 0.0
@@ -40,12 +43,12 @@
     @property
     def has_queued(self) -> bool:
         """Whether queries wait to be sent."""
-        return bool(self._keys_by_owner)
+        return bool(self._keys_by_owners)
 
     def add(
         self,
         key: bytes,
-        owners: collections.abc.Iterable[tuple[_Address, int]],
+        owners: collections.abc.Iterable[_Owner],
         now: float,
     ) -> None:
         """Adds the query for a flow to the next round.
@@ -55,8 +58,7 @@
             owners: Side processes to query, with the numbers of their services.
             now: Present time, seconds.
         """
-        for owner in owners:
-            self._keys_by_owner.setdefault(owner, []).append(key)
+        self._keys_by_owners.setdefault(tuple(owners), []).append(key)
         if not self._awaiting_reply or now >= self._round_until:
             self._due_at = min(self._due_at, now + QUERY_BATCH_DELAY_S)
         else:
@@ -70,7 +72,7 @@
             now: Present time, seconds.
         """
         self._awaiting_reply.discard(source)
-        if not self._awaiting_reply and self._keys_by_owner:
+        if not self._awaiting_reply and self._keys_by_owners:
             self._due_at = now
 
     def take_due(self, now: float) -> tuple[list[outcomes.Outcome], set[bytes]]:
@@ -85,24 +87,45 @@
         queried: set[bytes] = set()
         if now < self._due_at:
             return sends, queried
-        for (address, number), keys in self._keys_by_owner.items():
-            self._directory.responsiveness.record_query(address, now)
+        groups_by_owner: dict[_Owner, list[list[bytes]]] = {}
+        for owners, keys in self._keys_by_owners.items():
             queried.update(keys)
-            for start in range(0, len(keys), frames.MAX_KEYS_PER_FRAME):
-                part = keys[start : start + frames.MAX_KEYS_PER_FRAME]
-                message = frames.encode(
-                    frames.Kind.QUERY_HELD,
-                    number,
-                    part[0],
-                    frames.join_keys(part),
-                )
-                sends.append(outcomes.ToPeer(address, message))
+            for owner in owners:
+                groups_by_owner.setdefault(owner, []).append(keys)
+        # Owners that are asked for the same flows get the same bytes.
+        messages: dict[tuple[int, ...], list[bytes]] = {}
+        for (address, number), groups in groups_by_owner.items():
+            self._directory.responsiveness.record_query(address, now)
+            same = (number, *map(id, groups))
+            if same not in messages:
+                messages[same] = _messages(number, groups)
+            sends += [
+                outcomes.ToPeer(address, message) for message in messages[same]
+            ]
         self._awaiting_reply = {
             address
-            for address, _ in self._keys_by_owner
+            for address, _ in groups_by_owner
             if not self._directory.is_abandoned(address, now)
         }
         self._round_until = now + QUERY_REPLY_TIMEOUT_S
-        self._keys_by_owner.clear()
+        self._keys_by_owners.clear()
         self._due_at = float("inf")
         return sends, queried
+
+
+def _messages(number: int, groups: list[list[bytes]]) -> list[bytes]:
+    """Returns the queries for groups of flows.
+
+    Args:
+        number: Number of the service.
+        groups: Flow keys.
+    """
+    keys = list(itertools.chain.from_iterable(groups))
+    messages = []
+    for start in range(0, len(keys), frames.MAX_KEYS_PER_FRAME):
+        part = keys[start : start + frames.MAX_KEYS_PER_FRAME]
+        payload = frames.join_keys(part)
+        messages.append(
+            frames.encode(frames.Kind.QUERY_HELD, number, part[0], payload)
+        )
+    return messages
--- a/clementinelead/relays/tests/test_searching.py
+++ b/clementinelead/relays/tests/test_searching.py
@@ -451,6 +451,21 @@
     assert used < 64e6 / 32
 
 
+# Guards against the same by the queries of a round, which named each flow once
+# for each process.
+def test_memory_of_query_rounds_is_bounded_for_many_targets(balancer):
+    searches = active_searches.MAX_SEARCHES // 8
+    _list_targets(balancer, 1_000)
+    tracemalloc.start()
+    for number in range(searches):
+        _search(balancer, number, BEGIN)
+    sends = balancer.on_tick(BEGIN + 0.004)
+    _, used = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(sends) == 1_000 * searches // frames.MAX_KEYS_PER_FRAME
+    assert used < 32e6 / 8
+
+
 def _list_targets(balancer, count):
     balancer.set_targets(
         network.SERVICE,
