--- /dev/null
+++ b/review/common2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review's scripts; standard library only."""
