--- a/review/common2/deployment.py
+++ b/review/common2/deployment.py
@@ -256,7 +256,11 @@
 
 
 def run(
-    play: Play, zones: tuple[str, ...], sides_per_zone: int, here: pathlib.Path
+    play: Play,
+    zones: tuple[str, ...],
+    sides_per_zone: int,
+    here: pathlib.Path,
+    trouble: bool,
 ) -> int:
     """Plays a case, ends its processes, writes its record; returns the code."""
 
@@ -264,7 +268,6 @@
         asyncio.get_running_loop().add_signal_handler(
             signal.SIGTERM, asyncio.current_task().cancel
         )
-        trouble = os.environ.get("TROUBLE", "1") != "0"
         system = Deployment(zones, sides_per_zone)
         try:
             async with asyncio.timeout(LIMIT_S):
